--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets for developers. `make demo` and `make test` work on a fresh checkout.
+MODULES := core sched route platform control cmd
+GOBIN := $(shell go env GOPATH)/bin
+LINT_VERSION := v2.15.0
+PROTOC_GEN_GO := v1.36.12
+PROTOC_GEN_GO_GRPC := v1.6.2
+
+.PHONY: demo test race vet fmt lint generate build bench ci
+
+build:
+	go build $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+demo: build
+	go run ./cmd/lacewingctl demo
+
+test:
+	go test $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+race:
+	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+vet:
+	go vet $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+fmt:
+	@out="$$(gofmt -l $(MODULES))"; if [ -n "$$out" ]; then echo "gofmt needed:"; echo "$$out"; exit 1; fi
+
+lint:
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(LINT_VERSION:v%=%)" || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
+
+# Needs protoc (Debian package protobuf-compiler).
+generate:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO)
+	go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC)
+	PATH="$(GOBIN):$$PATH" protoc --go_out=. --go_opt=module=github.com/lacewingpier/lacewingpier --go-grpc_out=. --go-grpc_opt=module=github.com/lacewingpier/lacewingpier control/rpc/lacewing.proto
+
+ci: fmt vet lint test race
--- /dev/null
+++ b/cmd/lacewing-agent/main.go
@@ -0,0 +1,4 @@
+// Command lacewing-agent is part of lacewingpier.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/lacewing-entry/main.go
@@ -0,0 +1,4 @@
+// Command lacewing-entry is part of lacewingpier.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/lacewingctl/main.go
@@ -0,0 +1,4 @@
+// Command lacewingctl is part of lacewingpier.
+package main
+
+func main() {}
