--- a/cmd/lacewing-agent/main.go
+++ b/cmd/lacewing-agent/main.go
@@ -1,4 +1,26 @@
-// Command lacewing-agent is part of lacewingpier.
+// Command lacewing-agent runs beside one upstream and is the last check
+// before a request reaches it.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+
+	"github.com/lacewingpier/lacewingpier/cmd/internal/daemon"
+	"github.com/lacewingpier/lacewingpier/control/agent"
+)
+
+type flags struct {
+	Settings string `required:"" help:"Path of the JSON settings file." type:"path"`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("lacewing-agent"),
+		kong.Description("Runs beside one upstream and enforces its slots."))
+	var s agent.Settings
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return agent.New(s, logger) }))
+}
--- a/cmd/lacewing-entry/main.go
+++ b/cmd/lacewing-entry/main.go
@@ -1,4 +1,26 @@
-// Command lacewing-entry is part of lacewingpier.
+// Command lacewing-entry answers callers and operators, routes requests and
+// schedules the partitions that it owns.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+
+	"github.com/lacewingpier/lacewingpier/cmd/internal/daemon"
+	"github.com/lacewingpier/lacewingpier/control/entry"
+)
+
+type flags struct {
+	Settings string `required:"" help:"Path of the JSON settings file." type:"path"`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("lacewing-entry"),
+		kong.Description("Answers callers and operators, routes requests and schedules owned partitions."))
+	var s entry.Settings
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return entry.New(s, logger) }))
+}
--- /dev/null
+++ b/control/entry/settings.go
@@ -0,0 +1,55 @@
+// Package entry is the process on the entry hosts: it answers callers and
+// operators over HTTP, routes requests to agents and schedules the partitions
+// that it owns.
+package entry
+
+import (
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/settings"
+)
+
+// Settings is the JSON settings file of an entry.
+type Settings struct {
+	// ID names the entry; it must be unique.
+	ID ident.Entry `json:"id"`
+	// Zone and Region say where the entry runs.
+	Zone   ident.Zone   `json:"zone"`
+	Region ident.Region `json:"region"`
+	// HTTPAddr is the address for callers and operators.
+	HTTPAddr string `json:"http_addr"`
+	// GRPCAddr is the address for agents and other entries.
+	GRPCAddr string `json:"grpc_addr"`
+	// PlatformAddr is the address of the platform's services.
+	PlatformAddr string `json:"platform_addr"`
+	// DefaultTimeout is the deadline of a request that names none.
+	DefaultTimeout settings.Duration `json:"default_timeout"`
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout settings.Duration `json:"drain_timeout"`
+}
+
+// Default fills the settings that have a default.
+func (s *Settings) Default() {
+	if s.DefaultTimeout == 0 {
+		s.DefaultTimeout = settings.Duration(30 * time.Second)
+	}
+	if s.DrainTimeout == 0 {
+		s.DrainTimeout = settings.Duration(time.Minute)
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	s.Default()
+	var p settings.Problems
+	p.RequireText("id", string(s.ID))
+	p.RequireText("zone", string(s.Zone))
+	p.RequireText("region", string(s.Region))
+	p.RequireAddr("http_addr", s.HTTPAddr)
+	p.RequireAddr("grpc_addr", s.GRPCAddr)
+	p.RequireAddr("platform_addr", s.PlatformAddr)
+	p.RequirePositive("default_timeout", s.DefaultTimeout)
+	p.RequirePositive("drain_timeout", s.DrainTimeout)
+	return p.Err()
+}
