--- a/cmd/internal/demo/system.go
+++ b/cmd/internal/demo/system.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +45,6 @@
 	cancel  context.CancelFunc
 	servers []*http.Server
 	tasks   conc.WaitGroup
-	mu      sync.Mutex
 }
 
 var demoEntries = []struct {
