Inject the network into entry and agent

Cause: whole sessions must run under virtual time, and real sockets do not count as blocked inside a synctest bubble.

--- a/cmd/internal/demo/system.go
+++ b/cmd/internal/demo/system.go
@@ -14,6 +14,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/agent"
 	"github.com/lacewingpier/lacewingpier/control/entry"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform"
 	"github.com/lacewingpier/lacewingpier/platform/httpapi"
@@ -161,7 +162,7 @@
 		return err
 	}
 	ctx, kill := context.WithCancel(ctx)
-	node := &entryNode{settings: settings, entry: entry.New(settings, quietLogger()), kill: kill}
+	node := &entryNode{settings: settings, entry: entry.New(settings, transport.TCP{}, quietLogger()), kill: kill}
 	s.entries = append(s.entries, node)
 	s.tasks.Go(func() { _ = node.entry.Run(ctx) })
 	return nil
@@ -185,7 +186,7 @@
 	if err := settings.Validate(); err != nil {
 		return err
 	}
-	node := agent.New(settings, quietLogger())
+	node := agent.New(settings, transport.TCP{}, quietLogger())
 	s.tasks.Go(func() { _ = node.Run(ctx) })
 	s.tasks.Go(func() {
 		standin.Announce(ctx, addrs[2], standin.Announcement{
--- a/cmd/lacewing-entry/main.go
+++ b/cmd/lacewing-entry/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingpier/lacewingpier/cmd/internal/daemon"
 	"github.com/lacewingpier/lacewingpier/control/entry"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 )
 
 type flags struct {
@@ -22,5 +23,5 @@
 		kong.Description("Answers callers and operators, routes requests and schedules owned partitions."))
 	var s entry.Settings
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return entry.New(s, logger) }))
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return entry.New(s, transport.TCP{}, logger) }))
 }
--- a/control/agent/agent.go
+++ b/control/agent/agent.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
@@ -39,6 +40,7 @@
 	rpc.UnimplementedAgentServer
 
 	settings    Settings
+	network     transport.Network
 	incarnation ident.Incarnation
 	logger      *log.Logger
 	http        *http.Client
@@ -58,24 +60,25 @@
 	tasks    conc.WaitGroup
 }
 
-// New returns an agent with valid settings.
-func New(s Settings, logger *log.Logger) *Agent {
+// New returns an agent with valid settings on the given network.
+func New(s Settings, network transport.Network, logger *log.Logger) *Agent {
 	return &Agent{
 		settings:    s,
+		network:     network,
 		incarnation: ident.Incarnation(ident.NewID("agent-")),
 		logger:      logger,
-		http:        newUpstreamClient(),
+		http:        &http.Client{Transport: transport.NewHTTPTransport(network, upstreamConnections)},
 		entries:     make(map[string]context.CancelFunc),
 	}
 }
 
 // Run serves until ctx ends, then drains and returns.
 func (a *Agent) Run(ctx context.Context) error {
-	grpcListener, err := net.Listen("tcp", a.settings.GRPCAddr)
+	grpcListener, err := a.network.Listen(a.settings.GRPCAddr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at grpc_addr")
 	}
-	announceListener, err := net.Listen("tcp", a.settings.AnnounceAddr)
+	announceListener, err := a.network.Listen(a.settings.AnnounceAddr)
 	if err != nil {
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at announce_addr")
@@ -93,7 +96,7 @@
 }
 
 func (a *Agent) serve(grpcListener, announceListener net.Listener) {
-	a.grpc = grpc.NewServer()
+	a.grpc = transport.NewGRPCServer()
 	rpc.RegisterAgentServer(a.grpc, a)
 	router := httprouter.New()
 	router.POST("/v1/announce", a.handleAnnounce)
--- a/control/agent/attach.go
+++ b/control/agent/attach.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 )
 
 // reattachDelay is the wait before a broken stream to an entry is opened again.
@@ -27,7 +25,7 @@
 
 // attachLoop keeps a report stream to one entry until entryCtx ends.
 func (a *Agent) attachLoop(entryCtx, agentCtx context.Context, addr string) {
-	conn, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := transport.NewGRPCClient(a.network, addr)
 	if err != nil {
 		a.logger.Error().Err(err).Str("entry_addr", addr).Msg("entry address is not usable")
 		return
--- a/control/agent/dispatch.go
+++ b/control/agent/dispatch.go
@@ -16,17 +16,8 @@
 // chunkSize is the largest body frame in bytes.
 const chunkSize = 32 << 10
 
-// connectTimeout bounds the dial to the upstream on the same host.
-const connectTimeout = time.Second
-
-func newUpstreamClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		// A retry by the transport could run a non-idempotent request twice.
-		DisableCompression: true,
-	}}
-}
+// upstreamConnections is the number of kept connections to the upstream.
+const upstreamConnections = 64
 
 // Dispatch implements rpc.AgentServer.
 func (a *Agent) Dispatch(stream rpc.Agent_DispatchServer) error {
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 )
 
@@ -24,6 +25,7 @@
 	rpc.UnimplementedEntryServer
 
 	settings Settings
+	network  transport.Network
 	logger   *log.Logger
 	agents   *agentRegistry
 	draining atomic.Bool
@@ -33,18 +35,18 @@
 	tasks conc.WaitGroup
 }
 
-// New returns an entry with valid settings.
-func New(s Settings, logger *log.Logger) *Entry {
-	return &Entry{settings: s, logger: logger, agents: newAgentRegistry()}
+// New returns an entry with valid settings on the given network.
+func New(s Settings, network transport.Network, logger *log.Logger) *Entry {
+	return &Entry{settings: s, network: network, logger: logger, agents: newAgentRegistry(network)}
 }
 
 // Run serves until ctx ends, then drains and returns.
 func (e *Entry) Run(ctx context.Context) error {
-	grpcListener, err := net.Listen("tcp", e.settings.GRPCAddr)
+	grpcListener, err := e.network.Listen(e.settings.GRPCAddr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at grpc_addr")
 	}
-	httpListener, err := net.Listen("tcp", e.settings.HTTPAddr)
+	httpListener, err := e.network.Listen(e.settings.HTTPAddr)
 	if err != nil {
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
@@ -57,7 +59,7 @@
 }
 
 func (e *Entry) serve(grpcListener, httpListener net.Listener) {
-	e.grpc = grpc.NewServer()
+	e.grpc = transport.NewGRPCServer()
 	rpc.RegisterEntryServer(e.grpc, e)
 	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
 	e.tasks.Go(func() {
--- a/control/entry/registry.go
+++ b/control/entry/registry.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
@@ -28,12 +28,14 @@
 
 // agentRegistry holds the agents that are attached to the entry.
 type agentRegistry struct {
+	network transport.Network
+
 	mu     sync.Mutex
 	agents map[ident.Upstream]*agentState
 }
 
-func newAgentRegistry() *agentRegistry {
-	return &agentRegistry{agents: make(map[ident.Upstream]*agentState)}
+func newAgentRegistry(network transport.Network) *agentRegistry {
+	return &agentRegistry{network: network, agents: make(map[ident.Upstream]*agentState)}
 }
 
 // update takes a report in.
@@ -43,7 +45,7 @@
 	id := ident.Upstream(report.GetUpstream())
 	state := r.agents[id]
 	if state == nil || state.report.GetAddress() != report.GetAddress() {
-		conn, err := grpc.NewClient(report.GetAddress(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		conn, err := transport.NewGRPCClient(r.network, report.GetAddress())
 		if err != nil {
 			return errkind.Wrap(errkind.InvalidArgument, err, "agent address")
 		}
--- /dev/null
+++ b/control/transport/transport.go
@@ -0,0 +1,87 @@
+// Package transport abstracts how processes listen and dial, so that tests run
+// whole processes over in-memory connections under virtual time.
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+)
+
+// Timeouts of connections between processes.
+const (
+	// dialTimeout bounds a connection attempt.
+	dialTimeout = time.Second
+	// maxReconnectDelay keeps a restarted peer reachable within the 2 s bound
+	// for a cold start.
+	maxReconnectDelay = time.Second
+	// keepaliveTime and keepaliveTimeout detect a silent peer within 3 s.
+	keepaliveTime    = 2 * time.Second
+	keepaliveTimeout = time.Second
+)
+
+// Network listens and dials for one process.
+type Network interface {
+	// Listen announces on an IP address and port.
+	Listen(addr string) (net.Listener, error)
+	// Dial connects to an IP address and port.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// TCP is the operating system's network.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+// NewGRPCClient returns a client connection over the network.
+func NewGRPCClient(n Network, addr string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(n.Dial),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.InvalidArgument, err, "client of "+addr)
+	}
+	return conn, nil
+}
+
+// NewGRPCServer returns a server that tolerates the clients' keepalive pings.
+func NewGRPCServer() *grpc.Server {
+	return grpc.NewServer(
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+}
+
+// NewHTTPTransport returns an HTTP transport over the network that keeps up to
+// idle connections to each host.
+func NewHTTPTransport(n Network, idle int) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return n.Dial(ctx, addr)
+		},
+		MaxIdleConnsPerHost: idle,
+		DisableCompression:  true,
+	}
+}
