Add topology index, witness and first scheduler

Cause: the executor and the traces need a placement policy to work against. Change: a segment tree over racks answers best-fit queries; the witness keeps a place for each guaranteed gang, repairs one rack group first and repacks the whole partition next, with an exhaustive search for small problems; the scheduler lends idle capacity in order of shares and reclaims it by preemption. No reservations, consolidation or share preemption yet.

--- /dev/null
+++ b/sched/sched/finish.go
@@ -0,0 +1,180 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/witness"
+)
+
+// A failed attempt is repeated after a delay that doubles from the base to the
+// limit.
+const (
+	backoffBase  = 2 * time.Second
+	backoffLimit = 5 * time.Minute
+)
+
+// Finished reports the end of an attempt. Reports of other attempts are ignored.
+func (s *Scheduler) Finished(now time.Time, r model.Result) {
+	s.now = now
+	j := s.jobs[r.Job]
+	if j == nil || !j.occupies() || r.Attempt != j.attempt {
+		return
+	}
+	workers := j.places
+	lost := j.lost
+	s.release(j)
+	if r.Saved > j.saved {
+		j.saved = r.Saved
+	}
+	switch {
+	case r.Outcome == model.OutcomeSucceeded:
+		s.succeeded(j, workers)
+	case j.canceled || r.Outcome == model.OutcomeCanceled:
+		s.end(j)
+	case r.Outcome == model.OutcomePreempted:
+		s.resume(j)
+	case lost || r.Outcome == model.OutcomeWorkerLost:
+		s.requeue(j, model.ReasonRetryWorkerLost)
+	case r.Outcome == model.OutcomeStartFailed:
+		s.failed(j, r, model.ReasonRetryStartFailed)
+	default:
+		s.failed(j, r, model.ReasonRetryTaskFailed)
+	}
+}
+
+// release frees everything that a finished attempt used.
+func (s *Scheduler) release(j *job) {
+	s.detach(j)
+	s.uncharge(j)
+	s.vacate(j)
+	j.lost = false
+}
+
+// uncharge takes the attempt out of the share accounts.
+func (s *Scheduler) uncharge(j *job) {
+	if !j.charged {
+		return
+	}
+	j.charged = false
+	s.charge(j, -1)
+	j.ws.borrowed = without(j.ws.borrowed, j)
+}
+
+// detach makes the slot of a gang idle.
+func (s *Scheduler) detach(j *job) {
+	if j.slot == nil {
+		return
+	}
+	slot := j.slot
+	j.slot = nil
+	if slot.Holder != j.spec.ID {
+		return
+	}
+	s.book.Release(slot)
+	s.adopt(slot)
+	s.book.Repair(-1)
+}
+
+// adopt gives an idle slot to a gang of the same shape that runs outside the
+// guarantee, if the slot can take over the gang's place.
+func (s *Scheduler) adopt(slot *witness.Slot) {
+	ws := s.workspaces[slot.Key.Workspace]
+	for _, j := range ws.borrowed {
+		if j.state == stateRunning && j.spec.Shape == slot.Key.Shape && s.book.Adopt(slot, j.places) {
+			s.uncharge(j)
+			j.slot = slot
+			s.book.Hold(slot, j.spec.ID)
+			return
+		}
+	}
+}
+
+func (s *Scheduler) succeeded(j *job, places []witness.Place) {
+	s.estimator.Observe(j.spec.Service, j.spec.Tasks, j.spec.RunTime, j.saved+s.now.Sub(j.started))
+	eachWorker(places, func(n int, _ uint64, _ int) {
+		s.health.Succeeded(s.now, s.workers[n].id, j.spec.ID)
+	})
+	s.end(j)
+}
+
+// end forgets a job whose last attempt has been released.
+func (s *Scheduler) end(j *job) {
+	s.dropTarget(j)
+	j.state = stateStopping
+	s.drop(j)
+}
+
+// requeue puts a job back to its place in the queue.
+func (s *Scheduler) requeue(j *job, reason model.Reason) {
+	s.counts[reason]++
+	j.retry = reason
+	s.dropTarget(j)
+	s.enqueue(j)
+}
+
+// resume continues a preempted job: a migrating one at its target, others in
+// the queue.
+func (s *Scheduler) resume(j *job) {
+	if len(j.target) == 0 {
+		s.enqueue(j)
+		return
+	}
+	j.places, j.target = j.target, nil
+	j.state = statePending
+	s.wake(j)
+}
+
+// dropTarget gives up the place that a migrating job would move to.
+func (s *Scheduler) dropTarget(j *job) {
+	if len(j.target) == 0 {
+		return
+	}
+	s.unwant(j, j.target)
+	j.target = nil
+	s.generation++
+}
+
+// failed judges a failed attempt and retries the job after a backoff.
+func (s *Scheduler) failed(j *job, r model.Result, reason model.Reason) {
+	if r.FailedOn != "" {
+		s.health.Failed(s.now, r.FailedOn, r.Job)
+		s.suspect(r.FailedOn)
+	}
+	if reason == model.ReasonRetryTaskFailed && s.health.JobFailsEverywhere(r.Job) {
+		s.report(j, model.ReasonJobFailsEverywhere)
+		s.end(j)
+		return
+	}
+	s.counts[reason]++
+	s.dropTarget(j)
+	j.retry = reason
+	j.failures++
+	j.notBefore = s.now.Add(backoff(j.failures))
+	j.state = stateDelayed
+	j.ws.queued++
+	s.delayed = append(s.delayed, j)
+}
+
+func backoff(failures int) time.Duration {
+	wait := backoffBase
+	for i := 1; i < failures && wait < backoffLimit; i++ {
+		wait *= 2
+	}
+	return min(wait, backoffLimit)
+}
+
+// wakeDelayed queues the jobs whose backoff is over.
+func (s *Scheduler) wakeDelayed() {
+	kept := s.delayed[:0]
+	for _, j := range s.delayed {
+		if j.notBefore.After(s.now) {
+			kept = append(kept, j)
+			continue
+		}
+		j.ws.queued--
+		s.enqueue(j)
+	}
+	clear(s.delayed[len(kept):])
+	s.delayed = kept
+}
--- /dev/null
+++ b/sched/sched/job.go
@@ -0,0 +1,155 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/topology"
+	"github.com/lacewingpier/lacewingpier/sched/witness"
+)
+
+// jobState is the state of an accepted job.
+type jobState uint8
+
+const (
+	// stateQueued waits for a place.
+	stateQueued jobState = iota
+	// stateDelayed waits for the end of a backoff.
+	stateDelayed
+	// statePending has a place and waits for its occupants to stop.
+	statePending
+	// stateRunning runs an attempt.
+	stateRunning
+	// stateStopping runs an attempt whose end is expected.
+	stateStopping
+)
+
+// job is an accepted job.
+type job struct {
+	spec  model.Job
+	seq   uint64
+	state jobState
+	ws    *workspace
+	// caller is the share account of the job's caller.
+	caller  *caller
+	class   *class
+	attempt int
+	// places has one entry for each task from placement to release.
+	places []witness.Place
+	// slot is the guarantee that the job uses, or nil.
+	slot *witness.Slot
+
+	started  time.Time
+	estimate time.Duration
+	// saved is the run time covered by checkpoints of earlier attempts.
+	saved time.Duration
+	// checkpoint is the time of the newest checkpoint of this attempt.
+	checkpoint time.Time
+	failures   int
+	notBefore  time.Time
+	retry      model.Reason
+	canceled   bool
+	// charged says that the attempt counts in the share accounts.
+	charged bool
+	// lost says that a member's worker was lost.
+	lost bool
+	// target is the place that a migrating job moves to.
+	target []witness.Place
+	// impossible says that the owner was told that the job cannot run now.
+	impossible bool
+}
+
+func (j *job) query() topology.Query {
+	return topology.Query{Tasks: j.spec.Tasks, PerTask: j.spec.PerTask, Locality: j.spec.Locality}
+}
+
+func (j *job) accelerators() int { return j.spec.Tasks * j.spec.PerTask.Accelerators }
+
+// weight is the size of a gang for comparisons of lost work: its accelerators,
+// at least one.
+func (j *job) weight() float64 { return float64(max(j.accelerators(), 1)) }
+
+// checkpointLoss bounds the expected loss of a gang that checkpoints within the
+// grace period: the time to restart from the checkpoint.
+const checkpointLoss = 30 * time.Second
+
+// loss returns the accelerator-seconds that stopping the job would waste.
+func (j *job) loss(now time.Time) float64 {
+	since := now.Sub(j.lastSaved())
+	if j.spec.Checkpointable {
+		since = min(since, checkpointLoss)
+	}
+	return max(since.Seconds(), 0) * j.weight()
+}
+
+func (j *job) lastSaved() time.Time {
+	if j.checkpoint.After(j.started) {
+		return j.checkpoint
+	}
+	return j.started
+}
+
+// occupies reports whether the job holds capacity.
+func (j *job) occupies() bool { return j.state == stateRunning || j.state == stateStopping }
+
+// workspace is the share account of one workspace.
+type workspace struct {
+	id     ident.Workspace
+	known  bool
+	weight int
+	plan   model.WorkspacePlan
+	queued int
+	// usage is what the workspace runs beyond its guarantees.
+	usage   model.Resources
+	share   float64
+	callers map[ident.Caller]*caller
+	// claims holds the queued jobs of each guaranteed shape.
+	claims map[string]*jobQueue
+	// borrowed lists the running jobs outside the workspace's guarantees in
+	// order of their start.
+	borrowed []*job
+}
+
+// caller is the share account of one caller.
+type caller struct {
+	id    ident.Caller
+	usage model.Resources
+	share float64
+	jobs  int
+}
+
+// dominant returns the largest part of total that used takes of any resource.
+func dominant(used, total model.Resources) float64 {
+	return max(part(used.Accelerators, total.Accelerators), part(used.Cores, total.Cores), part(used.MemoryMB, total.MemoryMB))
+}
+
+func part(used, total int) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(used) / float64(total)
+}
+
+// charge adds a job's usage to its workspace and caller, or removes it.
+func (s *Scheduler) charge(j *job, sign int) {
+	amount := topology.Scale(j.spec.PerTask, sign*j.spec.Tasks)
+	j.ws.usage = topology.Add(j.ws.usage, amount)
+	j.caller.usage = topology.Add(j.caller.usage, amount)
+	j.ws.share = s.shareOf(j.ws, j.ws.usage)
+	j.caller.share = dominant(j.caller.usage, s.capacity)
+}
+
+func (s *Scheduler) shareOf(ws *workspace, usage model.Resources) float64 {
+	return dominant(usage, s.capacity) / float64(max(ws.weight, 1))
+}
+
+// recomputeShares follows a change of capacity or weights.
+func (s *Scheduler) recomputeShares() {
+	for _, ws := range s.order {
+		ws.share = s.shareOf(ws, ws.usage)
+		for _, c := range ws.callers {
+			c.share = dominant(c.usage, s.capacity)
+		}
+	}
+}
--- /dev/null
+++ b/sched/sched/oracle_test.go
@@ -0,0 +1,170 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/witness"
+)
+
+// oracle decides by trying all distributions whether gangs fit into workers. It
+// shares no code with the packing of the witness.
+type oracle struct {
+	racks [][]model.Resources
+	items []model.Shape
+	dead  map[string]bool
+}
+
+func (o *oracle) fits() bool {
+	o.dead = make(map[string]bool)
+	return o.gang(0)
+}
+
+func (o *oracle) key(i int) string {
+	parts := make([]string, 0, len(o.racks))
+	for _, rack := range o.racks {
+		r := slices.Clone(rack)
+		slices.SortFunc(r, func(a, b model.Resources) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+		parts = append(parts, fmt.Sprint(r))
+	}
+	slices.Sort(parts)
+	return fmt.Sprint(i, parts)
+}
+
+func (o *oracle) gang(i int) bool {
+	if i == len(o.items) {
+		return true
+	}
+	k := o.key(i)
+	if o.dead[k] {
+		return false
+	}
+	if o.anyStart(i) {
+		return true
+	}
+	o.dead[k] = true
+	return false
+}
+
+func (o *oracle) anyStart(i int) bool {
+	for r := range o.racks {
+		for w := range o.racks[r] {
+			if o.tasks(i, o.items[i].Tasks, r, w) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// tasks puts one task on worker w of rack r and the rest on it or later ones.
+func (o *oracle) tasks(i, left, r, w int) bool {
+	free, per := o.racks[r][w], o.items[i].PerTask
+	if free.Accelerators < per.Accelerators || free.Cores < per.Cores || free.MemoryMB < per.MemoryMB {
+		return false
+	}
+	o.racks[r][w] = model.Resources{Accelerators: free.Accelerators - per.Accelerators, Cores: free.Cores - per.Cores, MemoryMB: free.MemoryMB - per.MemoryMB}
+	defer func() { o.racks[r][w] = free }()
+	if left == 1 {
+		return o.gang(i + 1)
+	}
+	for r2 := r; r2 < len(o.racks); r2++ {
+		for w2 := range o.racks[r2] {
+			if r2 == r && w2 < w || !allowed(o.items[i].Locality, r, w, r2, w2) {
+				continue
+			}
+			if o.tasks(i, left-1, r2, w2) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func allowed(l model.Locality, r, w, r2, w2 int) bool {
+	return l == model.LocalityPartition || r == r2 && (l == model.LocalityRack || w == w2)
+}
+
+// canHold reports whether the live workers can hold the fixed slots where they
+// are and the other slots anywhere.
+func canHold(s *Scheduler, fixed, movable []*witness.Slot) bool {
+	used := make(map[int]model.Resources)
+	for _, slot := range fixed {
+		for _, p := range slot.Places {
+			u := used[p.Worker]
+			used[p.Worker] = model.Resources{Accelerators: u.Accelerators + slot.Shape.PerTask.Accelerators, Cores: u.Cores + slot.Shape.PerTask.Cores, MemoryMB: u.MemoryMB + slot.Shape.PerTask.MemoryMB}
+		}
+	}
+	o := oracle{}
+	for r := range s.all.Racks() {
+		var rack []model.Resources
+		for _, w := range s.all.Rack(r) {
+			c, u := s.all.Free(int(w)), used[int(w)]
+			rack = append(rack, model.Resources{Accelerators: c.Accelerators - u.Accelerators, Cores: c.Cores - u.Cores, MemoryMB: c.MemoryMB - u.MemoryMB})
+		}
+		o.racks = append(o.racks, rack)
+	}
+	for _, slot := range movable {
+		o.items = append(o.items, slot.Shape)
+	}
+	return o.fits()
+}
+
+// unjustified returns a short slot that would fit beside the held slots and the
+// placed idle slots that precede it by priority, or nil.
+func unjustified(s *Scheduler) *witness.Slot {
+	var held, before []*witness.Slot
+	for _, slot := range s.book.Slots() {
+		if slot.Holder != "" {
+			held = append(held, slot)
+		}
+	}
+	for _, slot := range s.book.Slots() {
+		switch {
+		case slot.Short():
+			if canHold(s, held, append(slices.Clone(before), slot)) {
+				return slot
+			}
+		case slot.Holder == "":
+			before = append(before, slot)
+		}
+	}
+	return nil
+}
+
+// planFits reports whether the plan keeps every held slot and all its other
+// gangs fit beside them.
+func planFits(s *Scheduler, plan model.Plan) bool {
+	held := make(map[string][]*witness.Slot)
+	for _, slot := range s.book.Slots() {
+		if slot.Holder != "" {
+			k := fmt.Sprint(slot.Key.Workspace, "/", slot.Key.Shape)
+			held[k] = append(held[k], slot)
+		}
+	}
+	var fixed, movable []*witness.Slot
+	for _, ws := range s.resolve(plan).Workspaces {
+		for _, shape := range ws.Shapes {
+			k := fmt.Sprint(ws.Workspace, "/", shape.Name)
+			for range shape.Count {
+				if len(held[k]) == 0 || held[k][0].Shape.Tasks != shape.Tasks || held[k][0].Shape.Locality != shape.Locality || held[k][0].Shape.PerTask.Accelerators != shape.PerTask.Accelerators {
+					movable = append(movable, &witness.Slot{Shape: shape})
+					continue
+				}
+				grown := held[k][0].Shape
+				grown.PerTask.Cores = max(grown.PerTask.Cores, shape.PerTask.Cores)
+				grown.PerTask.MemoryMB = max(grown.PerTask.MemoryMB, shape.PerTask.MemoryMB)
+				fixed = append(fixed, &witness.Slot{Shape: grown, Places: held[k][0].Places})
+				held[k] = held[k][1:]
+			}
+		}
+	}
+	for _, rest := range held {
+		if len(rest) > 0 {
+			return false
+		}
+	}
+	return canHold(s, fixed, movable)
+}
--- /dev/null
+++ b/sched/sched/places.go
@@ -0,0 +1,38 @@
+package sched
+
+import (
+	"math/bits"
+
+	"github.com/lacewingpier/lacewingpier/sched/witness"
+)
+
+func onesCount(mask uint64) int { return bits.OnesCount64(mask) }
+
+// maskOn returns the accelerators that places take on a worker.
+func maskOn(places []witness.Place, n int) uint64 {
+	var mask uint64
+	for _, p := range places {
+		if p.Worker == n {
+			mask |= p.Mask
+		}
+	}
+	return mask
+}
+
+// keptOn returns the accelerators of a worker that a job keeps without using.
+func keptOn(j *job, n int) uint64 {
+	if j.state == statePending {
+		return maskOn(j.places, n)
+	}
+	return maskOn(j.target, n)
+}
+
+func tasksOn(places []witness.Place, n int) int {
+	tasks := 0
+	for _, p := range places {
+		if p.Worker == n {
+			tasks++
+		}
+	}
+	return tasks
+}
--- /dev/null
+++ b/sched/sched/schedule.go
@@ -0,0 +1,144 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/topology"
+	"github.com/lacewingpier/lacewingpier/sched/witness"
+)
+
+// Schedule starts what can start and frees the places that guarantees need.
+func (s *Scheduler) Schedule(now time.Time) []model.Action {
+	s.now = now
+	s.judgeSuspects()
+	s.wakeDelayed()
+	s.startReady()
+	s.claimShapes()
+	s.fill()
+	out := s.outbox
+	s.outbox = nil
+	return out
+}
+
+// startReady starts the gangs whose places have become vacant. Two gangs may
+// have become ready by the same cores, so each is checked again; the second one
+// is woken by the next gang that stops there.
+func (s *Scheduler) startReady() {
+	ready := s.ready
+	s.ready = nil
+	for _, j := range ready {
+		if s.vacant(j, j.places) {
+			s.start(j)
+		}
+	}
+}
+
+// start begins an attempt at the place that the gang keeps.
+func (s *Scheduler) start(j *job) {
+	s.occupy(j)
+	j.state = stateRunning
+	j.attempt++
+	j.started = s.now
+	j.checkpoint = time.Time{}
+	j.estimate = s.remaining(j)
+	if j.slot == nil {
+		j.charged = true
+		s.charge(j, 1)
+		j.ws.borrowed = append(j.ws.borrowed, j)
+	}
+	s.outbox = append(s.outbox, model.Action{
+		Kind: model.ActionStart, Job: j.spec.ID, Attempt: j.attempt,
+		Members: witness.Members(j.places, s.workerID), Reason: j.retry,
+	})
+	j.retry = model.ReasonNone
+	s.judgeSuspects()
+}
+
+// fill starts waiting jobs on idle capacity in the order of their shares.
+func (s *Scheduler) fill() {
+	for {
+		j := s.next()
+		if j == nil {
+			return
+		}
+		if !s.tryStart(j) {
+			j.class.blocked = s.generation
+		}
+	}
+}
+
+// next returns the job that is served next among the classes that may start.
+func (s *Scheduler) next() *job {
+	var best *job
+	for _, c := range s.classes {
+		if c.blocked == s.generation {
+			continue
+		}
+		if j := c.best(); best == nil || before(j, best) {
+			best = j
+		}
+	}
+	return best
+}
+
+// tryStart starts a job where no guarantee is idle, or else on capacity that an
+// idle guarantee lends.
+func (s *Scheduler) tryStart(j *job) bool {
+	q := j.query()
+	spots := s.open.Find(q)
+	if spots == nil {
+		spots = s.free.Find(q)
+	}
+	if spots == nil {
+		return false
+	}
+	s.startAt(j, spots)
+	return true
+}
+
+func (s *Scheduler) startAt(j *job, spots []topology.Spot) {
+	s.dequeue(j)
+	j.places = s.assign(j, spots)
+	s.want(j, j.places)
+	s.start(j)
+}
+
+// suspect watches a worker that failed an attempt.
+func (s *Scheduler) suspect(id ident.Worker) {
+	n, ok := s.byID[id]
+	if ok && !slices.Contains(s.suspects, n) {
+		s.suspects = append(s.suspects, n)
+	}
+	s.judgeSuspects()
+}
+
+// judgeSuspects closes quarantined workers, and opens them for one probe at a
+// time when that is due.
+func (s *Scheduler) judgeSuspects() {
+	kept := s.suspects[:0]
+	for _, n := range s.suspects {
+		w := s.workers[n]
+		bad := s.health.Quarantined(s.now, w.id)
+		if bad {
+			kept = append(kept, n)
+		}
+		s.setClosed(n, bad && (len(w.gangs) > 0 || !s.health.ProbeAllowed(s.now, w.id)))
+	}
+	s.suspects = kept
+}
+
+func (s *Scheduler) setClosed(n int, closed bool) {
+	if s.free.Closed(n) == closed {
+		return
+	}
+	s.free.SetClosed(n, closed)
+	s.open.SetClosed(n, closed)
+	s.book.SetClosed(n, closed)
+	if !closed {
+		s.generation++
+		s.book.Repair(s.free.RackOf(n))
+	}
+}
--- /dev/null
+++ b/sched/witness/book.go
@@ -0,0 +1,329 @@
+package witness
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/topology"
+)
+
+// Place is the part of one worker that one task owns.
+type Place struct {
+	Worker int
+	Mask   uint64
+}
+
+// Slot is one guaranteed gang.
+type Slot struct {
+	Key   Key
+	Shape model.Shape
+	// Priority decides which slots fall short first; the lowest does.
+	Priority int
+	// Places has one entry for each task; it is empty while the slot is short.
+	Places []Place
+	// Holder is the job that runs or is about to run in the slot.
+	Holder ident.Job
+	// base is the size that the plan gives each task.
+	base model.Resources
+	// order is the position in the plan.
+	order int
+}
+
+// Short reports whether the slot has no place.
+func (s *Slot) Short() bool { return len(s.Places) == 0 }
+
+// Spots returns the workers of the slot with the number of tasks on each.
+func (s *Slot) Spots() []topology.Spot {
+	var spots []topology.Spot
+	for _, p := range s.Places {
+		if n := len(spots); n > 0 && spots[n-1].Worker == p.Worker {
+			spots[n-1].Tasks++
+			continue
+		}
+		spots = append(spots, topology.Spot{Worker: p.Worker, Tasks: 1})
+	}
+	return spots
+}
+
+func (s *Slot) on(worker int) bool {
+	return slices.ContainsFunc(s.Places, func(p Place) bool { return p.Worker == worker })
+}
+
+func (s *Slot) query() topology.Query {
+	return topology.Query{Tasks: s.Shape.Tasks, PerTask: s.Shape.PerTask, Locality: s.Shape.Locality}
+}
+
+func (s *Slot) accelerators() int { return s.Shape.Tasks * s.Shape.PerTask.Accelerators }
+
+// Hooks connects a book to the owner of the physical capacity.
+type Hooks struct {
+	// Pick chooses n of the candidate accelerators of a worker.
+	Pick func(worker int, candidates uint64, n int) uint64
+	// Changed is called after the owned part of a worker has changed.
+	Changed func(worker int)
+}
+
+type shapeKey struct {
+	workspace ident.Workspace
+	shape     string
+}
+
+// Book holds the slots of one partition. Slots never overlap.
+type Book struct {
+	hooks Hooks
+	// index holds the capacity that no slot owns.
+	index    *topology.Index
+	owned    []uint64
+	capacity []model.Resources
+	// reserve is what idle slots own of each worker's cores and memory.
+	reserve []model.Resources
+	// slots is ordered by descending priority.
+	slots   []*Slot
+	byShape map[shapeKey][]*Slot
+	short   int
+	// Repacks counts full recomputations, Repairs the successful local ones.
+	Repacks int
+	Repairs int
+}
+
+// NewBook returns a book without workers and slots.
+func NewBook(hooks Hooks) *Book {
+	if hooks.Pick == nil {
+		hooks.Pick = func(_ int, candidates uint64, n int) uint64 { return LowestBits(candidates, n) }
+	}
+	if hooks.Changed == nil {
+		hooks.Changed = func(int) {}
+	}
+	return &Book{hooks: hooks, index: topology.NewIndex(), byShape: make(map[shapeKey][]*Slot)}
+}
+
+// LowestBits returns the n lowest set bits of mask.
+func LowestBits(mask uint64, n int) uint64 {
+	var out uint64
+	for ; n > 0 && mask != 0; n-- {
+		low := mask & -mask
+		out |= low
+		mask ^= low
+	}
+	return out
+}
+
+// FullMask returns a mask of n accelerators.
+func FullMask(n int) uint64 {
+	if n >= topology.MaxAccelerators {
+		return ^uint64(0)
+	}
+	return 1<<n - 1
+}
+
+// AddWorker appends a worker without capacity and returns its number.
+func (b *Book) AddWorker(rack int) int {
+	b.owned = append(b.owned, 0)
+	b.capacity = append(b.capacity, model.Resources{})
+	b.reserve = append(b.reserve, model.Resources{})
+	return b.index.AddWorker(rack)
+}
+
+// Slots returns all slots in order of descending priority.
+func (b *Book) Slots() []*Slot { return b.slots }
+
+// Of returns the slots of one shape.
+func (b *Book) Of(ws ident.Workspace, shape string) []*Slot {
+	return b.byShape[shapeKey{ws, shape}]
+}
+
+// ShortCount returns the number of slots without a place.
+func (b *Book) ShortCount() int { return b.short }
+
+// Owned returns the accelerators of a worker that slots own.
+func (b *Book) Owned(worker int) uint64 { return b.owned[worker] }
+
+// IdleReserve returns what idle slots own of a worker.
+func (b *Book) IdleReserve(worker int) model.Resources { return b.reserve[worker] }
+
+// Unowned returns an index of the capacity that no slot owns.
+func (b *Book) Unowned() *topology.Index { return b.index }
+
+// put gives a slot a place.
+func (b *Book) put(s *Slot, spots []topology.Spot) {
+	places := make([]Place, 0, s.Shape.Tasks)
+	for _, spot := range spots {
+		for range spot.Tasks {
+			candidates := FullMask(b.capacity[spot.Worker].Accelerators) &^ b.owned[spot.Worker]
+			mask := b.hooks.Pick(spot.Worker, candidates, s.Shape.PerTask.Accelerators)
+			b.owned[spot.Worker] |= mask
+			places = append(places, Place{Worker: spot.Worker, Mask: mask})
+		}
+	}
+	for _, p := range places {
+		b.owned[p.Worker] &^= p.Mask
+	}
+	b.putPlaces(s, places)
+}
+
+func (b *Book) putPlaces(s *Slot, places []Place) {
+	if s.Short() {
+		b.short--
+	}
+	s.Places = places
+	for _, p := range places {
+		b.owned[p.Worker] |= p.Mask
+		b.index.Set(p.Worker, topology.Sub(b.index.Free(p.Worker), s.Shape.PerTask))
+	}
+	b.reserveFor(s, 1)
+}
+
+// lift takes a slot's place away and returns it.
+func (b *Book) lift(s *Slot) []Place {
+	if s.Short() {
+		return nil
+	}
+	places := s.Places
+	b.reserveFor(s, -1)
+	for _, p := range places {
+		b.owned[p.Worker] &^= p.Mask
+		b.index.Set(p.Worker, topology.Add(b.index.Free(p.Worker), s.Shape.PerTask))
+	}
+	s.Places = nil
+	b.short++
+	for _, p := range places {
+		b.hooks.Changed(p.Worker)
+	}
+	return places
+}
+
+// reserveFor accounts the places of an idle slot and notifies the owner.
+func (b *Book) reserveFor(s *Slot, sign int) {
+	for _, p := range s.Places {
+		if s.Holder == "" {
+			b.reserve[p.Worker] = topology.Add(b.reserve[p.Worker], topology.Scale(s.Shape.PerTask, sign))
+		}
+		b.hooks.Changed(p.Worker)
+	}
+}
+
+// Hold marks a slot as used by a job. The slot keeps its place until Release.
+func (b *Book) Hold(s *Slot, job ident.Job) {
+	b.reserveFor(s, -1)
+	s.Holder = job
+	b.reserveFor(s, 1)
+}
+
+// Release makes a slot idle again.
+func (b *Book) Release(s *Slot) {
+	places := b.lift(s)
+	s.Holder = ""
+	s.Shape.PerTask = s.base
+	if places != nil {
+		b.putPlaces(s, places)
+	}
+}
+
+// Move gives an idle slot another place, whose capacity no other slot owns.
+func (b *Book) Move(s *Slot, spots []topology.Spot) {
+	b.lift(s)
+	b.put(s, spots)
+}
+
+// Adopt gives an idle slot exactly the given places if no other slot owns a
+// part of them, and reports whether it did.
+func (b *Book) Adopt(s *Slot, places []Place) bool {
+	old := b.lift(s)
+	if b.vacant(s, places) {
+		b.putPlaces(s, places)
+		return true
+	}
+	if old != nil {
+		b.putPlaces(s, old)
+	}
+	return false
+}
+
+// vacant reports whether no slot owns a part of the places.
+func (b *Book) vacant(s *Slot, places []Place) bool {
+	need := make(map[int]model.Resources, len(places))
+	for _, p := range places {
+		if b.owned[p.Worker]&p.Mask != 0 {
+			return false
+		}
+		need[p.Worker] = topology.Add(need[p.Worker], s.Shape.PerTask)
+		if !topology.Covers(b.index.Free(p.Worker), need[p.Worker]) {
+			return false
+		}
+	}
+	return true
+}
+
+// SetCapacity changes the capacity of a worker on which no slot has a place.
+func (b *Book) SetCapacity(worker int, capacity model.Resources) {
+	b.capacity[worker] = capacity
+	b.index.Set(worker, capacity)
+	b.hooks.Changed(worker)
+}
+
+// Lose takes a worker away. Slots on it lose their places and their holders,
+// whose gangs cannot go on. Repair gives the slots new places.
+func (b *Book) Lose(worker int) {
+	for _, s := range b.slots {
+		if s.on(worker) {
+			b.lift(s)
+			s.Holder = ""
+			s.Shape.PerTask = s.base
+		}
+	}
+	b.SetCapacity(worker, model.Resources{})
+}
+
+// SetClosed excludes a worker from new places, or includes it again. Idle slots
+// leave a closed worker when there is another place for them.
+func (b *Book) SetClosed(worker int, closed bool) {
+	b.index.SetClosed(worker, closed)
+	if !closed {
+		return
+	}
+	for _, s := range b.slots {
+		if s.Holder == "" && s.on(worker) {
+			b.evacuate(s)
+		}
+	}
+}
+
+func (b *Book) evacuate(s *Slot) {
+	old := b.lift(s)
+	if !b.place(s) {
+		b.putPlaces(s, old)
+	}
+}
+
+// Snapshot returns the assignment with the given worker names.
+func (b *Book) Snapshot(name func(worker int) ident.Worker) Assignment {
+	var a Assignment
+	for _, s := range b.slots {
+		if s.Short() {
+			a.Short = append(a.Short, s.Key)
+			continue
+		}
+		a.Assigned = append(a.Assigned, Assigned{Key: s.Key, Members: Members(s.Places, name), Holder: s.Holder})
+	}
+	return a
+}
+
+// Members returns the places as members of a gang.
+func Members(places []Place, name func(worker int) ident.Worker) []model.Member {
+	members := make([]model.Member, 0, len(places))
+	for _, p := range places {
+		m := model.Member{Worker: name(p.Worker), Accelerators: make([]int, 0, bits.OnesCount64(p.Mask))}
+		for mask := p.Mask; mask != 0; mask &= mask - 1 {
+			m.Accelerators = append(m.Accelerators, bits.TrailingZeros64(mask))
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func byPriority(a, b *Slot) int {
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.order, b.order), cmp.Compare(a.Key.Index, b.Key.Index))
+}
