--- /dev/null
+++ b/control/ownership/rows.go
@@ -0,0 +1,73 @@
+package ownership
+
+import (
+	"encoding/json"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+)
+
+// Key prefixes of the rows of this package.
+const (
+	sessionPrefix   = "session/"
+	partitionPrefix = "partition/"
+)
+
+// SessionState says whether an entry may own partitions.
+type SessionState string
+
+// The states of a session.
+const (
+	// SessionLive is renewed by its entry.
+	SessionLive SessionState = "live"
+	// SessionLeaving is renewed, but its entry takes no partitions.
+	SessionLeaving SessionState = "leaving"
+	// SessionBroken was ended by an observer after its TTL.
+	SessionBroken SessionState = "broken"
+)
+
+// Session is the content of an entry's session row.
+type Session struct {
+	Entry       ident.Entry       `json:"entry"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Zone        ident.Zone        `json:"zone"`
+	Region      ident.Region      `json:"region"`
+	// Address is the entry's gRPC address.
+	Address string       `json:"address"`
+	State   SessionState `json:"state"`
+}
+
+// PartitionRow is the content of a partition's row.
+type PartitionRow struct {
+	Partition ident.Partition `json:"partition"`
+	Epoch     ident.Epoch     `json:"epoch"`
+	Owner     ident.Entry     `json:"owner"`
+	// Incarnation is the owner's session; a later session of the same entry
+	// does not own the partition.
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+// SessionKey returns the key of an entry's session row.
+func SessionKey(entry ident.Entry) string { return sessionPrefix + string(entry) }
+
+// PartitionKey returns the key of a partition's row.
+func PartitionKey(id ident.Partition) string { return partitionPrefix + string(id) }
+
+func decodeRow[T any](row platform.Row) (T, error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, errkind.Wrap(errkind.Corrupt, err, "decode row "+row.Key)
+	}
+	return value, nil
+}
+
+// putRow returns the conditional write of a row. Marshalling the row types of
+// this package cannot fail.
+func putRow(key string, version platform.RowVersion, value any) platform.Op {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return platform.Op{Kind: platform.OpPut, Key: key, IfVersion: version, Value: raw}
+}
