--- /dev/null
+++ b/control/executor/compact.go
@@ -0,0 +1,62 @@
+package executor
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+)
+
+// Compact deletes the rows of jobs that have ended and that the snapshots
+// cover. The owner still answers for them from memory. A row that cannot be
+// deleted now is left for the next snapshot.
+func (x *Executor) Compact(ctx context.Context, ids []ident.Job) {
+	versions := make(map[ident.Job]platform.RowVersion)
+	err := x.do(ctx, func() {
+		for _, id := range ids {
+			if j := x.jobs[id]; j != nil && j.phase == phaseDone && !j.compacted {
+				versions[id] = j.version
+			}
+		}
+	})
+	if err != nil {
+		return
+	}
+	for id, version := range versions {
+		if !x.opts.Lease.Valid() {
+			return
+		}
+		remove := platform.Op{Kind: platform.OpDelete, Key: x.jobKey(id), IfVersion: version}
+		if _, err := x.opts.Table.Commit(ctx, tableclient.ClassReport, x.opts.Lease.Check(), remove); err != nil {
+			return
+		}
+		if x.do(ctx, func() { x.jobs[id].compacted = true }) != nil {
+			return
+		}
+	}
+	_ = x.do(ctx, x.forgetOldest)
+}
+
+// maxCompacted bounds the ended jobs that are known without a row. It covers
+// ten days at the target of 360 jobs a day for each partition.
+const maxCompacted = 4096
+
+// forgetOldest drops the compacted jobs beyond the bound, oldest row first.
+func (x *Executor) forgetOldest() {
+	var compacted []*job
+	for _, j := range x.jobs {
+		if j.compacted {
+			compacted = append(compacted, j)
+		}
+	}
+	if len(compacted) <= maxCompacted {
+		return
+	}
+	slices.SortFunc(compacted, func(a, b *job) int { return cmp.Compare(a.version, b.version) })
+	for _, j := range compacted[:len(compacted)-maxCompacted] {
+		delete(x.jobs, j.row.Spec.ID)
+	}
+}
--- /dev/null
+++ b/control/executor/executor.go
@@ -0,0 +1,306 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+// mailboxSize lets results arrive while the loop is inside a decision.
+const mailboxSize = 256
+
+// fanOut bounds the concurrent calls of one gang or one round of stops.
+const fanOut = 64
+
+// Executor runs one partition under one lease.
+type Executor struct {
+	opts    Options
+	mailbox chan func()
+	// stopped is closed when the loop has ended.
+	stopped chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// calls holds the work beside the loop. A panic there ends the process,
+	// because the job it belongs to would wait forever.
+	calls sync.WaitGroup
+
+	// The fields below belong to the loop.
+
+	startedAt     time.Time
+	jobs          map[ident.Job]*job
+	workers       map[ident.Worker]*worker
+	stopping      map[*job]bool
+	inventoryAt   time.Time
+	inventoryBusy bool
+	draining      bool
+}
+
+// New returns an executor that does nothing before Run.
+func New(opts Options) *Executor {
+	if opts.Count == nil {
+		opts.Count = func(Event) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Executor{
+		opts:     opts,
+		mailbox:  make(chan func(), mailboxSize),
+		stopped:  make(chan struct{}),
+		ctx:      ctx,
+		cancel:   cancel,
+		jobs:     make(map[ident.Job]*job),
+		workers:  make(map[ident.Worker]*worker),
+		stopping: make(map[*job]bool),
+	}
+}
+
+// Run works until Stop is called or the lease is lost.
+func (x *Executor) Run() {
+	defer x.calls.Wait()
+	defer close(x.stopped)
+	defer x.cancel()
+	x.load()
+	ticker := time.NewTicker(x.opts.Timing.Tick)
+	defer ticker.Stop()
+	for x.opts.Lease.State() != ownership.Lost {
+		select {
+		case <-x.ctx.Done():
+			return
+		case fn := <-x.mailbox:
+			fn()
+		case <-ticker.C:
+			x.tick()
+		}
+	}
+}
+
+// Stop ends the executor without further acts and waits for it.
+func (x *Executor) Stop() {
+	x.cancel()
+	<-x.stopped
+	x.calls.Wait()
+}
+
+// Drain lets the work in progress finish, then stops. Gangs keep running.
+func (x *Executor) Drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		busy := true
+		err := x.do(ctx, func() {
+			x.draining = true
+			busy = x.busy()
+		})
+		if err != nil || !busy {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(x.opts.Timing.Tick):
+		}
+	}
+	x.Stop()
+}
+
+func (x *Executor) busy() bool {
+	for _, j := range x.jobs {
+		if j.writing || j.phase != phaseQueued && j.phase != phaseRunning && j.phase != phaseDone {
+			return true
+		}
+	}
+	return false
+}
+
+// do runs fn in the loop and waits for it.
+func (x *Executor) do(ctx context.Context, fn func()) error {
+	done := make(chan struct{})
+	select {
+	case x.mailbox <- func() { fn(); close(done) }:
+	case <-x.stopped:
+		return errStopped()
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.Canceled, ctx.Err(), "partition did not answer")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-x.stopped:
+	}
+	// The loop has ended, so fn has run by now or never will.
+	select {
+	case <-done:
+		return nil
+	default:
+		return errStopped()
+	}
+}
+
+func errStopped() error {
+	return errkind.New(errkind.StaleEpoch, "the partition is no longer owned here")
+}
+
+// async runs work beside the loop and its result in the loop.
+func (x *Executor) async(work func(ctx context.Context) func()) {
+	x.calls.Go(func() {
+		then := work(x.ctx)
+		select {
+		case x.mailbox <- then:
+		case <-x.stopped:
+		}
+	})
+}
+
+func (x *Executor) tick() {
+	now := time.Now()
+	state := x.opts.Lease.State()
+	if state == ownership.Lost {
+		return
+	}
+	x.contactWorkers(now)
+	x.pursueStops(now)
+	if state != ownership.Owner || x.draining {
+		return
+	}
+	x.readInventory(now)
+	x.carryOut(x.opts.Scheduler.Schedule(now))
+}
+
+func (x *Executor) carryOut(actions []model.Action) {
+	for _, a := range actions {
+		j := x.jobs[a.Job]
+		if j == nil {
+			continue
+		}
+		switch a.Kind {
+		case model.ActionStart:
+			x.startGang(j, a)
+		case model.ActionPreempt, model.ActionMigrate:
+			x.preempt(j, a)
+		case model.ActionStop:
+			x.stopForGood(j)
+		case model.ActionReport:
+			x.noteReason(j, a.Reason)
+		}
+	}
+}
+
+// noteReason follows the scheduler's reports. A job that fails everywhere has
+// ended.
+func (x *Executor) noteReason(j *job, reason model.Reason) {
+	j.waitReason = reason
+	if reason != model.ReasonJobFailsEverywhere || j.phase != phaseQueued {
+		return
+	}
+	x.setPhase(j, phaseFinishing)
+	x.persist(j, func(row *JobRow) {
+		row.State = JobFailed
+		row.Reason = reason.String()
+	}, func() { x.setPhase(j, phaseDone) })
+}
+
+func (x *Executor) setPhase(j *job, p phase) { j.setPhase(p, time.Now()) }
+
+// load registers what the new owner found. The reports of the workers are then
+// handled like those of any renewal, which stops broken gangs and orphans.
+func (x *Executor) load() {
+	now := time.Now()
+	x.startedAt = now
+	x.inventoryAt = now
+	for _, ws := range x.opts.State.Workers {
+		w := x.addWorker(ws.Info, ws.Listed, now)
+		w.fenced = ws.Answered
+	}
+	if err := x.opts.Scheduler.ApplyPlan(now, x.opts.Plan); err != nil {
+		x.opts.Count(EventSubmitRefused)
+	}
+	for _, record := range x.opts.State.Jobs {
+		x.loadJob(record, now)
+	}
+	for _, ws := range x.opts.State.Workers {
+		w := x.workers[ws.Info.ID]
+		if ws.Answered {
+			x.handleReport(w, ws.Report, now)
+		} else {
+			w.silent(now, x.opts.Timing.Probe)
+		}
+	}
+	x.opts.State = State{}
+}
+
+// loadJob registers one job. Its phase counts from before the reports, so that
+// they decide about its members.
+func (x *Executor) loadJob(record JobRecord, now time.Time) {
+	j := &job{row: record.Row, version: record.Version, compacted: record.Compacted}
+	x.jobs[j.row.Spec.ID] = j
+	j.setPhase(phaseDone, x.opts.State.AskedAt.Add(-time.Nanosecond))
+	switch record.Row.State {
+	case JobQueued:
+		j.phase = phaseQueued
+		x.submitToScheduler(j, now)
+	case JobRunning:
+		j.phase = phaseRunning
+		j.runningSince = now
+		j.decision = j.row.Attempt
+		adoptable := x.attachMembers(j, now)
+		j.inSched = adoptable && x.opts.Scheduler.Adopt(now, j.row.Spec, j.decision, j.row.Members) == nil
+		if !j.inSched {
+			x.stopGang(j, model.OutcomeWorkerLost, "", 0)
+		} else if j.row.CancelRequested {
+			x.stopGang(j, model.OutcomeCanceled, "", 0)
+		}
+	}
+}
+
+// attachMembers creates the members of a job from its row. It reports false
+// when the inventory no longer lists one of the workers.
+func (x *Executor) attachMembers(j *job, now time.Time) bool {
+	listed := true
+	j.members = nil
+	for i, placement := range j.row.Members {
+		w := x.workers[placement.Worker]
+		if w == nil {
+			w = x.addWorker(platform.WorkerInfo{ID: placement.Worker, Zone: x.opts.Zone}, false, now)
+			w.silent(now, x.opts.Timing.Probe)
+		}
+		listed = listed && w.listed
+		x.attach(j, w, i, placement, now)
+	}
+	return listed
+}
+
+func (x *Executor) attach(j *job, w *worker, index int, placement model.Member, now time.Time) {
+	m := &member{
+		job:       j,
+		ref:       platform.TaskRef{Job: j.row.Spec.ID, Attempt: j.row.Attempt, Member: index},
+		worker:    w,
+		info:      w.info,
+		placement: placement,
+		extended:  now,
+	}
+	j.members = append(j.members, m)
+	w.members[m.ref] = m
+	w.known = ""
+}
+
+// detach forgets the members of an ended attempt.
+func (x *Executor) detach(j *job) {
+	for _, m := range j.members {
+		delete(m.worker.members, m.ref)
+		m.worker.known = ""
+		x.forgetIfGone(m.worker)
+	}
+	j.members = nil
+}
+
+// submitToScheduler queues a recorded job. A refusal keeps the job, and it is
+// offered again with the next inventory.
+func (x *Executor) submitToScheduler(j *job, now time.Time) {
+	if err := x.opts.Scheduler.Submit(now, j.row.Spec); err != nil {
+		x.opts.Count(EventSubmitRefused)
+		return
+	}
+	j.inSched = true
+}
--- /dev/null
+++ b/control/executor/persist.go
@@ -0,0 +1,128 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+)
+
+// persist writes a changed row and then runs then in the loop. Writes of one
+// job follow each other. They are tried until they succeed or the lease is
+// lost, because the change has already happened.
+func (x *Executor) persist(j *job, change func(*JobRow), then func()) {
+	if j.writing {
+		j.waiting = append(j.waiting, func() { x.persist(j, change, then) })
+		return
+	}
+	j.writing = true
+	row := j.row.clone()
+	change(&row)
+	version := j.version
+	x.async(func(ctx context.Context) func() {
+		newVersion, ok := x.writeUntilDone(ctx, row, version)
+		return func() {
+			if !ok {
+				return
+			}
+			j.row, j.version = row, newVersion
+			x.writeDone(j, then)
+		}
+	})
+}
+
+// writeDone ends a write and starts what waits for it.
+func (x *Executor) writeDone(j *job, then func()) {
+	j.writing = false
+	then()
+	for !j.writing && len(j.waiting) > 0 {
+		next := j.waiting[0]
+		j.waiting = j.waiting[1:]
+		next()
+	}
+}
+
+func (x *Executor) writeUntilDone(ctx context.Context, row JobRow, version platform.RowVersion) (platform.RowVersion, bool) {
+	for ctx.Err() == nil && x.opts.Lease.State() != ownership.Lost {
+		newVersion, err := x.writeRow(ctx, tableclient.ClassJob, row, version)
+		if err == nil {
+			return newVersion, true
+		}
+		x.opts.Count(EventWriteRetried)
+		if errkind.Is(err, errkind.Conflict) {
+			if current, err := x.currentVersion(ctx, row.Spec.ID); err == nil && current != version {
+				version = current
+				continue
+			}
+		}
+		pause(ctx, x.opts.Timing.RetryWrite)
+	}
+	return 0, false
+}
+
+// writeRow writes a row once, on the condition that the partition's row still
+// names this owner.
+func (x *Executor) writeRow(ctx context.Context, class tableclient.Class, row JobRow, version platform.RowVersion) (platform.RowVersion, error) {
+	if !x.opts.Lease.Valid() {
+		return 0, errkind.New(errkind.StoreUnavailable, "the lease of partition %s is not valid", x.opts.Lease.Partition())
+	}
+	value, err := EncodeJob(row)
+	if err != nil {
+		return 0, err
+	}
+	put := platform.Op{Kind: platform.OpPut, Key: x.jobKey(row.Spec.ID), IfVersion: version, Value: value}
+	result, err := x.opts.Table.Commit(ctx, class, x.opts.Lease.Check(), put)
+	if err != nil {
+		return 0, err
+	}
+	return result.Versions[1], nil
+}
+
+func (x *Executor) jobKey(id ident.Job) string { return JobKey(x.opts.Lease.Partition(), id) }
+
+// currentVersion reads the version of a job row after a conflict. Only the
+// owner writes job rows, so a newer version is an own write whose result was
+// given up; unless the partition has another owner.
+func (x *Executor) currentVersion(ctx context.Context, id ident.Job) (platform.RowVersion, error) {
+	check := x.opts.Lease.Check()
+	row, err := x.opts.Table.Get(ctx, tableclient.ClassJob, check.Key)
+	if err != nil {
+		return 0, err
+	}
+	if row.Version != check.IfVersion {
+		x.superseded()
+		return 0, errStopped()
+	}
+	row, err = x.opts.Table.Get(ctx, tableclient.ClassJob, x.jobKey(id))
+	if errkind.Is(err, errkind.NotFound) {
+		return 0, nil
+	}
+	return row.Version, err
+}
+
+// superseded ends the lease after a proof that a later epoch exists.
+func (x *Executor) superseded() {
+	x.opts.Count(EventStaleEpoch)
+	x.opts.Lease.Revoke()
+}
+
+// noteError ends the lease when a worker has seen a later epoch.
+func (x *Executor) noteError(err error) {
+	if errkind.Is(err, errkind.StaleEpoch) {
+		x.superseded()
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/recovery/host.go
@@ -0,0 +1,221 @@
+package recovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+// rebuildRetry is the wait between two tries to rebuild a partition.
+const rebuildRetry = 500 * time.Millisecond
+
+// Place says where a partition's workers are.
+type Place struct {
+	Zone ident.Zone
+	// Racks lists the partition's racks; an empty list means the whole zone.
+	Racks []ident.Rack
+}
+
+func (p Place) holds(info platform.WorkerInfo) bool {
+	if len(p.Racks) == 0 {
+		return true
+	}
+	for _, rack := range p.Racks {
+		if rack == info.Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// HostOptions configures a host.
+type HostOptions struct {
+	Table   *tableclient.Client
+	Objects platform.ObjectStore
+	Workers platform.Workers
+	Places  map[ident.Partition]Place
+	// Scheduler returns a new scheduler for a partition.
+	Scheduler func(ident.Partition) executor.Scheduler
+	// Plan returns the plan in force for a partition.
+	Plan           func(ident.Partition) model.Plan
+	Timing         executor.Timing
+	SnapshotPeriod time.Duration
+	// Retain is how long the row of a job that has ended stays in the table.
+	Retain time.Duration
+	// Count and CountExecutor are called for each event, or are nil.
+	Count         func(Event)
+	CountExecutor func(executor.Event)
+}
+
+// Host runs the partitions that an entry owns. It implements
+// ownership.Handler.
+type Host struct {
+	opts HostOptions
+	mu   sync.Mutex
+	runs map[ident.Partition]*run
+	// all holds the goroutines of the runs. A panic there ends the process,
+	// because the partition would stand still while its lease is renewed.
+	all sync.WaitGroup
+}
+
+// run is one partition under one lease.
+type run struct {
+	lease  *ownership.Lease
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex
+	executor *executor.Executor
+}
+
+// NewHost returns a host without partitions.
+func NewHost(opts HostOptions) *Host {
+	if opts.Count == nil {
+		opts.Count = func(Event) {}
+	}
+	return &Host{opts: opts, runs: make(map[ident.Partition]*run)}
+}
+
+// Executor returns the executor of an owned partition that has been rebuilt.
+func (h *Host) Executor(id ident.Partition) (*executor.Executor, bool) {
+	h.mu.Lock()
+	r := h.runs[id]
+	h.mu.Unlock()
+	if r == nil {
+		return nil, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.executor, r.executor != nil
+}
+
+// Acquired implements ownership.Handler.
+func (h *Host) Acquired(lease *ownership.Lease) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &run{lease: lease, cancel: cancel, done: make(chan struct{})}
+	h.mu.Lock()
+	before := h.runs[lease.Partition()]
+	h.runs[lease.Partition()] = r
+	h.mu.Unlock()
+	if before != nil {
+		before.cancel()
+	}
+	h.all.Go(func() {
+		defer close(r.done)
+		defer cancel()
+		if before != nil {
+			<-before.done
+		}
+		h.work(ctx, r)
+	})
+}
+
+// Release implements ownership.Handler.
+func (h *Host) Release(ctx context.Context, lease *ownership.Lease) {
+	r := h.remove(lease)
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	x := r.executor
+	r.mu.Unlock()
+	if x != nil {
+		x.Drain(ctx)
+	}
+	r.cancel()
+	<-r.done
+}
+
+// Lost implements ownership.Handler.
+func (h *Host) Lost(lease *ownership.Lease) {
+	if r := h.remove(lease); r != nil {
+		r.cancel()
+	}
+}
+
+func (h *Host) remove(lease *ownership.Lease) *run {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.runs[lease.Partition()]
+	if r == nil || r.lease != lease {
+		return nil
+	}
+	delete(h.runs, lease.Partition())
+	return r
+}
+
+// Close ends all partitions without further acts and waits for them.
+func (h *Host) Close() {
+	h.mu.Lock()
+	for _, r := range h.runs {
+		r.cancel()
+	}
+	h.mu.Unlock()
+	h.all.Wait()
+}
+
+// work rebuilds the partition and runs it until the lease or ctx ends.
+func (h *Host) work(ctx context.Context, r *run) {
+	state, ok := h.rebuild(ctx, r.lease)
+	if !ok {
+		return
+	}
+	id := r.lease.Partition()
+	x := executor.New(executor.Options{
+		Lease:     r.lease,
+		Table:     h.opts.Table,
+		Workers:   h.opts.Workers,
+		Scheduler: h.opts.Scheduler(id),
+		Zone:      h.opts.Places[id].Zone,
+		Holds:     h.opts.Places[id].holds,
+		Timing:    h.opts.Timing,
+		Plan:      h.opts.Plan(id),
+		State:     state,
+		Count:     h.opts.CountExecutor,
+	})
+	r.mu.Lock()
+	r.executor = x
+	r.mu.Unlock()
+	var parts sync.WaitGroup
+	parts.Go(func() {
+		defer r.cancel()
+		x.Run()
+	})
+	parts.Go(func() { h.keepSnapshots(ctx, r.lease, x) })
+	<-ctx.Done()
+	x.Stop()
+	parts.Wait()
+}
+
+// rebuild tries until the state is read or the lease is lost.
+func (h *Host) rebuild(ctx context.Context, lease *ownership.Lease) (executor.State, bool) {
+	place := h.opts.Places[lease.Partition()]
+	src := Sources{
+		Table:     h.opts.Table,
+		Objects:   h.opts.Objects,
+		Workers:   h.opts.Workers,
+		Zone:      place.Zone,
+		Holds:     place.holds,
+		TaskLease: h.opts.Timing.Lease,
+		Count:     h.opts.Count,
+	}
+	for ctx.Err() == nil && lease.State() != ownership.Lost {
+		state, err := Rebuild(ctx, src, lease)
+		if err == nil {
+			return state, true
+		}
+		h.opts.Count(EventRebuildRetried)
+		select {
+		case <-ctx.Done():
+		case <-time.After(rebuildRetry):
+		}
+	}
+	return executor.State{}, false
+}
