Add failure tests of ownership, executor and recovery in virtual time

Two entries over the stand-in: takeover, paused owner, lost answers, an hour and two hours without the table, worker loss and restart, refused prepare, a race of five entries, a cut worker and a successor without a worker.

--- /dev/null
+++ b/control/recovery/failure_test.go
@@ -0,0 +1,280 @@
+package recovery_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+)
+
+// scenario runs body in virtual time with two entries and checks the promises
+// on gangs and epochs afterwards.
+func scenario(t *testing.T, name string, workers int, body func(c *cluster, owner, other *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func() {
+			c := newCluster(workers)
+			defer c.close()
+			a := c.startNode("a", "z1")
+			b := c.startNode("b", "z1")
+			So(await(10*time.Second, func() bool { return c.owner() != nil }), ShouldBeTrue)
+			owner, other := a, b
+			if c.owner() == b {
+				owner, other = b, a
+			}
+			body(c, owner, other)
+			So(c.checkEpochs(), ShouldBeNil)
+			So(c.checkRuns(taskCount), ShouldBeNil)
+		})
+	})
+}
+
+// taskCount is the gang size of all jobs of these tests.
+func taskCount(ident.Job) int { return 2 }
+
+func (n *node) runs(id string) func() bool {
+	return func() bool { return n.status(id).Running }
+}
+
+func succeeded(c *cluster, id string) func() bool {
+	return func() bool {
+		row, ok := c.row(id)
+		return ok && row.State == executor.JobSucceeded
+	}
+}
+
+func (c *cluster) attempts(id string) int {
+	attempts := map[int]bool{}
+	for _, r := range c.fleet.Runs() {
+		if string(r.Ref.Job) == id {
+			attempts[r.Ref.Attempt] = true
+		}
+	}
+	return len(attempts)
+}
+
+// Guards against a takeover that is late, or that disturbs running gangs.
+func TestTakeoverAfterDeath(t *testing.T) {
+	scenario(t, "another entry owns the partition within 5 s and the gang runs on", 4, func(c *cluster, owner, other *node) {
+		So(owner.submit(gang("j1", 2, 10*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		started := time.Now()
+		owner.kill()
+		So(await(time.Minute, func() bool { return c.owner() == other }), ShouldBeTrue)
+		So(time.Since(started), ShouldBeLessThan, 5*time.Second)
+		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+		So(c.attempts("j1"), ShouldEqual, 1)
+	})
+}
+
+// Guards against an owner that wakes up after its lease has run out and acts.
+func TestPausedOwner(t *testing.T) {
+	scenario(t, "a paused owner does nothing after it wakes", 4, func(c *cluster, owner, other *node) {
+		So(owner.submit(gang("j1", 2, 10*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		lease, _ := owner.manager.Lease(thePartition)
+		owner.gate.set(true)
+		So(await(6*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		So(lease.Valid(), ShouldBeFalse)
+		owner.gate.set(false)
+		time.Sleep(20 * time.Second)
+		So(lease.State(), ShouldEqual, ownership.Lost)
+		So(owner.counted("ownership.session_lost"), ShouldEqual, 1)
+		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+		So(c.attempts("j1"), ShouldEqual, 1)
+	})
+
+	scenario(t, "an owner paused between the commit and the start leaves no part of a gang", 4, func(c *cluster, owner, other *node) {
+		first := true
+		owner.gate.beforeStart = func() {
+			if first {
+				first = false
+				owner.gate.set(true)
+			}
+		}
+		So(owner.submit(gang("j1", 2, time.Minute)), ShouldBeNil)
+		So(await(10*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		owner.gate.set(false)
+		So(await(5*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+		So(c.attempts("j1"), ShouldEqual, 1)
+	})
+}
+
+// Guards against a gang that is started twice, or not at all, after the answer
+// of its commit was lost.
+func TestLostAnswerOfGangCommit(t *testing.T) {
+	scenario(t, "the gang starts once", 4, func(c *cluster, owner, _ *node) {
+		store := c.store
+		x, _ := owner.host.Executor(thePartition)
+		for range 5 {
+			store.SetTableFaults(owner.name, standin.Faults{LoseAnswers: 3})
+			time.Sleep(700 * time.Millisecond)
+		}
+		store.SetTableFaults(owner.name, standin.Faults{LoseAnswers: 4})
+		_, err := x.Submit(context.Background(), gang("j1", 2, time.Minute))
+		So(err, ShouldBeNil)
+		So(await(5*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+		So(c.attempts("j1"), ShouldEqual, 1)
+		So(owner.counted("table.settle_applied"), ShouldBeGreaterThan, 0)
+		So(owner.counted("ownership.session_lost"), ShouldEqual, 0)
+	})
+}
+
+// Guards against gangs that are stopped by a table outage, against commits
+// during it, and against takeovers at its end.
+func TestTableDownForAnHour(t *testing.T) {
+	scenario(t, "gangs run on, new work waits, and nothing moves when the table returns", 4, func(c *cluster, owner, other *node) {
+		So(owner.submit(gang("long", 2, 3*time.Hour)), ShouldBeNil)
+		So(owner.submit(gang("short", 2, 20*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("short")), ShouldBeTrue)
+		c.store.SetTableFaults(standin.AnyClient, standin.Faults{Down: true})
+		time.Sleep(10 * time.Second)
+		So(errkind.Of(owner.submit(gang("refused", 2, time.Minute))), ShouldEqual, errkind.StoreUnavailable)
+		x, _ := owner.host.Executor(thePartition)
+		_, err := x.Cancel(context.Background(), "long")
+		So(errkind.Of(err), ShouldEqual, errkind.StoreUnavailable)
+		time.Sleep(time.Hour)
+		So(owner.status("long").Running, ShouldBeTrue)
+		c.store.SetTableFaults(standin.AnyClient, standin.Faults{})
+		So(await(10*time.Second, succeeded(c, "short")), ShouldBeTrue)
+		time.Sleep(time.Minute)
+		So(c.owner(), ShouldEqual, owner)
+		So(other.counted("ownership.takeover"), ShouldEqual, 0)
+		_, found := c.row("refused")
+		So(found, ShouldBeFalse)
+		So(await(3*time.Hour, succeeded(c, "long")), ShouldBeTrue)
+		So(c.attempts("long"), ShouldEqual, 1)
+	})
+
+	scenario(t, "gangs end when the extension is over", 4, func(c *cluster, owner, _ *node) {
+		So(owner.submit(gang("long", 2, 5*time.Hour)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("long")), ShouldBeTrue)
+		c.store.SetTableFaults(standin.AnyClient, standin.Faults{Down: true})
+		time.Sleep(2*time.Hour + time.Minute)
+		for _, r := range c.fleet.Runs() {
+			So(r.State, ShouldEqual, platform.TaskExpired)
+		}
+	})
+}
+
+// Guards against a gang that keeps running in part after a worker died, and
+// against its loss.
+func TestWorkerLostWhileRunning(t *testing.T) {
+	scenario(t, "the gang stops and starts again on other workers", 4, func(c *cluster, owner, _ *node) {
+		So(owner.submit(gang("j1", 2, 10*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		time.Sleep(time.Minute)
+		lost := owner.status("j1").Row.Members[0].Worker
+		c.fleet.Kill(lost)
+		So(await(40*time.Second, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		for _, m := range owner.status("j1").Row.Members {
+			So(m.Worker, ShouldNotEqual, lost)
+		}
+		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+	})
+
+	scenario(t, "a worker that restarts at once is noticed by its incarnation", 4, func(c *cluster, owner, _ *node) {
+		So(owner.submit(gang("j1", 2, 10*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		time.Sleep(time.Minute)
+		lost := owner.status("j1").Row.Members[0].Worker
+		c.fleet.Kill(lost)
+		c.fleet.Restart(lost)
+		So(await(8*time.Second, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		So(owner.counted("executor.worker_restarted"), ShouldEqual, 1)
+	})
+}
+
+// Guards against prepared members that stay held after another one refused.
+func TestPrepareFailsOnOneMember(t *testing.T) {
+	scenario(t, "no member runs and all resources are free", 2, func(c *cluster, owner, _ *node) {
+		c.fleet.SetRefusePrepares("w001", true)
+		So(owner.submit(gang("j1", 2, time.Minute)), ShouldBeNil)
+		time.Sleep(10 * time.Second)
+		So(c.attempts("j1"), ShouldEqual, 0)
+		row, _ := c.row("j1")
+		So(row.State, ShouldEqual, executor.JobQueued)
+		c.fleet.SetRefusePrepares("w001", false)
+		So(await(5*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+		So(c.attempts("j1"), ShouldEqual, 1)
+	})
+}
+
+// Guards against two entries that own one partition after a race.
+func TestRaceForOnePartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("five entries start at once and one of them owns the partition", t, func() {
+			c := newCluster(2)
+			defer c.close()
+			for _, name := range []string{"a", "b", "c", "d", "e"} {
+				c.startNode(name, "z1")
+			}
+			for range 600 {
+				time.Sleep(50 * time.Millisecond)
+				valid := 0
+				for _, n := range c.nodes {
+					if lease, held := n.manager.Lease(thePartition); held && lease.Valid() {
+						valid++
+					}
+				}
+				So(valid, ShouldBeLessThanOrEqualTo, 1)
+			}
+			So(c.owner(), ShouldNotBeNil)
+			So(c.checkEpochs(), ShouldBeNil)
+		})
+	})
+}
+
+// Guards against a second start of a task whose worker is cut off but alive.
+func TestCutBetweenOwnerAndWorker(t *testing.T) {
+	scenario(t, "the gang starts again only after the lease of the cut member has ended", 4, func(c *cluster, owner, _ *node) {
+		So(owner.submit(gang("j1", 2, 10*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		time.Sleep(time.Minute)
+		cutOff := owner.status("j1").Row.Members[0].Worker
+		c.fleet.SetCut(owner.name, cutOff, true)
+		cutAt := time.Now()
+		So(await(time.Minute, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		So(time.Since(cutAt), ShouldBeLessThanOrEqualTo, 21*time.Second)
+		So(owner.counted("executor.released_by_time"), ShouldEqual, 1)
+		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+	})
+}
+
+// Guards against a restart by a successor while an earlier owner may still
+// renew the task on a worker that only it can reach.
+func TestSuccessorWithUnreachableWorker(t *testing.T) {
+	scenario(t, "the work waits for the worker's answer", 4, func(c *cluster, owner, other *node) {
+		So(owner.submit(gang("j1", 2, 30*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		cutOff := owner.status("j1").Row.Members[0].Worker
+		c.fleet.SetCut(other.name, cutOff, true)
+		owner.kill()
+		So(await(10*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		time.Sleep(time.Hour)
+		So(c.attempts("j1"), ShouldEqual, 1)
+		So(other.status("j1").Stopping, ShouldBeTrue)
+		c.fleet.SetCut(other.name, cutOff, false)
+		So(await(10*time.Second, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		So(await(45*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
+	})
+
+	scenario(t, "or for the outage extension and the task lease", 4, func(c *cluster, owner, other *node) {
+		So(owner.submit(gang("j1", 2, 30*time.Minute)), ShouldBeNil)
+		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
+		c.fleet.SetCut(other.name, owner.status("j1").Row.Members[0].Worker, true)
+		owner.kill()
+		So(await(10*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		time.Sleep(2 * time.Hour)
+		So(c.attempts("j1"), ShouldEqual, 1)
+		So(await(time.Minute, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/control/recovery/harness_test.go
@@ -0,0 +1,566 @@
+package recovery_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/control/recovery"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+// fifo is a first-fit scheduler without guarantees, for tests of the parts
+// that carry decisions out.
+type fifo struct {
+	workers map[ident.Worker]int
+	lost    map[ident.Worker]bool
+	held    map[ident.Worker]map[int]ident.Job
+	jobs    map[ident.Job]*fifoJob
+	order   []ident.Job
+	actions []model.Action
+}
+
+type fifoJob struct {
+	spec     model.Job
+	attempt  int
+	failures int
+	running  bool
+	canceled bool
+	notYet   time.Time
+}
+
+func newFIFO() *fifo {
+	return &fifo{
+		workers: map[ident.Worker]int{}, lost: map[ident.Worker]bool{},
+		held: map[ident.Worker]map[int]ident.Job{}, jobs: map[ident.Job]*fifoJob{},
+	}
+}
+
+func (f *fifo) AddWorker(_ time.Time, w model.Worker) {
+	f.workers[w.ID] = w.Capacity.Accelerators
+	delete(f.lost, w.ID)
+	if f.held[w.ID] == nil {
+		f.held[w.ID] = map[int]ident.Job{}
+	}
+}
+
+func (f *fifo) LoseWorker(_ time.Time, id ident.Worker)   { f.lost[id] = true }
+func (f *fifo) ApplyPlan(_ time.Time, _ model.Plan) error { return nil }
+func (f *fifo) add(spec model.Job) *fifoJob {
+	j := &fifoJob{spec: spec}
+	f.jobs[spec.ID] = j
+	f.order = append(f.order, spec.ID)
+	return j
+}
+
+func (f *fifo) Submit(_ time.Time, spec model.Job) error {
+	if f.jobs[spec.ID] != nil {
+		return errkind.New(errkind.Conflict, "duplicate")
+	}
+	f.add(spec)
+	return nil
+}
+
+func (f *fifo) Adopt(_ time.Time, spec model.Job, attempt int, members []model.Member) error {
+	j := f.add(spec)
+	j.attempt, j.running = attempt, true
+	f.hold(spec.ID, members)
+	return nil
+}
+
+func (f *fifo) hold(id ident.Job, members []model.Member) {
+	for _, m := range members {
+		for _, a := range m.Accelerators {
+			f.held[m.Worker][a] = id
+		}
+	}
+}
+
+func (f *fifo) free(id ident.Job) {
+	for _, held := range f.held {
+		for a, holder := range held {
+			if holder == id {
+				delete(held, a)
+			}
+		}
+	}
+}
+
+func (f *fifo) Cancel(_ time.Time, id ident.Job) []model.Action {
+	j := f.jobs[id]
+	if j == nil {
+		return nil
+	}
+	if j.running {
+		j.canceled = true
+		return []model.Action{{Kind: model.ActionStop, Job: id, Attempt: j.attempt}}
+	}
+	f.drop(id)
+	return nil
+}
+
+func (f *fifo) drop(id ident.Job) {
+	delete(f.jobs, id)
+	f.order = slices.DeleteFunc(f.order, func(o ident.Job) bool { return o == id })
+}
+
+func (f *fifo) Finished(now time.Time, r model.Result) {
+	j := f.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	f.free(r.Job)
+	j.running = false
+	switch r.Outcome {
+	case model.OutcomeSucceeded, model.OutcomeCanceled:
+		f.drop(r.Job)
+	case model.OutcomeFailed:
+		j.failures++
+		if j.failures == 3 {
+			f.drop(r.Job)
+			f.actions = append(f.actions, model.Action{Kind: model.ActionReport, Job: r.Job, Reason: model.ReasonJobFailsEverywhere})
+		}
+	case model.OutcomeStartFailed:
+		j.notYet = now.Add(time.Second)
+	}
+}
+
+func (f *fifo) preempt(id ident.Job, grace time.Duration) {
+	f.actions = append(f.actions, model.Action{Kind: model.ActionPreempt, Job: id, Attempt: f.jobs[id].attempt, Grace: grace})
+}
+
+func (f *fifo) Schedule(now time.Time) []model.Action {
+	actions := f.actions
+	f.actions = nil
+	for _, id := range f.order {
+		j := f.jobs[id]
+		if j.running || now.Before(j.notYet) {
+			continue
+		}
+		members := f.fit(j.spec)
+		if members == nil {
+			continue
+		}
+		f.hold(id, members)
+		j.running = true
+		j.attempt++
+		actions = append(actions, model.Action{Kind: model.ActionStart, Job: id, Attempt: j.attempt, Members: members})
+	}
+	return actions
+}
+
+// fit spreads the members over different workers where it can.
+func (f *fifo) fit(spec model.Job) []model.Member {
+	var members []model.Member
+	used := map[string]bool{}
+	ids := make([]ident.Worker, 0, len(f.workers))
+	for id := range f.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for round := 0; round < 8 && len(members) < spec.Tasks; round++ {
+		for _, id := range ids {
+			if len(members) == spec.Tasks || f.lost[id] {
+				continue
+			}
+			var free []int
+			for a := range f.workers[id] {
+				if _, taken := f.held[id][a]; !taken && !used[fmt.Sprint(id, a)] && len(free) < spec.PerTask.Accelerators {
+					free = append(free, a)
+				}
+			}
+			if len(free) == spec.PerTask.Accelerators {
+				for _, a := range free {
+					used[fmt.Sprint(id, a)] = true
+				}
+				members = append(members, model.Member{Worker: id, Accelerators: free})
+			}
+		}
+	}
+	if len(members) < spec.Tasks {
+		return nil
+	}
+	return members
+}
+
+// gate holds or refuses all outgoing calls of one process. A call that a pause
+// holds proceeds after it, like one of a process that was suspended between a
+// check and an act.
+type gate struct {
+	mu     sync.Mutex
+	held   chan struct{}
+	closed bool
+	// beforeStart, if set, runs before each start call.
+	beforeStart func()
+}
+
+func (g *gate) pass() error {
+	for {
+		g.mu.Lock()
+		held, closed := g.held, g.closed
+		g.mu.Unlock()
+		if closed {
+			return errkind.New(errkind.Unreachable, "process has ended")
+		}
+		if held == nil {
+			return nil
+		}
+		<-held
+	}
+}
+
+func (g *gate) set(paused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if paused && g.held == nil {
+		g.held = make(chan struct{})
+	} else if !paused && g.held != nil {
+		close(g.held)
+		g.held = nil
+	}
+}
+
+func (g *gate) end() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.set(false)
+}
+
+type gatedTable struct {
+	platform.Table
+	gate *gate
+}
+
+func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.gate.pass(); err != nil {
+		return platform.Row{}, err
+	}
+	return t.Table.Get(ctx, key)
+}
+
+func (t gatedTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.gate.pass(); err != nil {
+		return nil, err
+	}
+	return t.Table.List(ctx, prefix)
+}
+
+func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	if err := t.gate.pass(); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// act is a call that a worker accepted.
+type act struct {
+	worker ident.Worker
+	kind   string
+	epoch  ident.Epoch
+	at     time.Time
+}
+
+// gatedWorkers passes the calls of one process and records the accepted ones.
+type gatedWorkers struct {
+	platform.Workers
+	gate *gate
+	c    *cluster
+}
+
+func (w gatedWorkers) accepted(kind string, id ident.Worker, fence platform.Fence, call func() error) error {
+	if err := w.gate.pass(); err != nil {
+		return err
+	}
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	err := call()
+	if err == nil {
+		w.c.acts = append(w.c.acts, act{id, kind, fence.Epoch, time.Now()})
+	}
+	return err
+}
+
+func (w gatedWorkers) Fence(ctx context.Context, info platform.WorkerInfo, fence platform.Fence) (r platform.WorkerReport, err error) {
+	err = w.accepted("fence", info.ID, fence, func() error { r, err = w.Workers.Fence(ctx, info, fence); return err })
+	return r, err
+}
+
+func (w gatedWorkers) Renew(ctx context.Context, info platform.WorkerInfo, req platform.RenewRequest) (r platform.WorkerReport, err error) {
+	err = w.accepted("renew", info.ID, req.Fence, func() error { r, err = w.Workers.Renew(ctx, info, req); return err })
+	return r, err
+}
+
+func (w gatedWorkers) Prepare(ctx context.Context, info platform.WorkerInfo, req platform.PrepareRequest) error {
+	return w.accepted("prepare", info.ID, req.Fence, func() error { return w.Workers.Prepare(ctx, info, req) })
+}
+
+func (w gatedWorkers) Start(ctx context.Context, info platform.WorkerInfo, req platform.StartRequest) error {
+	if w.gate.beforeStart != nil {
+		w.gate.beforeStart()
+	}
+	return w.accepted("start", info.ID, req.Fence, func() error { return w.Workers.Start(ctx, info, req) })
+}
+
+func (w gatedWorkers) Stop(ctx context.Context, info platform.WorkerInfo, fence platform.Fence, ref platform.TaskRef) error {
+	return w.accepted("stop", info.ID, fence, func() error { return w.Workers.Stop(ctx, info, fence, ref) })
+}
+
+const (
+	thePartition = ident.Partition("p1")
+	theZone      = ident.Zone("z1")
+	theRegion    = ident.Region("r1")
+)
+
+// cluster is a set of entry processes over one stand-in platform.
+type cluster struct {
+	store *standin.Store
+	fleet *standin.Fleet
+	nodes []*node
+
+	mu   sync.Mutex
+	acts []act
+}
+
+// node is one entry process.
+type node struct {
+	name    string
+	gate    *gate
+	manager *ownership.Manager
+	host    *recovery.Host
+	sched   *fifo
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu     sync.Mutex
+	events map[string]int
+}
+
+func (n *node) count(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events[name]++
+}
+
+func (n *node) counted(name string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.events[name]
+}
+
+func newCluster(workers int) *cluster {
+	c := &cluster{store: standin.NewStore(), fleet: standin.NewFleet()}
+	for i := range workers {
+		c.fleet.Add(platform.WorkerInfo{
+			ID: ident.Worker(fmt.Sprintf("w%03d", i)), Rack: ident.Rack(fmt.Sprint(i / 3)), Zone: theZone,
+			Region: theRegion, Addr: "127.0.0.1:1", Capacity: platform.Resources{Accelerators: 8, Cores: 64, MemoryMB: 131072},
+		})
+	}
+	return c
+}
+
+// startNode starts an entry. Its name decides its rendezvous score.
+func (c *cluster) startNode(name string, zone ident.Zone) *node {
+	n := &node{name: name, gate: &gate{}, events: map[string]int{}}
+	table := tableclient.New(gatedTable{c.store.Table(name), n.gate}, tableclient.Options{
+		WritesPerSecond: 100, ReadsPerSecond: 400,
+		Jitter: func() float64 { return 0.5 },
+		Count:  func(e tableclient.Event, _ tableclient.Class) { n.count("table." + string(e)) },
+	})
+	n.host = recovery.NewHost(recovery.HostOptions{
+		Table:   table,
+		Objects: c.store.Objects(name),
+		Workers: gatedWorkers{c.fleet.Client(name), n.gate, c},
+		Places:  map[ident.Partition]recovery.Place{thePartition: {Zone: theZone}},
+		Scheduler: func(ident.Partition) executor.Scheduler {
+			n.sched = newFIFO()
+			return n.sched
+		},
+		Plan:           func(ident.Partition) model.Plan { return model.Plan{} },
+		Timing:         executor.DefaultTiming(),
+		SnapshotPeriod: time.Minute,
+		Retain:         10 * time.Minute,
+		Count:          func(e recovery.Event) { n.count("recovery." + string(e)) },
+		CountExecutor:  func(e executor.Event) { n.count("executor." + string(e)) },
+	})
+	n.manager = ownership.New(ownership.Options{
+		Self:       ownership.Session{Entry: ident.Entry(name), Zone: zone, Region: theRegion, Address: "127.0.0.1:2"},
+		Partitions: []ownership.PartitionSpec{{ID: thePartition, Zone: theZone, Region: theRegion}},
+		Timing:     ownership.DefaultTiming(),
+		Table:      table,
+		Handler:    n.host,
+		Count:      func(e ownership.Event) { n.count("ownership." + string(e)) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Go(func() {
+		n.manager.Run(ctx)
+		n.host.Close()
+		table.Wait()
+	})
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// kill ends a process without any further call.
+func (n *node) kill() {
+	n.gate.end()
+	n.cancel()
+	n.done.Wait()
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.kill()
+	}
+}
+
+// owner returns the node whose lease is valid and whose partition has been
+// rebuilt, or nil.
+func (c *cluster) owner() *node {
+	for _, n := range c.nodes {
+		lease, held := n.manager.Lease(thePartition)
+		if _, ready := n.host.Executor(thePartition); held && ready && lease.Valid() {
+			return n
+		}
+	}
+	return nil
+}
+
+// await steps through time until cond holds, or reports false.
+func await(limit time.Duration, cond func() bool) bool {
+	deadline := time.Now().Add(limit)
+	for !cond() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return true
+}
+
+func gang(id string, tasks int, runTime time.Duration) model.Job {
+	return model.Job{
+		ID: ident.Job(id), Workspace: "ws", Caller: "c", Service: "s", Tasks: tasks,
+		PerTask: model.Resources{Accelerators: 4, Cores: 4, MemoryMB: 1024}, RunTime: runTime, Checkpointable: true,
+	}
+}
+
+func (n *node) submit(job model.Job) error {
+	x, ok := n.host.Executor(thePartition)
+	if !ok {
+		return errkind.New(errkind.NotReady, "no executor")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := x.Submit(ctx, job)
+	return err
+}
+
+func (n *node) status(id string) executor.Status {
+	x, ok := n.host.Executor(thePartition)
+	if !ok {
+		return executor.Status{}
+	}
+	s, _ := x.Job(context.Background(), ident.Job(id))
+	return s
+}
+
+// row reads a job's row directly from the store.
+func (c *cluster) row(id string) (executor.JobRow, bool) {
+	row, err := c.store.Table("test").Get(context.Background(), executor.JobKey(thePartition, ident.Job(id)))
+	if err != nil {
+		return executor.JobRow{}, false
+	}
+	decoded, err := executor.DecodeJob(row.Value)
+	return decoded, err == nil
+}
+
+// partialLimit is the bound of P2: the task lease and the start bound.
+const partialLimit = 20 * time.Second
+
+// checkRuns returns the first violation by the runs so far: two attempts of a
+// job at once, or a part of a gang for too long.
+func (c *cluster) checkRuns(tasks func(ident.Job) int) error {
+	now := time.Now()
+	byJob := map[ident.Job][]standin.Run{}
+	for _, r := range c.fleet.Runs() {
+		if r.End.IsZero() {
+			r.End = now
+		}
+		byJob[r.Ref.Job] = append(byJob[r.Ref.Job], r)
+	}
+	for id, runs := range byJob {
+		for i, a := range runs {
+			for _, b := range runs[i+1:] {
+				if a.Ref.Attempt != b.Ref.Attempt && a.Start.Before(b.End) && b.Start.Before(a.End) {
+					return fmt.Errorf("job %s runs as attempts %d and %d at once", id, a.Ref.Attempt, b.Ref.Attempt)
+				}
+			}
+		}
+		if d := longestPartial(runs, tasks(id)); d > partialLimit {
+			return fmt.Errorf("a part of gang %s ran alone for %v", id, d)
+		}
+	}
+	return nil
+}
+
+// longestPartial is the longest time during which some members of an attempt
+// ran while others neither ran nor had succeeded.
+func longestPartial(runs []standin.Run, tasks int) time.Duration {
+	byAttempt := map[int][]standin.Run{}
+	for _, r := range runs {
+		byAttempt[r.Ref.Attempt] = append(byAttempt[r.Ref.Attempt], r)
+	}
+	var longest time.Duration
+	for _, members := range byAttempt {
+		var times []time.Time
+		for _, r := range members {
+			times = append(times, r.Start, r.End)
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		var partial time.Duration
+		for i := 1; i < len(times); i++ {
+			running, whole := 0, 0
+			for _, r := range members {
+				runs := !r.Start.After(times[i-1]) && r.End.After(times[i-1])
+				if runs {
+					running++
+				}
+				if runs || r.State == platform.TaskSucceeded && !r.End.After(times[i-1]) {
+					whole++
+				}
+			}
+			if running > 0 && whole < tasks {
+				partial += times[i].Sub(times[i-1])
+				longest = max(longest, partial)
+			} else if times[i].After(times[i-1]) {
+				partial = 0
+			}
+		}
+	}
+	return longest
+}
+
+// checkEpochs returns an error when a worker accepted an epoch after a later one.
+func (c *cluster) checkEpochs() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	highest := map[ident.Worker]ident.Epoch{}
+	for _, a := range c.acts {
+		if a.epoch < highest[a.worker] {
+			return fmt.Errorf("worker %s accepted %s of epoch %d after epoch %d", a.worker, a.kind, a.epoch, highest[a.worker])
+		}
+		highest[a.worker] = a.epoch
+	}
+	return nil
+}
