Store the configuration and spread it to every process

Store applies a sheet as one conditional change with its audit record and settles lost answers by reading back. Follower holds the highest version seen, verifies digests and knows how long ago its version was confirmed.

--- /dev/null
+++ b/control/config/bench_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"testing"
+
+	"github.com/lacewingpier/lacewingpier/control/config/apikey"
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+)
+
+// targetSheet has the size of the two-year target: 610 workspaces.
+func targetSheet(b *testing.B) []byte {
+	var out bytes.Buffer
+	out.WriteString("record,workspace,name,count,tasks,accelerators,locality,weight,priority,max_queue,role,key_hash\n")
+	for i := range 610 {
+		ws := fmt.Sprintf("team-%03d", i)
+		fmt.Fprintf(&out, "workspace,%s,,,,,,%d,%d,200,,\n", ws, 1+i%4, i%3)
+		fmt.Fprintf(&out, "shape,%s,large,1,16,8,rack,,,,,\nshape,%s,small,4,1,4,worker,,,,,\n", ws, ws)
+		fmt.Fprintf(&out, "service,%s,%s-studies,,,,,,,500,,\n", ws, ws)
+		for c := range 4 {
+			_, hash := apikey.New("x", "y")
+			fmt.Fprintf(&out, "caller,%s,client-%d,,,,,1,,,caller,%s\n", ws, c, hash)
+		}
+	}
+	s, err := sheet.Parse(out.Bytes())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s.Encode()
+}
+
+// BenchmarkTakeTargetSheet measures what one change costs one process.
+func BenchmarkTakeTargetSheet(b *testing.B) {
+	body := targetSheet(b)
+	digest := sheet.Digest(body)
+	var packed bytes.Buffer
+	zip := gzip.NewWriter(&packed)
+	_, _ = zip.Write(body)
+	_ = zip.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		f := NewFollower(Options{})
+		if err := f.Offer(Versioned{Version: 1, Digest: digest, Body: body}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(body)), "body-bytes")
+	b.ReportMetric(float64(packed.Len()), "gzip-bytes")
+}
--- /dev/null
+++ b/control/config/follower_test.go
@@ -0,0 +1,357 @@
+package config
+
+import (
+	"context"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+)
+
+func versioned(t testing.TB, v ident.ConfigVersion) Versioned {
+	body := sheetOf(t, int(v)).Encode()
+	return Versioned{Version: v, Digest: sheet.Digest(body), Body: body}
+}
+
+// follow runs f until the test ends.
+func follow(t *testing.T, f *Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+// Guards against a version that goes back, a body that does not match its
+// digest, and a subscriber that misses or reorders a change.
+func TestFollowerOnlyGoesForward(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := NewFollower(Options{})
+		sub := f.Subscribe()
+		defer sub.Close()
+		highest := ident.ConfigVersion(0)
+		var want []ident.ConfigVersion
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			v := versioned(t, ident.ConfigVersion(rapid.IntRange(1, 12).Draw(rt, "version")))
+			corrupt := rapid.IntRange(0, 3).Draw(rt, "corrupt") == 0
+			if corrupt {
+				v.Body = append(v.Body, '\n')
+			}
+			err := f.Offer(v)
+			if v.Version > highest && corrupt != errkind.Is(err, errkind.Corrupt) {
+				rt.Fatalf("version %d corrupt %v: %v", v.Version, corrupt, err)
+			}
+			if v.Version > highest && !corrupt {
+				highest = v.Version
+				want = append(want, highest)
+			}
+			if got := f.Current().Version; got != highest {
+				rt.Fatalf("holds %d, want %d", got, highest)
+			}
+		}
+		for _, v := range want {
+			got, err := sub.Next(t.Context())
+			if err != nil || got.Version != v {
+				rt.Fatalf("delivered %d, want %d: %v", got.Version, v, err)
+			}
+		}
+	})
+}
+
+// Guards against a process that reports ready with an older version than the
+// table or a reachable peer has.
+func TestReadyOnlyWithTheHighestVersion(t *testing.T) {
+	peers := map[string]Versioned{"ahead": versioned(t, 3)}
+	fetch := func(_ context.Context, peer string, _ FetchRequest) (Versioned, error) {
+		if v, ok := peers[peer]; ok {
+			return v, nil
+		}
+		return Versioned{}, errkind.New(errkind.Unreachable, "no answer")
+	}
+	cases := []struct {
+		name      string
+		tableDown bool
+		peers     []string
+		ready     bool
+		version   ident.ConfigVersion
+	}{
+		{"the table alone", false, nil, true, 1},
+		{"a peer ahead of the table", false, []string{"ahead", "gone"}, true, 3},
+		{"a peer while the table is down", true, []string{"gone", "ahead"}, true, 3},
+		{"nobody answers", true, []string{"gone"}, false, 0},
+		{"no peers and no table", true, nil, false, 0},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			st := standin.NewStore()
+			store := NewStore(st.Table("e"), st.Objects("e"))
+			if _, err := apply(t.Context(), store, 0, sheetOf(t, 1), "op"); err != nil {
+				t.Fatal(err)
+			}
+			st.SetTableFaults("e", standin.Faults{Down: c.tableDown})
+			f := NewFollower(Options{Source: store, Fetch: fetch, Peers: func() []string { return c.peers }})
+			stop := follow(t, f)
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			got := f.Status()
+			stop()
+			if got.Ready != c.ready || got.Version != c.version {
+				t.Errorf("%s: %+v", c.name, got)
+			}
+		})
+	}
+}
+
+// Guards against a cut-off or paused process that believes that it is current.
+func TestStaleAfterSixSecondsWithoutConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := standin.NewStore()
+		store := NewStore(st.Table("e"), st.Objects("e"))
+		var events int
+		f := NewFollower(Options{Source: store, OnEvent: func(Event, error) { events++ }})
+		defer follow(t, f)()
+		if _, err := apply(t.Context(), store, 0, sheetOf(t, 1), "op"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if s := f.Status(); s.Version != 1 || s.Stale || !f.MayReduceGuarantees() {
+			t.Fatalf("following the table: %+v", s)
+		}
+		st.SetTableFaults("e", standin.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		if s := f.Status(); s.Stale {
+			t.Fatalf("stale too early: %+v", s)
+		}
+		time.Sleep(2 * time.Second)
+		if s := f.Status(); !s.Stale || f.MayReduceGuarantees() || s.Version != 1 {
+			t.Fatalf("not stale after the table was lost: %+v", s)
+		}
+		// A message that waited while the process was paused confirms nothing.
+		f.Observe("peer", 1, time.Now().Add(-20*time.Second))
+		f.Observe("peer", 1, time.Time{})
+		if !f.Status().Stale {
+			t.Fatal("an old message confirmed the version")
+		}
+		f.Observe("peer", 1, time.Now().Add(-time.Second))
+		f.Observe("peer", 1, time.Now().Add(-20*time.Second))
+		if f.Status().Stale {
+			t.Fatal("an answer of a peer did not confirm the version")
+		}
+		time.Sleep(6 * time.Second)
+		f.Observe("peer", 0, time.Now())
+		if !f.Status().Stale {
+			t.Fatal("a lower version confirmed the own one")
+		}
+		st.SetTableFaults("e", standin.Faults{})
+		if err := f.Offer(versioned(t, 9)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(8 * time.Second)
+		if s := f.Status(); s.Version != 9 || !s.Stale || events == 0 {
+			t.Fatalf("a table that went back was taken as confirmation: %+v, %d events", s, events)
+		}
+	})
+}
+
+// regionLatency and zoneLatency are one-way times of the design page.
+const (
+	regionLatency = 12 * time.Millisecond
+	zoneLatency   = time.Millisecond
+	treeFanout    = 4
+)
+
+// spread starts n followers: one reads the table, the others hang below it in
+// a tree, each told of changes by its parent. It returns the time from the
+// apply until the last one holds the version.
+func spread(t *testing.T, n int) (took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		st := standin.NewStore()
+		store := NewStore(st.Table("e"), st.Objects("e"))
+		all := make([]*Follower, n)
+		var stops []func()
+		ctx, cancel := context.WithCancel(t.Context())
+		var pushes sync.WaitGroup
+		for i := range all {
+			if i == 0 {
+				all[i] = NewFollower(Options{Source: store})
+			} else {
+				parent, latency := all[(i-1)/treeFanout], latencyOf(i)
+				all[i] = NewFollower(Options{
+					Peers: func() []string { return []string{"parent"} },
+					Fetch: func(_ context.Context, _ string, req FetchRequest) (Versioned, error) {
+						time.Sleep(2 * latency)
+						return parent.Answer(req), nil
+					},
+				})
+				pushes.Go(func() { push(ctx, parent, all[i], latency) })
+			}
+			stops = append(stops, follow(t, all[i]))
+		}
+		time.Sleep(3*time.Second + 10*time.Millisecond)
+		begin := time.Now()
+		if _, err := apply(t.Context(), store, 0, sheetOf(t, 1), "op"); err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range all {
+			sub := f.Subscribe()
+			if _, err := sub.Next(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			sub.Close()
+		}
+		took = time.Since(begin)
+		cancel()
+		pushes.Wait()
+		for _, stop := range stops {
+			stop()
+		}
+	})
+	return took
+}
+
+// latencyOf spreads the tree over three regions: every third link is long.
+func latencyOf(i int) time.Duration {
+	if i%3 == 0 {
+		return regionLatency
+	}
+	return zoneLatency
+}
+
+func push(ctx context.Context, from, to *Follower, latency time.Duration) {
+	sub := from.Subscribe()
+	defer sub.Close()
+	for {
+		next, err := sub.Next(ctx)
+		if err != nil {
+			return
+		}
+		time.Sleep(latency)
+		to.Observe("parent", next.Version, time.Time{})
+	}
+}
+
+// Guards against a change that takes longer than 2 s to reach every process,
+// or whose time grows with the number of processes rather than the depth.
+func TestPropagationGrowsWithTheDepthOnly(t *testing.T) {
+	sizes := []int{5, 21, 85, 341}
+	var sumX, sumY, sumXX, sumXY float64
+	for _, n := range sizes {
+		took := spread(t, n)
+		t.Logf("%d processes: in force everywhere after %v", n, took)
+		if took > 2*time.Second {
+			t.Errorf("%d processes took %v, the bound is 2 s", n, took)
+		}
+		x, y := math.Log(float64(n)), math.Log(took.Seconds())
+		sumX, sumY, sumXX, sumXY = sumX+x, sumY+y, sumXX+x*x, sumXY+x*y
+	}
+	k := float64(len(sizes))
+	slope := (k*sumXY - sumX*sumY) / (k*sumXX - sumX*sumX)
+	t.Logf("slope of log time over log processes: %.4f", slope)
+	if slope > 0.1 {
+		t.Errorf("slope %.3f exceeds 0.1", slope)
+	}
+}
+
+// Guards against changes that cost a whole body for each process, and against
+// a delta that leaves a process with another content than the table's.
+func TestDeltasReplaceBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := standin.NewStore()
+		store := NewStore(st.Table("e"), st.Objects("e"))
+		entry := NewFollower(Options{Source: store})
+		bodies, deltas, spoil := 0, 0, false
+		agent := NewFollower(Options{Peers: func() []string { return []string{"entry"} }, Fetch: func(_ context.Context, _ string, req FetchRequest) (Versioned, error) {
+			v := entry.Answer(req)
+			bodies += min(1, len(v.Body))
+			deltas += len(v.Deltas)
+			if spoil && len(v.Deltas) > 0 {
+				v.Deltas[0] = []byte("+workspace,other,,,,,,1,0,0,,,,,\n")
+			}
+			return v, nil
+		}})
+		if _, err := apply(t.Context(), store, 0, sheetOf(t, 1), "op"); err != nil {
+			t.Fatal(err)
+		}
+		defer follow(t, entry)()
+		time.Sleep(time.Second)
+		defer follow(t, agent)()
+		synctest.Wait()
+		st.SetObjectFaults("e", standin.Faults{})
+		for v := 1; v <= 4; v++ {
+			spoil = v == 4
+			if _, err := apply(t.Context(), store, ident.ConfigVersion(v), sheetOf(t, v+1), "op"); err != nil {
+				t.Fatal(err)
+			}
+			// The entry must not need the object store.
+			st.SetObjectFaults("e", standin.Faults{Down: true})
+			time.Sleep(2 * time.Second)
+			st.SetObjectFaults("e", standin.Faults{})
+			if v != 2 {
+				agent.Observe("entry", entry.Current().Version, time.Time{})
+				synctest.Wait()
+			}
+		}
+		want := sheetOf(t, 5).Encode()
+		if string(entry.Current().Body) != string(want) || string(agent.Current().Body) != string(want) {
+			t.Fatalf("entry %+v\nagent %+v", entry.Current(), agent.Current())
+		}
+		if bodies != 2 || deltas != 4 {
+			t.Fatalf("%d bodies and %d deltas sent, want the first body, the repair and 1+2+1 deltas", bodies, deltas)
+		}
+	})
+}
+
+// Guards against a chain of cut-off processes that keep each other fresh.
+func TestAgeOfAPeerIsInherited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := versioned(t, 2)
+		old.Age = 20 * time.Second
+		f := NewFollower(Options{
+			Peers: func() []string { return []string{"old"} },
+			Fetch: func(context.Context, string, FetchRequest) (Versioned, error) { return old, nil },
+		})
+		defer follow(t, f)()
+		synctest.Wait()
+		if s := f.Status(); s.Version != 2 || !s.Ready || !s.Stale || s.Age != old.Age {
+			t.Fatalf("the peer's age was lost: %+v", s)
+		}
+	})
+}
+
+// Guards against lost wake-ups while many versions arrive from several peers.
+func TestChaseTakesTheHighestAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := map[string]int{}
+		f := NewFollower(Options{Fetch: func(_ context.Context, peer string, _ FetchRequest) (Versioned, error) {
+			asked[peer]++
+			switch peer {
+			case "high":
+				return versioned(t, 8), nil
+			case "liar":
+				v := versioned(t, 9)
+				v.Digest = "00"
+				return v, nil
+			}
+			return versioned(t, 5), nil
+		}, Peers: func() []string { return []string{"low"} }})
+		defer follow(t, f)()
+		synctest.Wait()
+		f.Observe("low", 6, time.Time{})
+		f.Observe("liar", 9, time.Time{})
+		f.Observe("high", 8, time.Time{})
+		synctest.Wait()
+		Convey("the highest valid version is taken and lower peers are not asked again", t, func() {
+			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(8))
+			So(asked["liar"], ShouldEqual, 1)
+			So(asked["high"], ShouldEqual, 1)
+		})
+	})
+}
--- /dev/null
+++ b/control/config/sheet/delta.go
@@ -0,0 +1,63 @@
+package sheet
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+)
+
+// Delta returns the lines that change from before to after, each with a
+// leading "-" or "+". A body of the target size has 462 KB; sending it for
+// each of 15,000 changes a day would cost a node 80 KB/s, a delta costs a few
+// hundred bytes.
+func Delta(before, after *Sheet) []byte {
+	was, is := before.lineSet(), after.lineSet()
+	var out bytes.Buffer
+	write := func(sign byte, from, other map[string]bool) {
+		for _, line := range slices.Sorted(maps.Keys(from)) {
+			if !other[line] {
+				out.WriteByte(sign)
+				out.WriteString(line)
+				out.WriteByte('\n')
+			}
+		}
+	}
+	write('-', was, is)
+	write('+', is, was)
+	return out.Bytes()
+}
+
+func (s *Sheet) lineSet() map[string]bool {
+	out := make(map[string]bool)
+	for _, line := range s.lines() {
+		out[line.text] = true
+	}
+	return out
+}
+
+// Patch applies deltas in order. The caller compares the digest of the result.
+func Patch(s *Sheet, deltas ...[]byte) (*Sheet, error) {
+	set := s.lineSet()
+	for _, delta := range deltas {
+		for line := range strings.Lines(string(delta)) {
+			line = strings.TrimSuffix(line, "\n")
+			switch {
+			case strings.HasPrefix(line, "-") && set[line[1:]]:
+				delete(set, line[1:])
+			case strings.HasPrefix(line, "+") && !set[line[1:]]:
+				set[line[1:]] = true
+			default:
+				return nil, errkind.New(errkind.Corrupt, "a configuration delta does not match its base")
+			}
+		}
+	}
+	text := strings.Join(Columns, ",") + "\n" + strings.Join(slices.Collect(maps.Keys(set)), "\n")
+	patched, err := Parse([]byte(text))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Corrupt, err, "parse patched configuration")
+	}
+	return patched, nil
+}
--- a/control/config/sheet/sheet_test.go
+++ b/control/config/sheet/sheet_test.go
@@ -1,6 +1,7 @@
 package sheet
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -117,6 +118,10 @@
 		if string(parsed.Encode()) != string(body) {
 			t.Fatalf("changed by a round trip:\n%s\n%s", body, parsed.Encode())
 		}
+		parsed.positions = nil
+		if !reflect.DeepEqual(s, parsed) {
+			t.Fatalf("the round trip lost a field:\n%+v\n%+v", s, parsed)
+		}
 		if d := Diff(s, parsed); len(d) != 0 {
 			t.Fatalf("a diff of equal sheets: %v", d)
 		}
@@ -185,6 +190,12 @@
 			So(refusal(err), ShouldContainSubstring, "5:13: name: shape alpha/more")
 			So(refusal(err), ShouldContainSubstring, "6:9: workspace: is missing")
 		})
+		Convey("a given home that is full or unknown is refused", func() {
+			text := strings.TrimSpace(header) + ",partition\nworkspace,alpha,,,,,,,,,\nshape,alpha,big,1,4,8,rack,,,,p1\nshape,alpha,more,1,1,1,worker,,,,p1\nshape,alpha,lost,1,1,1,worker,,,,p9\n"
+			_, err := Check([]byte(text), nil, limits)
+			So(refusal(err), ShouldContainSubstring, "4:13: name: shape alpha/more does not fit in partition p1")
+			So(refusal(err), ShouldContainSubstring, `5:34: partition: unknown partition "p9"`)
+		})
 		Convey("a claimed guarantee cannot be cut, removed or changed", func() {
 			limits := limits
 			limits.Held = func(ref ShapeRef) int { return map[string]int{"small": 3, "big": 1}[ref.Shape] }
@@ -214,3 +225,19 @@
 		}
 	})
 }
+
+// Guards against a delta that does not lead from one sheet to the other.
+func TestDeltaAndPatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := genSheet(t), genSheet(t), genSheet(t)
+		got, err := Patch(a, Delta(a, b), Delta(b, c))
+		if err != nil || string(got.Encode()) != string(c.Encode()) {
+			t.Fatalf("patched to another sheet: %v", err)
+		}
+		if string(a.Encode()) != string(c.Encode()) {
+			if _, err := Patch(c, Delta(a, c)); !errkind.Is(err, errkind.Corrupt) {
+				t.Fatalf("a delta was applied to another base: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/control/config/store.go
@@ -0,0 +1,276 @@
+// Package config stores the configuration sheet, applies changes to it and
+// spreads the newest version to every process.
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+)
+
+const (
+	currentKey  = "config/current"
+	bodyPrefix  = "config/"
+	auditPrefix = "audit/config/"
+
+	// maxRowDelta leaves room for the other fields in a row of 4 KiB.
+	maxRowDelta = 3 << 10
+
+	// Attempts and wait to settle a write whose answer was lost.
+	settleAttempts = 6
+	settleWait     = 200 * time.Millisecond
+)
+
+// Record describes one accepted version. It is the value of the row
+// config/current and of the audit row of the version.
+type Record struct {
+	Version ident.ConfigVersion `json:"version"`
+	// Digest is the SHA-256 of the body.
+	Digest string `json:"digest"`
+	// Parent is the digest of the version before, or empty.
+	Parent   string    `json:"parent,omitempty"`
+	Operator string    `json:"operator"`
+	Time     time.Time `json:"time"`
+	// Changes counts the records that differ from the parent.
+	Changes int `json:"changes"`
+	// Delta leads from the version before to this one. It is kept only in the
+	// audit row, and only when it fits in a row.
+	Delta string `json:"delta,omitempty"`
+}
+
+// Store keeps the configuration in the platform's table and object store.
+type Store struct {
+	table   platform.Table
+	objects platform.ObjectStore
+}
+
+// NewStore returns a store over the platform's services.
+func NewStore(table platform.Table, objects platform.ObjectStore) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Current returns the record in force, or a zero record before the first apply.
+func (s *Store) Current(ctx context.Context) (Record, error) {
+	record, _, err := s.current(ctx)
+	return record, err
+}
+
+func (s *Store) current(ctx context.Context) (Record, platform.Row, error) {
+	row, err := s.table.Get(ctx, currentKey)
+	if errkind.Is(err, errkind.NotFound) {
+		return Record{}, platform.Row{}, nil
+	}
+	if err != nil {
+		return Record{}, platform.Row{}, err
+	}
+	record, err := decodeRecord(row)
+	return record, row, err
+}
+
+func decodeRecord(row platform.Row) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, errkind.Wrap(errkind.Corrupt, err, "decode row "+row.Key)
+	}
+	return record, nil
+}
+
+// Body returns the body with the given digest, verified.
+func (s *Store) Body(ctx context.Context, digest string) ([]byte, error) {
+	if digest == "" {
+		return nil, nil
+	}
+	body, err := s.objects.Get(ctx, bodyPrefix+digest)
+	if err != nil {
+		return nil, err
+	}
+	if sheet.Digest(body) != digest {
+		return nil, errkind.New(errkind.Corrupt, "configuration body %s has another digest", digest)
+	}
+	return body, nil
+}
+
+// Sheet returns the sheet with the given digest; the empty digest names the
+// empty sheet.
+func (s *Store) Sheet(ctx context.Context, digest string) (*sheet.Sheet, error) {
+	if digest == "" {
+		return &sheet.Sheet{}, nil
+	}
+	body, err := s.Body(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	return sheet.Parse(body)
+}
+
+// History returns up to limit records, the newest first.
+func (s *Store) History(ctx context.Context, limit int) ([]Record, error) {
+	current, err := s.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []Record
+	for v := current.Version; v > 0 && len(out) < limit; v-- {
+		record, err := s.Version(ctx, v)
+		if errkind.Is(err, errkind.NotFound) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, record)
+	}
+	return out, nil
+}
+
+// Version returns the record of one accepted version.
+func (s *Store) Version(ctx context.Context, v ident.ConfigVersion) (Record, error) {
+	row, err := s.table.Get(ctx, auditKey(v))
+	if err != nil {
+		return Record{}, err
+	}
+	return decodeRecord(row)
+}
+
+func auditKey(v ident.ConfigVersion) string { return fmt.Sprintf("%s%020d", auditPrefix, v) }
+
+// ApplyRequest asks for a new version.
+type ApplyRequest struct {
+	// Seen is the version that the operator's change is based on.
+	Seen     ident.ConfigVersion
+	Sheet    *sheet.Sheet
+	Operator string
+	Now      time.Time
+}
+
+// Apply makes a sheet the next version if Seen is still in force. Otherwise
+// it returns an error of kind Conflict that names the version in force.
+func (s *Store) Apply(ctx context.Context, req ApplyRequest) (Record, error) {
+	current, row, err := s.current(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	if current.Version != req.Seen {
+		return Record{}, conflict(current, req.Seen)
+	}
+	parent, err := s.Sheet(ctx, current.Digest)
+	if err != nil {
+		return Record{}, err
+	}
+	body := req.Sheet.Encode()
+	next := Record{
+		Version:  current.Version + 1,
+		Digest:   sheet.Digest(body),
+		Parent:   current.Digest,
+		Operator: req.Operator,
+		Time:     req.Now.UTC(),
+		Changes:  len(sheet.Diff(parent, req.Sheet)),
+	}
+	delta := sheet.Delta(parent, req.Sheet)
+	if err := s.putBody(ctx, next.Digest, body); err != nil {
+		return Record{}, err
+	}
+	return s.commit(ctx, next, delta, row.Version)
+}
+
+func conflict(current Record, seen ident.ConfigVersion) error {
+	return errkind.New(errkind.Conflict, "version %d of %s is in force, the change is based on version %d",
+		current.Version, current.Operator, seen)
+}
+
+// putBody stores a body under its digest. A repeat after a lost answer writes
+// the same bytes, so it is harmless.
+func (s *Store) putBody(ctx context.Context, digest string, body []byte) error {
+	var err error
+	for range settleAttempts {
+		err = s.objects.Put(ctx, bodyPrefix+digest, body)
+		if !errkind.Is(err, errkind.OutcomeUnknown) {
+			break
+		}
+		if wait(ctx, settleWait) != nil {
+			break
+		}
+	}
+	if errkind.Is(err, errkind.OutcomeUnknown) {
+		// Nothing refers to the body yet, so the apply itself has not run.
+		return errkind.Wrap(errkind.StoreUnavailable, err, "store configuration body")
+	}
+	return err
+}
+
+func (s *Store) commit(ctx context.Context, next Record, delta []byte, have platform.RowVersion) (Record, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Record{}, errkind.Wrap(errkind.Internal, err, "encode configuration record")
+	}
+	audit := next
+	if len(delta) <= maxRowDelta {
+		audit.Delta = string(delta)
+	}
+	auditValue, err := json.Marshal(audit)
+	if err != nil {
+		return Record{}, errkind.Wrap(errkind.Internal, err, "encode audit record")
+	}
+	txn := platform.Txn{ID: ident.NewID("cfg-"), Ops: []platform.Op{
+		{Kind: platform.OpPut, Key: currentKey, IfVersion: have, Value: value},
+		{Kind: platform.OpPut, Key: auditKey(next.Version), Value: auditValue},
+	}}
+	err = s.commitSettled(ctx, txn, next.Version)
+	if err == nil {
+		return next, nil
+	}
+	if !errkind.Is(err, errkind.Conflict) {
+		return Record{}, err
+	}
+	current, readErr := s.Current(ctx)
+	if readErr != nil {
+		return Record{}, err
+	}
+	return Record{}, conflict(current, next.Version-1)
+}
+
+// commitSettled commits and resolves lost answers: the audit row of the
+// version carries the id of the transaction that created it, also when a
+// later version has replaced config/current. When the row is absent the same
+// transaction is sent again, because the first one may still be on its way.
+func (s *Store) commitSettled(ctx context.Context, txn platform.Txn, v ident.ConfigVersion) error {
+	_, err := s.table.Commit(ctx, txn)
+	uncertain := errkind.Is(err, errkind.OutcomeUnknown)
+	if !uncertain {
+		return err
+	}
+	for range settleAttempts {
+		row, readErr := s.table.Get(ctx, auditKey(v))
+		switch {
+		case readErr == nil && row.WriteID == txn.ID:
+			return nil
+		case readErr == nil:
+			return errkind.New(errkind.Conflict, "version %d was written by another operator", v)
+		case errkind.Is(readErr, errkind.NotFound):
+			if _, err = s.table.Commit(ctx, txn); err == nil {
+				return nil
+			}
+		}
+		if wait(ctx, settleWait) != nil {
+			break
+		}
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, err, "apply configuration; read the history before a retry")
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/control/config/store_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+)
+
+func sheetOf(t testing.TB, weight int) *sheet.Sheet {
+	t.Helper()
+	s, err := sheet.Parse(fmt.Appendf(nil, "record,workspace,name,count,tasks,accelerators,locality,weight,priority,max_queue\nworkspace,alpha,,,,,,%d,1,\n", weight))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func apply(ctx context.Context, s *Store, seen ident.ConfigVersion, sh *sheet.Sheet, by string) (Record, error) {
+	return s.Apply(ctx, ApplyRequest{Seen: seen, Sheet: sh, Operator: by, Now: time.Now()})
+}
+
+// Guards against two operators whose changes both succeed on the same base.
+func TestApplyRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		st := standin.NewStore()
+		const operators = 8
+		errs := make([]error, operators)
+		var wg sync.WaitGroup
+		for i := range operators {
+			wg.Go(func() {
+				name := fmt.Sprintf("op%d", i)
+				_, errs[i] = apply(ctx, NewStore(st.Table(name), st.Objects(name)), 0, sheetOf(t, i+1), name)
+			})
+		}
+		wg.Wait()
+		Convey("Exactly one of several changes on one base succeeds", t, func() {
+			won := 0
+			for _, err := range errs {
+				if err == nil {
+					won++
+					continue
+				}
+				So(errkind.Is(err, errkind.Conflict), ShouldBeTrue)
+				So(err.Error(), ShouldContainSubstring, "version 1 of op")
+			}
+			So(won, ShouldEqual, 1)
+			s := NewStore(st.Table("x"), st.Objects("x"))
+			current, err := s.Current(ctx)
+			So(err, ShouldBeNil)
+			next, err := apply(ctx, s, 1, sheetOf(t, 40), "late")
+			So(err, ShouldBeNil)
+			So([]any{next.Version, next.Parent, next.Changes}, ShouldResemble, []any{ident.ConfigVersion(2), current.Digest, 1})
+			history, err := s.History(ctx, 10)
+			So(err, ShouldBeNil)
+			So(history[0].Delta, ShouldContainSubstring, "+workspace,alpha,,,,,,40")
+			history[0].Delta, history[1].Delta = "", ""
+			So(history, ShouldResemble, []Record{next, current})
+			_, err = apply(ctx, s, 1, sheetOf(t, 41), "late")
+			So(errkind.Is(err, errkind.Conflict), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a lost answer that is reported as a failure although the
+// change is in force, or as a success although another one is.
+func TestApplySettlesLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		st := standin.NewStore()
+		s := NewStore(st.Table("op"), st.Objects("op"))
+		Convey("Given answers that are lost", t, func() {
+			st.SetTableFaults("op", standin.Faults{LoseAnswers: 1})
+			st.SetObjectFaults("op", standin.Faults{LoseAnswers: 2})
+			first, err := apply(ctx, s, 0, sheetOf(t, 2), "op")
+			So(err, ShouldBeNil)
+			got, err := s.Current(ctx)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, first)
+
+			Convey("an outage of either store changes nothing and says so", func() {
+				st.SetObjectFaults("op", standin.Faults{Down: true})
+				_, err := apply(ctx, s, 1, sheetOf(t, 3), "op")
+				So(errkind.Is(err, errkind.StoreUnavailable), ShouldBeTrue)
+				st.SetObjectFaults("op", standin.Faults{})
+				st.SetTableFaults("op", standin.Faults{Down: true})
+				_, err = apply(ctx, s, 1, sheetOf(t, 3), "op")
+				So(errkind.Is(err, errkind.StoreUnavailable), ShouldBeTrue)
+				st.SetTableFaults("op", standin.Faults{})
+				got, err := s.Current(ctx)
+				So(err, ShouldBeNil)
+				So(got, ShouldResemble, first)
+			})
+		})
+	})
+}
--- /dev/null
+++ b/control/config/wire.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// FromProto converts a peer's message.
+func FromProto(m *rpc.Config) Versioned {
+	return Versioned{
+		Version: ident.ConfigVersion(m.GetVersion()),
+		Digest:  m.GetDigest(),
+		Body:    m.GetBody(),
+		Base:    ident.ConfigVersion(m.GetBaseVersion()),
+		Deltas:  m.GetDeltas(),
+		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
+	}
+}
+
+// Proto converts v for a peer.
+func (v Versioned) Proto() *rpc.Config {
+	return &rpc.Config{
+		Version:     uint64(v.Version),
+		Digest:      v.Digest,
+		Body:        v.Body,
+		BaseVersion: uint64(v.Base),
+		Deltas:      v.Deltas,
+		AgeMs:       AgeMillis(v.Age),
+	}
+}
+
+// AgeMillis rounds an age up for a message, so that no hop makes it younger.
+func AgeMillis(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
+// RequestFromProto converts a peer's request.
+func RequestFromProto(m *rpc.FetchConfigRequest) FetchRequest {
+	return FetchRequest{AtLeast: ident.ConfigVersion(m.GetAtLeast()), Have: ident.ConfigVersion(m.GetHave())}
+}
+
+// Proto converts the request for a peer.
+func (r FetchRequest) Proto() *rpc.FetchConfigRequest {
+	return &rpc.FetchConfigRequest{AtLeast: uint64(r.AtLeast), Have: uint64(r.Have)}
+}
