--- a/sched/sched/capacity.go
+++ b/sched/sched/capacity.go
@@ -138,7 +138,7 @@
 
 // wake marks a pending gang as ready once all its places are vacant.
 func (s *Scheduler) wake(j *job) {
-	if j.state != statePending || slices.Contains(s.ready, j) {
+	if j.state != StatePending || slices.Contains(s.ready, j) {
 		return
 	}
 	if s.vacant(j, j.places) {
--- a/sched/sched/claim.go
+++ b/sched/sched/claim.go
@@ -127,7 +127,7 @@
 	eachWorker(places, func(n int, mask uint64, _ int) {
 		s.clearMask(j, n, mask, reason)
 	})
-	j.state = statePending
+	j.state = StatePending
 	s.want(j, j.places)
 	eachWorker(places, func(n int, _ uint64, _ int) {
 		s.clearExcess(j, n, reason)
@@ -178,7 +178,7 @@
 	left := w.available()
 	n := s.byID[w.id]
 	for _, g := range w.gangs {
-		if g.state == stateStopping {
+		if g.state == StateStopping {
 			left = topology.Add(left, topology.Scale(g.spec.PerTask, tasksOn(g.places, n)))
 		}
 	}
@@ -188,10 +188,11 @@
 // preempt stops a running gang for another one. The gang keeps its place in the
 // queue.
 func (s *Scheduler) preempt(victim, by *job, reason model.Reason) {
-	if victim.state != stateRunning {
+	if victim.state != StateRunning {
 		return
 	}
-	victim.state = stateStopping
+	victim.state = StateStopping
+	victim.stopping = reason
 	s.counts[reason]++
 	s.outbox = append(s.outbox, model.Action{
 		Kind: model.ActionPreempt, Job: victim.spec.ID, Attempt: victim.attempt,
@@ -202,7 +203,7 @@
 // loseHold takes the kept place away from a pending gang, or the target from a
 // migrating one.
 func (s *Scheduler) loseHold(j *job) {
-	if j.state != statePending {
+	if j.state != StatePending {
 		s.dropTarget(j)
 		return
 	}
--- a/sched/sched/cluster.go
+++ b/sched/sched/cluster.go
@@ -100,8 +100,9 @@
 // breakGang takes the member on a lost worker out of a gang.
 func (s *Scheduler) breakGang(j *job, n int) {
 	j.slot = nil
-	j.state = stateStopping
+	j.state = StateStopping
 	j.lost = true
+	j.stopping = model.ReasonRetryWorkerLost
 	j.places = slices.DeleteFunc(j.places, func(p witness.Place) bool { return p.Worker == n })
 	s.workers[n].gangs = without(s.workers[n].gangs, j)
 }
--- a/sched/sched/finish.go
+++ b/sched/sched/finish.go
@@ -81,7 +81,7 @@
 func (s *Scheduler) adopt(slot *witness.Slot) {
 	ws := s.workspaces[slot.Key.Workspace]
 	for _, j := range ws.borrowed {
-		if j.state == stateRunning && j.spec.Shape == slot.Key.Shape && s.book.Adopt(slot, j.places) {
+		if j.state == StateRunning && j.spec.Shape == slot.Key.Shape && s.book.Adopt(slot, j.places) {
 			s.uncharge(j)
 			j.slot = slot
 			s.book.Hold(slot, j.spec.ID)
@@ -101,7 +101,7 @@
 // end forgets a job whose last attempt has been released.
 func (s *Scheduler) end(j *job) {
 	s.dropTarget(j)
-	j.state = stateStopping
+	j.state = StateStopping
 	s.drop(j)
 }
 
@@ -121,7 +121,7 @@
 		return
 	}
 	j.places, j.target = j.target, nil
-	j.state = statePending
+	j.state = StatePending
 	s.wake(j)
 }
 
@@ -151,7 +151,7 @@
 	j.retry = reason
 	j.failures++
 	j.notBefore = s.now.Add(backoff(j.failures))
-	j.state = stateDelayed
+	j.state = StateDelayed
 	j.ws.queued++
 	s.delayed = append(s.delayed, j)
 }
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -9,27 +9,33 @@
 	"github.com/lacewingpier/lacewingpier/sched/witness"
 )
 
-// jobState is the state of an accepted job.
-type jobState uint8
+// State says what an accepted job does.
+type State uint8
 
+// The states of an accepted job.
 const (
-	// stateQueued waits for a place.
-	stateQueued jobState = iota
-	// stateDelayed waits for the end of a backoff.
-	stateDelayed
-	// statePending has a place and waits for its occupants to stop.
-	statePending
-	// stateRunning runs an attempt.
-	stateRunning
-	// stateStopping runs an attempt whose end is expected.
-	stateStopping
+	// StateQueued waits for a place.
+	StateQueued State = iota
+	// StateDelayed waits for the end of a backoff.
+	StateDelayed
+	// StatePending has a place and waits for its occupants to stop.
+	StatePending
+	// StateRunning runs an attempt.
+	StateRunning
+	// StateStopping runs an attempt whose end is expected.
+	StateStopping
 )
 
+var stateNames = []string{"queued", "delayed", "pending", "running", "stopping"}
+
+// String returns the wire name of the state.
+func (s State) String() string { return stateNames[s] }
+
 // job is an accepted job.
 type job struct {
 	spec  model.Job
 	seq   uint64
-	state jobState
+	state State
 	ws    *workspace
 	// caller is the share account of the job's caller.
 	caller  *caller
@@ -50,6 +56,8 @@
 	notBefore  time.Time
 	retry      model.Reason
 	canceled   bool
+	// stopping is the reason why the attempt is stopped.
+	stopping model.Reason
 	// charged says that the attempt counts in the share accounts.
 	charged bool
 	// lost says that a member's worker was lost.
@@ -91,7 +99,7 @@
 }
 
 // occupies reports whether the job holds capacity.
-func (j *job) occupies() bool { return j.state == stateRunning || j.state == stateStopping }
+func (j *job) occupies() bool { return j.state == StateRunning || j.state == StateStopping }
 
 // workspace is the share account of one workspace.
 type workspace struct {
--- a/sched/sched/oracle_test.go
+++ b/sched/sched/oracle_test.go
@@ -22,15 +22,20 @@
 	return o.gang(0)
 }
 
+// key encodes the free capacity so that equal workers and racks are alike.
 func (o *oracle) key(i int) string {
 	parts := make([]string, 0, len(o.racks))
 	for _, rack := range o.racks {
-		r := slices.Clone(rack)
-		slices.SortFunc(r, func(a, b model.Resources) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
-		parts = append(parts, fmt.Sprint(r))
+		r := make([]string, 0, len(rack))
+		for _, f := range rack {
+			// Each amount in a test is far below 255.
+			r = append(r, string([]byte{byte(f.Accelerators), byte(f.Cores), byte(f.MemoryMB)}))
+		}
+		slices.Sort(r)
+		parts = append(parts, strings.Join(r, ""))
 	}
 	slices.Sort(parts)
-	return fmt.Sprint(i, parts)
+	return string([]byte{byte(i)}) + strings.Join(parts, "|")
 }
 
 func (o *oracle) gang(i int) bool {
@@ -102,6 +107,9 @@
 		var rack []model.Resources
 		for _, w := range s.all.Rack(r) {
 			c, u := s.all.Free(int(w)), used[int(w)]
+			if u.Accelerators > c.Accelerators || u.Cores > c.Cores || u.MemoryMB > c.MemoryMB {
+				return false
+			}
 			rack = append(rack, model.Resources{Accelerators: c.Accelerators - u.Accelerators, Cores: c.Cores - u.Cores, MemoryMB: c.MemoryMB - u.MemoryMB})
 		}
 		o.racks = append(o.racks, rack)
--- a/sched/sched/places.go
+++ b/sched/sched/places.go
@@ -21,7 +21,7 @@
 
 // keptOn returns the accelerators of a worker that a job keeps without using.
 func keptOn(j *job, n int) uint64 {
-	if j.state == statePending {
+	if j.state == StatePending {
 		return maskOn(j.places, n)
 	}
 	return maskOn(j.target, n)
--- a/sched/sched/property_test.go
+++ b/sched/sched/property_test.go
@@ -39,7 +39,7 @@
 
 // coverage counts what the histories exercised.
 type coverage struct {
-	steps, plans, refused, starts, preemptions, short int
+	steps, plans, refused, starts, preemptions, short, restores int
 }
 
 var covered coverage
@@ -329,10 +329,10 @@
 func (w *world) checkClaims() {
 	for _, id := range keys(w.open) {
 		j := w.s.jobs[id]
-		if j.state == statePending && !w.blockedByStopping(j) {
+		if j.state == StatePending && !w.blockedByStopping(j) {
 			w.t.Fatalf("job %s is pending though nothing on its place stops", id)
 		}
-		if j.state != stateQueued || j.spec.Shape == "" {
+		if j.state != StateQueued || j.spec.Shape == "" {
 			continue
 		}
 		for _, slot := range w.s.book.Of(j.ws.id, j.spec.Shape) {
@@ -346,7 +346,7 @@
 func (w *world) blockedByStopping(j *job) bool {
 	for _, p := range j.places {
 		for _, g := range w.s.workers[p.Worker].gangs {
-			if g.state == stateStopping {
+			if g.state == StateStopping {
 				return true
 			}
 		}
@@ -380,6 +380,33 @@
 	w.checkPhysical()
 }
 
+// restore rebuilds the scheduler as a new owner does.
+func (w *world) restore() {
+	snap := w.s.Snapshot()
+	w.s = New(Config{Health: w.health})
+	for _, id := range keys(w.alive) {
+		w.s.AddWorker(w.now, w.alive[id])
+	}
+	if err := w.s.Restore(w.now, snap); err != nil {
+		w.t.Fatalf("restore: %v", err)
+	}
+	covered.restores++
+	again := w.s.Snapshot()
+	if fmt.Sprintf("%+v", running(again)) != fmt.Sprintf("%+v", running(snap)) {
+		w.t.Fatalf("restored %+v from %+v", running(again), running(snap))
+	}
+}
+
+// running lists the placements of a snapshot.
+func running(snap Snapshot) []JobRecord {
+	var out []JobRecord
+	for _, r := range snap.Jobs {
+		r.Spec, r.Slot = model.Job{ID: r.Spec.ID}, nil
+		out = append(out, r)
+	}
+	return out
+}
+
 func (w *world) step() {
 	covered.steps++
 	if w.s.book.ShortCount() > 0 {
@@ -399,6 +426,8 @@
 		w.add()
 	case n == 18:
 		w.applyPlan()
+	case n == 19 && w.int(0, 3, "restore") == 0:
+		w.restore()
 	}
 	if w.int(0, 3, "schedule") > 0 {
 		w.schedule()
@@ -448,7 +477,7 @@
 	if flag.Lookup("rapid.checks").Value.String() != defaultChecks {
 		return
 	}
-	if c := covered; c.steps < 100000 || min(c.plans, c.starts, c.preemptions, c.short, c.refused) < 500 {
+	if c := covered; c.steps < 100000 || min(c.plans, c.starts, c.preemptions, c.short, c.refused, c.restores) < 500 {
 		t.Fatalf("the histories cover too little: %+v", c)
 	}
 }
--- a/sched/sched/queue.go
+++ b/sched/sched/queue.go
@@ -140,7 +140,7 @@
 const minRemaining = time.Second
 
 func (s *Scheduler) enqueue(j *job) {
-	j.state = stateQueued
+	j.state = StateQueued
 	c := s.classFor(j)
 	j.class = c
 	c.count++
--- a/sched/sched/sched.go
+++ b/sched/sched/sched.go
@@ -73,7 +73,9 @@
 	delayed    []*job
 	ready      []*job
 	outbox     []model.Action
-	suspects   []int
+	// restored lists the attempts of a snapshot until the first decision.
+	restored []*job
+	suspects []int
 	// generation counts the events that may let a blocked class start.
 	generation uint64
 	counts     map[model.Reason]int
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -13,6 +13,7 @@
 // Schedule starts what can start and frees the places that guarantees need.
 func (s *Scheduler) Schedule(now time.Time) []model.Action {
 	s.now = now
+	s.repeatStops()
 	s.judgeSuspects()
 	s.wakeDelayed()
 	s.startReady()
@@ -39,10 +40,11 @@
 // start begins an attempt at the place that the gang keeps.
 func (s *Scheduler) start(j *job) {
 	s.occupy(j)
-	j.state = stateRunning
+	j.state = StateRunning
 	j.attempt++
 	j.started = s.now
 	j.checkpoint = time.Time{}
+	j.stopping = model.ReasonNone
 	j.estimate = s.remaining(j)
 	if j.slot == nil {
 		j.charged = true
--- a/sched/sched/submit.go
+++ b/sched/sched/submit.go
@@ -92,7 +92,7 @@
 	if j.occupies() {
 		return s.cancelRunning(j)
 	}
-	if j.state == statePending {
+	if j.state == StatePending {
 		s.cancelPending(j)
 	}
 	s.drop(j)
@@ -101,7 +101,8 @@
 
 func (s *Scheduler) cancelRunning(j *job) []model.Action {
 	j.canceled = true
-	j.state = stateStopping
+	j.state = StateStopping
+	j.stopping = model.ReasonCanceled
 	s.dropTarget(j)
 	return []model.Action{{Kind: model.ActionStop, Job: j.spec.ID, Attempt: j.attempt, Reason: model.ReasonCanceled, Grace: s.grace}}
 }
@@ -109,9 +110,9 @@
 // drop forgets a job that holds no capacity.
 func (s *Scheduler) drop(j *job) {
 	switch j.state {
-	case stateQueued:
+	case StateQueued:
 		s.dequeue(j)
-	case stateDelayed:
+	case StateDelayed:
 		s.delayed = without(s.delayed, j)
 		j.ws.queued--
 	}
--- a/sched/witness/plan.go
+++ b/sched/witness/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/model"
 )
 
@@ -137,3 +138,34 @@
 	}
 	return keys
 }
+
+// Held is a gang that runs inside a guarantee.
+type Held struct {
+	Key    Key
+	Places []Place
+	Holder ident.Job
+}
+
+// Rebuild installs a plan around running gangs and returns those whose place
+// no slot of the plan can take over. Slots that do not fit are short.
+func (b *Book) Rebuild(plan model.Plan, held []Held) []Held {
+	b.install(slotsOf(plan))
+	var rest []Held
+	for _, h := range held {
+		if !b.rebuildHeld(h) {
+			rest = append(rest, h)
+		}
+	}
+	b.Repair(-1)
+	return rest
+}
+
+func (b *Book) rebuildHeld(h Held) bool {
+	for _, s := range b.Of(h.Key.Workspace, h.Key.Shape) {
+		if s.Holder == "" && s.Short() && len(h.Places) == s.Shape.Tasks && b.Adopt(s, h.Places) {
+			b.Hold(s, h.Holder)
+			return true
+		}
+	}
+	return false
+}
