--- /dev/null
+++ b/route/claim/claim.go
@@ -0,0 +1,240 @@
+// Package claim keeps the promise that a keyed request runs at most once. It
+// holds the states of a claim, the encoding of the claim's row in the table,
+// what a repeat of the request sees, and the memory of dispatch ids at an
+// agent. It performs no I/O: rows, versions and times are arguments.
+package claim
+
+import (
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// State is the state of a claim.
+type State uint8
+
+// The states of a claim.
+const (
+	// Claimed means that the row is written and nothing was dispatched.
+	Claimed State = iota + 1
+	// Dispatched means that the request may have reached an upstream. It is
+	// kept in memory only: the row says Claimed until the outcome is known.
+	Dispatched
+	// Finished means that the answer is known.
+	Finished
+	// Unknown means that the request may or may not have run.
+	Unknown
+	// Released means that the request did not run and will not run under this
+	// claim, so that a repeat may claim the key again.
+	Released
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Claimed:
+		return "claimed"
+	case Dispatched:
+		return "dispatched"
+	case Finished:
+		return "finished"
+	case Unknown:
+		return "unknown"
+	case Released:
+		return "released"
+	default:
+		return "invalid"
+	}
+}
+
+// AnswerPlace says where the answer of a finished claim is kept.
+type AnswerPlace uint8
+
+// The places of an answer.
+const (
+	// PlaceRow keeps the answer in the row.
+	PlaceRow AnswerPlace = iota + 1
+	// PlaceObject keeps the answer in the object store.
+	PlaceObject
+	// PlaceNowhere means that the answer was too large for the row and the
+	// object store did not accept it.
+	PlaceNowhere
+)
+
+// Answer is the recorded answer of a finished claim.
+type Answer struct {
+	Place AnswerPlace
+	// Status is the HTTP status of the answer.
+	Status int
+	// ContentType is the media type of the body.
+	ContentType string
+	// Body is the body when Place is PlaceRow.
+	Body []byte
+	// Object is the key in the object store when Place is PlaceObject.
+	Object string
+}
+
+// Record is the content of a claim's row.
+type Record struct {
+	State  State
+	Digest Digest
+	// Request is the request id of the attempt that holds the claim.
+	Request ident.Request
+	// Entry is the entry that holds the claim.
+	Entry ident.Entry
+	// Life is the time from the claim to the deadline of its request. It is a
+	// duration, because clocks of different hosts are not compared.
+	Life time.Duration
+	// Answer is set in state Finished.
+	Answer Answer
+}
+
+// Claim is one entry's hold on a key.
+type Claim struct {
+	record Record
+}
+
+// New returns a claim whose row is to be written before the dispatch.
+func New(digest Digest, request ident.Request, entry ident.Entry, life time.Duration) *Claim {
+	return &Claim{record: Record{
+		State: Claimed, Digest: digest, Request: request, Entry: entry, Life: life,
+	}}
+}
+
+// Record returns the row's content for the current state.
+func (c *Claim) Record() Record {
+	r := c.record
+	if r.State == Dispatched {
+		r.State = Claimed
+	}
+	return r
+}
+
+// State returns the current state.
+func (c *Claim) State() State { return c.record.State }
+
+// Dispatch allows the one dispatch of a claim that was written. A second call
+// is refused, so that a retry inside the entry can not run the request twice.
+func (c *Claim) Dispatch() error {
+	if c.record.State != Claimed {
+		return c.refuse("dispatch")
+	}
+	c.record.State = Dispatched
+	return nil
+}
+
+// NotRun records that an agent refused the dispatch as not run. The claim may
+// then be dispatched again or released.
+func (c *Claim) NotRun() error {
+	if c.record.State != Dispatched {
+		return c.refuse("undo the dispatch of")
+	}
+	c.record.State = Claimed
+	return nil
+}
+
+// Finish records the answer.
+func (c *Claim) Finish(answer Answer) error {
+	if c.record.State != Dispatched {
+		return c.refuse("finish")
+	}
+	c.record.State = Finished
+	c.record.Answer = answer
+	return nil
+}
+
+// Lose records that the answer of the dispatch was lost.
+func (c *Claim) Lose() error {
+	if c.record.State != Dispatched {
+		return c.refuse("lose")
+	}
+	c.record.State = Unknown
+	return nil
+}
+
+// Release gives up a claim that was never dispatched, or whose dispatches were
+// all refused as not run.
+func (c *Claim) Release() error {
+	if c.record.State != Claimed {
+		return c.refuse("release")
+	}
+	c.record.State = Released
+	return nil
+}
+
+func (c *Claim) refuse(verb string) error {
+	return errkind.New(errkind.Internal, "cannot %s a claim in state %s", verb, c.record.State)
+}
+
+// expiryMargin is added to the life of a claim before it counts as unknown. It
+// covers the drift between the clocks of the holder and the observer.
+const expiryMargin = 200 * time.Millisecond
+
+// Verdict says what a repeat of a keyed request does.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Run means that the repeat may claim the key, conditional on the version
+	// of the row that it saw.
+	Run Verdict = iota + 1
+	// Replay means that the recorded answer is returned.
+	Replay
+	// Refuse means that the error of the judgement is returned.
+	Refuse
+	// Expire means that the claim's holder did not finish in its life. The row
+	// is to be rewritten as unknown, conditional on its version, and the error
+	// is returned.
+	Expire
+)
+
+// Judgement is what a repeat sees.
+type Judgement struct {
+	Verdict Verdict
+	// Err is set for Refuse and Expire. It has kind KeyReused, InProgress,
+	// OutcomeUnknown or AnswerNotKept.
+	Err error
+}
+
+// Judge says what a request with the given digest does when it finds record.
+// observed is how long this process has seen the same version of the row, on
+// its own clock.
+func Judge(record Record, digest Digest, observed time.Duration) Judgement {
+	if record.Digest != digest {
+		return refuse(errkind.New(errkind.KeyReused,
+			"the idempotency key was used for another request"))
+	}
+	switch record.State {
+	case Released:
+		return Judgement{Verdict: Run}
+	case Finished:
+		return judgeFinished(record)
+	case Claimed, Dispatched:
+		return judgeClaimed(record, observed)
+	default:
+		return refuse(errkind.New(errkind.OutcomeUnknown,
+			"request %s may or may not have run", record.Request))
+	}
+}
+
+func judgeFinished(record Record) Judgement {
+	if record.Answer.Place == PlaceNowhere {
+		return refuse(errkind.New(errkind.AnswerNotKept,
+			"request %s was answered with status %d and the answer was not kept",
+			record.Request, record.Answer.Status))
+	}
+	return Judgement{Verdict: Replay}
+}
+
+func judgeClaimed(record Record, observed time.Duration) Judgement {
+	left := record.Life + expiryMargin - observed
+	if left > 0 {
+		return refuse(errkind.WithRetryAfter(errkind.InProgress, left,
+			"request %s with this key is in progress", record.Request))
+	}
+	return Judgement{Verdict: Expire, Err: errkind.New(errkind.OutcomeUnknown,
+		"the entry of request %s did not report an outcome", record.Request)}
+}
+
+func refuse(err error) Judgement { return Judgement{Verdict: Refuse, Err: err} }
--- /dev/null
+++ b/route/pick/pick_test.go
@@ -0,0 +1,174 @@
+package pick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/route/pick"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newPicker() *pick.Picker {
+	return pick.New(pick.DefaultConfig("z1", "r1"), rand.New(rand.NewPCG(1, 2)))
+}
+
+func candidate(id, zone, region string) pick.Candidate {
+	return pick.Candidate{
+		ID: ident.Upstream(id), Zone: ident.Zone(zone), Region: ident.Region(region),
+		Slots: 8, Credits: 8, ServiceTime: 20 * time.Millisecond, Reported: start,
+	}
+}
+
+func places() []pick.Candidate {
+	return []pick.Candidate{
+		candidate("remote", "z9", "r2"), candidate("region", "z2", "r1"), candidate("zone", "z1", "r1"),
+	}
+}
+
+func pickID(p *pick.Picker, now time.Time, list []pick.Candidate, tried ...ident.Upstream) string {
+	c, err := p.Pick(now, list, pick.Request{Tried: tried})
+	if err != nil {
+		return errkind.Of(err).String()
+	}
+	return string(c.ID)
+}
+
+// Guards against work that goes far while there is room near, is sent again to
+// an upstream that failed it, or exceeds the credits.
+func TestOrderOfPlaces(t *testing.T) {
+	Convey("With one upstream in each place", t, func() {
+		p, list := newPicker(), places()
+		for range 8 {
+			So(pickID(p, start, list), ShouldEqual, "zone")
+		}
+		So(pickID(p, start, list), ShouldEqual, "region")
+		So(pickID(p, start, list, "region"), ShouldEqual, "remote")
+		So(pickID(p, start, list, "region", "remote", "zone"), ShouldEqual, "no_upstream")
+		for range 7 {
+			So(pickID(p, start, list), ShouldEqual, "region")
+		}
+		for range 7 {
+			So(pickID(p, start, list), ShouldEqual, "remote")
+		}
+		So(pickID(p, start, list), ShouldEqual, "slots_full")
+		Convey("a new report renews the credits", func() {
+			list[2].Reported = start.Add(time.Second)
+			So(pickID(p, start.Add(time.Second), list), ShouldEqual, "zone")
+		})
+	})
+	Convey("Another region is not tried when the deadline does not allow the way", t, func() {
+		list := places()[:1]
+		_, err := newPicker().Pick(start, list, pick.Request{TimeLeft: 30 * time.Millisecond})
+		So(errkind.Of(err), ShouldEqual, errkind.SlotsFull)
+		_, err = newPicker().Pick(start, list, pick.Request{TimeLeft: 300 * time.Millisecond})
+		So(err, ShouldBeNil)
+	})
+	Convey("An upstream without a recent report gets nothing", t, func() {
+		So(pickID(newPicker(), start.Add(pick.ReportLife), places()), ShouldEqual, "no_upstream")
+	})
+}
+
+// Guards against requests that are sent to an upstream that cannot be reached
+// from here because its agent says that it is well, and against a probe storm.
+func TestUnreachable(t *testing.T) {
+	Convey("After one failure to reach the nearest upstream", t, func() {
+		p, list := newPicker(), places()
+		So(pickID(p, start, list), ShouldEqual, "zone")
+		p.Done(start, "zone", pick.Unreachable, 0)
+		now := start
+		report := func() {
+			for i := range list {
+				list[i].Reported = now
+			}
+		}
+		Convey("it is last at once, whatever its agent reports", func() {
+			now = now.Add(time.Millisecond)
+			report()
+			So(pickID(p, now, list), ShouldEqual, "region")
+			So(pickID(p, now, list, "region"), ShouldEqual, "remote")
+			So(pickID(p, now, list, "region", "remote"), ShouldEqual, "zone")
+		})
+		Convey("it is probed with backoff until it is reached", func() {
+			var probes []time.Duration
+			for range 60_000 {
+				now = now.Add(time.Millisecond)
+				if len(p.Probes(now, list, nil)) > 0 {
+					probes = append(probes, now.Sub(start))
+				}
+			}
+			So(len(probes), ShouldBeBetween, 10, 30)
+			So(probes[0], ShouldBeLessThanOrEqualTo, 200*time.Millisecond)
+			report()
+			So(pickID(p, now, list), ShouldEqual, "region")
+			p.Probed(now, "zone", true)
+			So(pickID(p, now, list), ShouldEqual, "zone")
+		})
+	})
+	Convey("An upstream that breaks a request off gets one trial after a backoff", t, func() {
+		p, list := newPicker(), places()
+		So(pickID(p, start, list), ShouldEqual, "zone")
+		p.Done(start, "zone", pick.Failed, time.Millisecond)
+		So(pickID(p, start, list), ShouldEqual, "region")
+		later := start.Add(200 * time.Millisecond)
+		So(pickID(p, later, list), ShouldEqual, "zone")
+		So(pickID(p, later, list), ShouldEqual, "region")
+		p.Done(later, "zone", pick.Answered, 20*time.Millisecond)
+		So(pickID(p, later, list), ShouldEqual, "zone")
+	})
+}
+
+// Guards against a choice outside the allowed candidates: tried, without
+// credits or stale ones, and other regions while a local slot is free.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPicker()
+		var list []pick.Candidate
+		for i := range rapid.IntRange(0, 8).Draw(t, "candidates") {
+			c := candidate(fmt.Sprint("u", i), rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"),
+				rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "region"))
+			c.Credits = rapid.IntRange(0, 8).Draw(t, "credits")
+			c.InFlight = rapid.IntRange(0, 8).Draw(t, "in flight")
+			c.ServiceTime = time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			c.Reported = start.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond)
+			list = append(list, c)
+		}
+		tried := []ident.Upstream{"u0", "u1"}[:rapid.IntRange(0, 2).Draw(t, "tried")]
+		allowed := map[ident.Upstream]int{}
+		local := 0
+		for i, c := range list {
+			if i >= len(tried) && start.Sub(c.Reported) < pick.ReportLife {
+				allowed[c.ID] = c.Credits
+				if c.Region == "r1" {
+					local += c.Credits
+				}
+			}
+		}
+		for {
+			c, err := p.Pick(start, list, pick.Request{Tried: tried})
+			if err != nil {
+				break
+			}
+			if allowed[c.ID]--; allowed[c.ID] < 0 {
+				t.Fatalf("%s was chosen without a credit", c.ID)
+			}
+			if c.Region == "r1" {
+				local--
+			} else if local > 0 {
+				t.Fatalf("%s was chosen with %d local credits left", c.ID, local)
+			}
+		}
+		for id, left := range allowed {
+			if left > 0 {
+				t.Fatalf("%s has %d credits that were not used", id, left)
+			}
+		}
+	})
+}
