Run jobs end to end: partitions, sheet, reclaim and takeover in the demo

Cause: scheduler, executor, ownership and configuration existed as libraries but no process used them. Change: control/partition runs owned partitions and forwards job operations to owners; job ids name their partition and keyed submissions are fixed in one row; entries of other regions own a partition only while its region has none, because the demo left a partition without an owner when its region's last entry died (20 s without takeover before the change).

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -30,6 +30,10 @@
 	if err := runRequests(ctx, sys, account); err != nil {
 		return err
 	}
+	account.section("Jobs")
+	if err := runJobs(ctx, sys, account); err != nil {
+		return err
+	}
 	account.printf("\ndemo took %.1f s\n", time.Since(started).Seconds())
 	return account.verdict()
 }
--- a/cmd/internal/demo/requests.go
+++ b/cmd/internal/demo/requests.go
@@ -56,7 +56,7 @@
 			defer mu.Unlock()
 			answers = append(answers, got)
 			if len(answers) == killAfter {
-				sys.entries[0].kill()
+				sys.entries[0].leave()
 			}
 		})
 	}
--- a/cmd/internal/demo/system.go
+++ b/cmd/internal/demo/system.go
@@ -14,6 +14,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/agent"
 	"github.com/lacewingpier/lacewingpier/control/entry"
+	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform"
@@ -27,13 +28,17 @@
 	connectionsPerUpstream = 64
 	readyTimeout           = 10 * time.Second
 	readyPoll              = 20 * time.Millisecond
+	demoPartition          = "makati-a"
 )
 
 // entryNode is a running entry.
 type entryNode struct {
 	settings entry.Settings
 	entry    *entry.Entry
-	kill     context.CancelFunc
+	// leave starts a graceful shutdown.
+	leave context.CancelFunc
+	// sever cuts every connection, as the death of the process does.
+	sever func()
 }
 
 // system is everything that the demo runs.
@@ -157,12 +162,16 @@
 	settings := entry.Settings{
 		ID: id, Zone: zone, Region: region,
 		HTTPAddr: httpAddr, GRPCAddr: grpcAddr, PlatformAddr: platformAddr,
+		Partitions: []partition.Spec{{ID: demoPartition, Zone: "makati-a", Region: "makati"}},
 	}
 	if err := settings.Validate(); err != nil {
 		return err
 	}
-	ctx, kill := context.WithCancel(ctx)
-	node := &entryNode{settings: settings, entry: entry.New(settings, transport.TCP{}, quietLogger()), kill: kill}
+	network := &severable{}
+	client := httpapi.NewClient(platformAddr, network.Dial)
+	services := entry.Platform{Table: client, Objects: client.Objects(), Workers: client.Workers()}
+	ctx, leave := context.WithCancel(ctx)
+	node := &entryNode{settings: settings, entry: entry.New(settings, network, services, quietLogger()), leave: leave, sever: network.sever}
 	s.entries = append(s.entries, node)
 	s.tasks.Go(func() { _ = node.entry.Run(ctx) })
 	return nil
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/platform"
 )
 
 // headerTimeout bounds the wait for a caller's request head.
@@ -28,6 +29,7 @@
 	network  transport.Network
 	logger   *log.Logger
 	agents   *agentRegistry
+	state    *state
 	draining atomic.Bool
 
 	grpc  *grpc.Server
@@ -35,9 +37,18 @@
 	tasks conc.WaitGroup
 }
 
+// Platform is the entry's access to the platform's services.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.ObjectStore
+	Workers platform.Workers
+}
+
 // New returns an entry with valid settings on the given network.
-func New(s Settings, network transport.Network, logger *log.Logger) *Entry {
-	return &Entry{settings: s, network: network, logger: logger, agents: newAgentRegistry(network)}
+func New(s Settings, network transport.Network, p Platform, logger *log.Logger) *Entry {
+	e := &Entry{settings: s, network: network, logger: logger, agents: newAgentRegistry(network)}
+	e.state = newState(s, network, p)
+	return e
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -52,8 +63,11 @@
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
 	}
 	e.serve(grpcListener, httpListener)
+	stateCtx, stopState := context.WithCancel(context.WithoutCancel(ctx))
+	e.tasks.Go(func() { e.state.run(stateCtx) })
 	<-ctx.Done()
 	e.drain()
+	stopState()
 	e.tasks.Wait()
 	return nil
 }
@@ -95,6 +109,7 @@
 	if err := e.http.Shutdown(ctx); err != nil {
 		e.logger.Warn().Err(err).Msg("requests were cut by the drain timeout")
 	}
+	e.state.jobs.Leave(ctx)
 	e.agents.closeAll()
 	e.grpc.Stop()
 }
--- a/control/entry/settings.go
+++ b/control/entry/settings.go
@@ -4,8 +4,10 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/settings"
 )
@@ -23,6 +25,9 @@
 	GRPCAddr string `json:"grpc_addr"`
 	// PlatformAddr is the address of the platform's services.
 	PlatformAddr string `json:"platform_addr"`
+	// Partitions lists the scheduling partitions of the installation; it must be
+	// the same at every entry.
+	Partitions []partition.Spec `json:"partitions"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout settings.Duration `json:"default_timeout"`
 	// DrainTimeout bounds a graceful shutdown.
@@ -49,7 +54,25 @@
 	p.RequireAddr("http_addr", s.HTTPAddr)
 	p.RequireAddr("grpc_addr", s.GRPCAddr)
 	p.RequireAddr("platform_addr", s.PlatformAddr)
+	checkPartitions(&p, s.Partitions)
 	p.RequirePositive("default_timeout", s.DefaultTimeout)
 	p.RequirePositive("drain_timeout", s.DrainTimeout)
 	return p.Err()
 }
+
+// checkPartitions requires distinct ids without the separator of job ids.
+func checkPartitions(p *settings.Problems, specs []partition.Spec) {
+	seen := make(map[ident.Partition]bool)
+	for _, spec := range specs {
+		p.RequireText("partitions.id", string(spec.ID))
+		p.RequireText("partitions.zone", string(spec.Zone))
+		p.RequireText("partitions.region", string(spec.Region))
+		if strings.ContainsAny(string(spec.ID), "./ ") {
+			p.Add("partitions.id", "must not contain a dot, a slash or a space")
+		}
+		if seen[spec.ID] {
+			p.Add("partitions.id", string(spec.ID)+" stands twice")
+		}
+		seen[spec.ID] = true
+	}
+}
--- /dev/null
+++ b/control/entry/state.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lacewingpier/lacewingpier/control/config"
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/control/partition"
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+)
+
+// state is what an entry keeps about the configuration and its partitions.
+type state struct {
+	table  *tableclient.Client
+	store  *config.Store
+	config *config.Follower
+	jobs   *partition.Service
+}
+
+func newState(s Settings, network transport.Network, p Platform) *state {
+	st := &state{table: tableclient.New(p.Table, tableclient.Options{})}
+	st.store = config.NewStore(st.table.At(tableclient.ClassJob), p.Objects)
+	st.config = config.NewFollower(config.Options{Source: st.store})
+	st.jobs = partition.New(partition.Options{
+		Self: ownership.Session{
+			Entry:   s.ID,
+			Zone:    s.Zone,
+			Region:  s.Region,
+			Address: s.GRPCAddr,
+		},
+		Partitions: s.Partitions,
+		Table:      st.table,
+		Objects:    p.Objects,
+		Workers:    p.Workers,
+		Network:    network,
+		Config:     st.config,
+		Ownership:  ownership.DefaultTiming(),
+		Executor:   executor.DefaultTiming(),
+	})
+	return st
+}
+
+// run follows the configuration and owns partitions until ctx ends.
+func (st *state) run(ctx context.Context) {
+	var parts conc.WaitGroup
+	parts.Go(func() { st.config.Run(ctx) })
+	parts.Go(func() { st.jobs.Run(ctx) })
+	parts.Wait()
+	st.table.Wait()
+}
+
+// Jobs returns the job side of the entry.
+func (e *Entry) Jobs() *partition.Service { return e.state.jobs }
+
+// ConfigStore returns the accepted configurations.
+func (e *Entry) ConfigStore() *config.Store { return e.state.store }
+
+// Config returns the configuration in force at this entry.
+func (e *Entry) Config() *config.Follower { return e.state.config }
+
+// SubmitJob implements rpc.EntryServer.
+func (e *Entry) SubmitJob(ctx context.Context, req *rpc.SubmitJobRequest) (*rpc.JobStatus, error) {
+	return e.state.jobs.SubmitJob(ctx, req)
+}
+
+// CancelJob implements rpc.EntryServer.
+func (e *Entry) CancelJob(ctx context.Context, req *rpc.JobRef) (*rpc.JobStatus, error) {
+	return e.state.jobs.CancelJob(ctx, req)
+}
+
+// ExplainJob implements rpc.EntryServer.
+func (e *Entry) ExplainJob(ctx context.Context, req *rpc.JobRef) (*rpc.JobExplanation, error) {
+	return e.state.jobs.ExplainJob(ctx, req)
+}
+
+// ListJobs implements rpc.EntryServer.
+func (e *Entry) ListJobs(ctx context.Context, req *rpc.ListJobsRequest) (*rpc.JobList, error) {
+	return e.state.jobs.ListJobs(ctx, req)
+}
+
+// PartitionStatus implements rpc.EntryServer.
+func (e *Entry) PartitionStatus(ctx context.Context, req *rpc.PartitionRef) (*rpc.PartitionView, error) {
+	return e.state.jobs.PartitionStatus(ctx, req)
+}
+
+// FetchConfig implements rpc.EntryServer.
+func (e *Entry) FetchConfig(_ context.Context, req *rpc.FetchConfigRequest) (*rpc.Config, error) {
+	answer := e.state.config.Answer(config.FetchRequest{
+		AtLeast: ident.ConfigVersion(req.GetAtLeast()),
+		Have:    ident.ConfigVersion(req.GetHave()),
+	})
+	return &rpc.Config{
+		Version:     uint64(answer.Version),
+		Digest:      answer.Digest,
+		Body:        answer.Body,
+		AgeMs:       answer.Age.Milliseconds(),
+		BaseVersion: uint64(answer.Base),
+		Deltas:      answer.Deltas,
+	}, nil
+}
--- a/control/ownership/place.go
+++ b/control/ownership/place.go
@@ -18,20 +18,28 @@
 // candidate is an entry that can own partitions.
 type candidate struct {
 	session   Session
+	inRegion  bool
 	otherZone bool
 	score     uint64
 }
 
 // place returns the entry that should own the partition: the highest score
-// among the live entries of its region, those outside its zone first.
+// among the live entries of its region, those outside its zone first. Entries
+// of other regions own it only while its region has none, so that a partition
+// is never without an owner.
 func place(spec PartitionSpec, live []Session) (Session, bool) {
 	var best candidate
 	found := false
 	for _, s := range live {
-		if s.Region != spec.Region || s.State != SessionLive {
+		if s.State != SessionLive {
 			continue
 		}
-		c := candidate{s, s.Zone != spec.Zone, score(string(spec.ID), s.Entry)}
+		c := candidate{
+			session:   s,
+			inRegion:  s.Region == spec.Region,
+			otherZone: s.Zone != spec.Zone,
+			score:     score(string(spec.ID), s.Entry),
+		}
 		if !found || compareCandidates(c, best) > 0 {
 			best, found = c, true
 		}
@@ -40,13 +48,22 @@
 }
 
 func compareCandidates(a, b candidate) int {
-	if a.otherZone != b.otherZone {
-		if a.otherZone {
-			return 1
-		}
+	return cmp.Or(
+		compareBool(a.inRegion, b.inRegion),
+		compareBool(a.otherZone, b.otherZone),
+		cmp.Compare(a.score, b.score),
+		cmp.Compare(a.session.Entry, b.session.Entry))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
 		return -1
 	}
-	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.session.Entry, b.session.Entry))
 }
 
 // rank returns the place of an entry in the order in which the live entries
--- /dev/null
+++ b/control/partition/service.go
@@ -0,0 +1,210 @@
+// Package partition runs the scheduling partitions that an entry owns and
+// carries job operations to the owner of the partition that they concern.
+package partition
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+
+	"github.com/lacewingpier/lacewingpier/control/config"
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/control/recovery"
+	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+// Intervals of the background work.
+const (
+	// snapshotPeriod is the time between two snapshots of a partition.
+	snapshotPeriod = time.Minute
+	// retainEnded is how long the row of an ended job stays in the table.
+	retainEnded = time.Hour
+	// planRetry is the wait before a plan is offered again to a partition that
+	// could not take it.
+	planRetry = time.Second
+)
+
+// Spec is one partition of the installation.
+type Spec struct {
+	ID     ident.Partition `json:"id"`
+	Zone   ident.Zone      `json:"zone"`
+	Region ident.Region    `json:"region"`
+	// Racks lists the partition's racks; an empty list means the whole zone.
+	Racks []ident.Rack `json:"racks,omitempty"`
+}
+
+// Options configures a service.
+type Options struct {
+	Self       ownership.Session
+	Partitions []Spec
+	Table      *tableclient.Client
+	Objects    platform.ObjectStore
+	Workers    platform.Workers
+	Network    transport.Network
+	Config     *config.Follower
+	Ownership  ownership.Timing
+	Executor   executor.Timing
+	// Count is called with the part and the name of each counted event, or is
+	// nil.
+	Count func(part, event string)
+}
+
+// Service is the job side of an entry.
+type Service struct {
+	opts    Options
+	manager *ownership.Manager
+	host    *recovery.Host
+	local   *local
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	views map[ident.Partition]cachedView
+}
+
+// New returns a service that does nothing before Run.
+func New(opts Options) *Service {
+	if opts.Count == nil {
+		opts.Count = func(string, string) {}
+	}
+	s := &Service{
+		opts:  opts,
+		conns: make(map[string]*grpc.ClientConn),
+		views: make(map[ident.Partition]cachedView),
+	}
+	s.host = recovery.NewHost(recovery.HostOptions{
+		Table:          opts.Table,
+		Objects:        opts.Objects,
+		Workers:        opts.Workers,
+		Places:         places(opts.Partitions),
+		Scheduler:      func(ident.Partition) executor.Scheduler { return newScheduler() },
+		Plan:           s.plan,
+		Timing:         opts.Executor,
+		SnapshotPeriod: snapshotPeriod,
+		Retain:         retainEnded,
+		Count:          func(e recovery.Event) { opts.Count("recovery", string(e)) },
+		CountExecutor:  func(e executor.Event) { opts.Count("executor", string(e)) },
+	})
+	s.manager = ownership.New(ownership.Options{
+		Self:       opts.Self,
+		Partitions: ownershipSpecs(opts.Partitions),
+		Timing:     opts.Ownership,
+		Table:      opts.Table,
+		Handler:    s.host,
+		Count:      func(e ownership.Event) { opts.Count("ownership", string(e)) },
+	})
+	s.local = &local{entry: opts.Self.Entry, host: s.host, epoch: s.epoch}
+	return s
+}
+
+func places(specs []Spec) map[ident.Partition]recovery.Place {
+	out := make(map[ident.Partition]recovery.Place, len(specs))
+	for _, p := range specs {
+		out[p.ID] = recovery.Place{Zone: p.Zone, Racks: p.Racks}
+	}
+	return out
+}
+
+func ownershipSpecs(specs []Spec) []ownership.PartitionSpec {
+	out := make([]ownership.PartitionSpec, 0, len(specs))
+	for _, p := range specs {
+		out = append(out, ownership.PartitionSpec{ID: p.ID, Zone: p.Zone, Region: p.Region})
+	}
+	return out
+}
+
+// Run keeps the entry's session and its partitions until ctx ends. It must be
+// preceded by Leave for a graceful shutdown.
+func (s *Service) Run(ctx context.Context) {
+	var parts conc.WaitGroup
+	parts.Go(func() { s.manager.Run(ctx) })
+	parts.Go(func() { s.followConfig(ctx) })
+	parts.Wait()
+	s.host.Close()
+	s.closeConns()
+}
+
+// Leave hands the partitions over to other entries.
+func (s *Service) Leave(ctx context.Context) { s.manager.Leave(ctx) }
+
+// Held lists the partitions that the entry owns, in order.
+func (s *Service) Held() []ident.Partition {
+	held := s.manager.Held()
+	slices.Sort(held)
+	return held
+}
+
+// Live lists the sessions that were live at the last observation.
+func (s *Service) Live() []ownership.Session { return s.manager.Live() }
+
+// Partitions lists the partitions of the installation.
+func (s *Service) Partitions() []Spec { return s.opts.Partitions }
+
+func (s *Service) epoch(id ident.Partition) ident.Epoch {
+	lease, ok := s.manager.Lease(id)
+	if !ok {
+		return 0
+	}
+	return lease.Fence().Epoch
+}
+
+func (s *Service) plan(id ident.Partition) model.Plan {
+	current := s.opts.Config.Current()
+	return current.Sheet.Plan(id, current.Version)
+}
+
+// followConfig gives each accepted configuration to the owned partitions.
+func (s *Service) followConfig(ctx context.Context) {
+	sub := s.opts.Config.Subscribe()
+	defer sub.Close()
+	for ctx.Err() == nil {
+		if _, err := sub.Next(ctx); err != nil {
+			return
+		}
+		for !s.applyPlans(ctx) && ctx.Err() == nil {
+			wait(ctx, planRetry)
+		}
+	}
+}
+
+// applyPlans reports whether every owned partition has the plan in force. A
+// partition that lost workers keeps its old plan until the new one fits.
+func (s *Service) applyPlans(ctx context.Context) bool {
+	done := true
+	for _, id := range s.Held() {
+		x, ok := s.host.Executor(id)
+		if !ok {
+			continue
+		}
+		if err := x.ApplyPlan(ctx, s.plan(id)); err != nil {
+			s.opts.Count("plan", "apply_failed")
+			done = false
+		}
+	}
+	return done
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *Service) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/control/rpc/status.go
@@ -0,0 +1,66 @@
+package rpc
+
+import (
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+)
+
+// errorDomain marks statuses whose reason is the name of an error kind.
+const errorDomain = "lacewingpier"
+
+// StatusFromError converts an error to a gRPC status that carries its kind and
+// advised wait.
+func StatusFromError(err error) error {
+	if err == nil {
+		return nil
+	}
+	kind := errkind.Of(err)
+	st := status.New(kind.Answer().Code, err.Error())
+	info := &errdetails.ErrorInfo{Reason: kind.String(), Domain: errorDomain}
+	detailed, detailErr := st.WithDetails(info, &errdetails.RetryInfo{
+		RetryDelay: durationpb.New(errkind.RetryAfter(err)),
+	})
+	if detailErr != nil {
+		return st.Err()
+	}
+	return detailed.Err()
+}
+
+// ErrorFromStatus converts a gRPC status back. A status without a kind comes
+// from the connection: only Unavailable before the request was sent means
+// that nothing ran, and gRPC does not tell, so the outcome is unknown.
+func ErrorFromStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	st, ok := status.FromError(err)
+	if !ok {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "call peer")
+	}
+	var wait time.Duration
+	kind, known := errkind.Internal, false
+	for _, detail := range st.Details() {
+		switch d := detail.(type) {
+		case *errdetails.ErrorInfo:
+			if d.GetDomain() == errorDomain {
+				kind, known = errkind.Parse(d.GetReason())
+			}
+		case *errdetails.RetryInfo:
+			wait = d.GetRetryDelay().AsDuration()
+		}
+	}
+	if known {
+		return errkind.WithRetryAfter(kind, wait, "%s", st.Message())
+	}
+	if st.Code() == codes.Canceled {
+		return errkind.New(errkind.Canceled, "call peer: %s", st.Message())
+	}
+	return errkind.New(errkind.OutcomeUnknown, "call peer: %s", st.Message())
+}
