--- a/control/recovery/failure_test.go
+++ b/control/recovery/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,13 +94,8 @@
 	})
 
 	scenario(t, "an owner paused between the commit and the start leaves no part of a gang", 4, func(c *cluster, owner, other *node) {
-		first := true
-		owner.gate.beforeStart = func() {
-			if first {
-				first = false
-				owner.gate.set(true)
-			}
-		}
+		var once sync.Once
+		owner.gate.beforeStart = func() { once.Do(func() { owner.gate.set(true) }) }
 		So(owner.submit(gang("j1", 2, time.Minute)), ShouldBeNil)
 		So(await(10*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
 		owner.gate.set(false)
@@ -198,6 +194,11 @@
 	scenario(t, "no member runs and all resources are free", 2, func(c *cluster, owner, _ *node) {
 		c.fleet.SetRefusePrepares("w001", true)
 		So(owner.submit(gang("j1", 2, time.Minute)), ShouldBeNil)
+		So(await(time.Second, func() bool { return owner.counted("executor.prepare_failed") > 0 }), ShouldBeTrue)
+		fence := platform.Fence{Partition: thePartition, Epoch: 1}
+		report, err := c.fleet.Client("test").Fence(context.Background(), platform.WorkerInfo{ID: "w000"}, fence)
+		So(err, ShouldBeNil)
+		So(report.Tasks, ShouldBeEmpty)
 		time.Sleep(10 * time.Second)
 		So(c.attempts("j1"), ShouldEqual, 0)
 		row, _ := c.row("j1")
