--- a/control/executor/contact.go
+++ b/control/executor/contact.go
@@ -189,7 +189,7 @@
 func (x *Executor) handleReport(w *worker, report platform.WorkerReport, sent time.Time) {
 	now := time.Now()
 	if w.info.Incarnation != "" && report.Incarnation != w.info.Incarnation {
-		x.workerRestarted(w, now, sent)
+		x.workerRestarted(w, now)
 	}
 	w.info.Incarnation = report.Incarnation
 	w.answered, w.probing, w.fenced = now, false, true
@@ -210,16 +210,12 @@
 	}
 }
 
-// workerRestarted releases the members that ran before the restart. Members
-// of gangs that have changed since may belong to the new life.
-func (x *Executor) workerRestarted(w *worker, now, sent time.Time) {
+// workerRestarted tells the scheduler about a new life of a worker. Which
+// members ended with the old one is seen from the tasks that it reports: a
+// gang may have started on the new life before this owner learned of it.
+func (x *Executor) workerRestarted(w *worker, now time.Time) {
 	x.opts.Count(EventWorkerRestarted)
 	x.withdrawWorker(w, now)
-	for _, m := range w.members {
-		if m.job.phase != phaseStarting && sent.After(m.job.changed) {
-			x.memberLost(m, model.OutcomeWorkerLost)
-		}
-	}
 	if w.listed && !w.lost {
 		x.offerWorker(w, now)
 	}
--- a/control/recovery/harness_test.go
+++ b/control/recovery/harness_test.go
@@ -53,8 +53,21 @@
 	}
 }
 
-func (f *fifo) LoseWorker(_ time.Time, id ident.Worker)   { f.lost[id] = true }
-func (f *fifo) ApplyPlan(_ time.Time, _ model.Plan) error { return nil }
+func (f *fifo) LoseWorker(_ time.Time, id ident.Worker) { f.lost[id] = true }
+
+// ApplyPlan preempts the first running job when the plan has a version; its
+// grace is the version in seconds, less one.
+func (f *fifo) ApplyPlan(_ time.Time, plan model.Plan) error {
+	for _, id := range f.order {
+		if plan.Version > 0 && f.jobs[id].running {
+			grace := time.Duration(plan.Version-1) * time.Second
+			f.actions = append(f.actions, model.Action{Kind: model.ActionPreempt, Job: id, Attempt: f.jobs[id].attempt, Grace: grace})
+			break
+		}
+	}
+	return nil
+}
+
 func (f *fifo) add(spec model.Job) *fifoJob {
 	j := &fifoJob{spec: spec}
 	f.jobs[spec.ID] = j
@@ -134,10 +147,6 @@
 	}
 }
 
-func (f *fifo) preempt(id ident.Job, grace time.Duration) {
-	f.actions = append(f.actions, model.Action{Kind: model.ActionPreempt, Job: id, Attempt: f.jobs[id].attempt, Grace: grace})
-}
-
 func (f *fifo) Schedule(now time.Time) []model.Action {
 	actions := f.actions
 	f.actions = nil
@@ -551,13 +560,26 @@
 	return longest
 }
 
-// checkEpochs returns an error when a worker accepted an epoch after a later one.
+// restart restarts a worker, which then has no tasks and knows no epoch.
+func (c *cluster) restart(id ident.Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.Kill(id)
+	c.fleet.Restart(id)
+	c.acts = append(c.acts, act{worker: id, kind: actRestart})
+}
+
+// actRestart is the kind of the record of a worker's restart.
+const actRestart = "restart"
+
+// checkEpochs returns an error when a worker accepted an epoch after a later
+// one of the same life.
 func (c *cluster) checkEpochs() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	highest := map[ident.Worker]ident.Epoch{}
 	for _, a := range c.acts {
-		if a.epoch < highest[a.worker] {
+		if a.kind != actRestart && a.epoch < highest[a.worker] {
 			return fmt.Errorf("worker %s accepted %s of epoch %d after epoch %d", a.worker, a.kind, a.epoch, highest[a.worker])
 		}
 		highest[a.worker] = a.epoch
