--- a/sched/trace/result.go
+++ b/sched/trace/result.go
@@ -61,6 +61,8 @@
 	Failed     int `json:"failed"`
 	Refused    int `json:"refused"`
 	Unfinished int `json:"unfinished"`
+	// WorkerFailures counts the attempts of good jobs that a faulty worker failed.
+	WorkerFailures int `json:"worker_failures"`
 	// WronglyEnded counts jobs that could have run and failed or were refused.
 	WronglyEnded int `json:"wrongly_ended"`
 }
@@ -122,6 +124,7 @@
 
 // count adds one job to the counts of states.
 func (result *Result) count(job *run) {
+	result.WorkerFailures += job.workerFailures
 	runnable := !job.Impossible && !job.FailsEverywhere
 	switch job.state {
 	case stateSucceeded:
--- a/sched/trace/run.go
+++ b/sched/trace/run.go
@@ -53,6 +53,8 @@
 	// excusedUntil is the end of the time in which a wait after a fault is
 	// not a late claim.
 	excusedUntil time.Duration
+	// workerFailures counts the attempts that failed because of a worker.
+	workerFailures int
 	// pieces are the spans of run time that counted.
 	pieces []Window
 }
@@ -172,8 +174,11 @@
 		return
 	}
 	worker := r.failingMember(job)
-	if worker == "" && job.FailsEverywhere {
+	switch {
+	case job.FailsEverywhere && worker == "":
 		worker = job.members[0].Worker
+	case worker != "" && !job.FailsEverywhere:
+		job.workerFailures++
 	}
 	if worker != "" {
 		r.finished(job, model.OutcomeFailed, worker)
