--- a/sched/trace/trace_bench_test.go
+++ b/sched/trace/trace_bench_test.go
@@ -6,11 +6,17 @@
 	"testing"
 
 	"github.com/lacewingpier/lacewingpier/sched/baseline"
+	"github.com/lacewingpier/lacewingpier/sched/estimate"
+	"github.com/lacewingpier/lacewingpier/sched/health"
+	"github.com/lacewingpier/lacewingpier/sched/sched"
 	"github.com/lacewingpier/lacewingpier/sched/trace"
 )
 
-// resultsPath names a file for machine-readable results of BenchmarkTrace.
-var resultsPath = flag.String("results", "", "write the results of BenchmarkTrace to this file as JSON")
+// Flags of BenchmarkTrace.
+var (
+	resultsPath = flag.String("results", "", "write the results of BenchmarkTrace to this file as JSON")
+	variant     = flag.Int("variant", 0, "use this variant of the traces")
+)
 
 // policies are the compared policies.
 var policies = []struct {
@@ -19,12 +25,19 @@
 }{
 	{"fifo", func() trace.Policy { return baseline.NewFIFO() }},
 	{"quota", func() trace.Policy { return baseline.NewQuota() }},
+	{"lacewing", newLacewing},
+}
+
+// newLacewing returns the scheduler with learned estimates and faulty worker
+// detection, as an owner of a partition runs it.
+func newLacewing() trace.Policy {
+	return sched.New(sched.Config{Estimator: estimate.New(), Health: health.New(health.Config{})})
 }
 
 // BenchmarkTrace measures each policy on each trace in virtual time.
 func BenchmarkTrace(b *testing.B) {
 	var results []trace.Result
-	for _, t := range trace.All() {
+	for _, t := range trace.Variant(*variant) {
 		b.Run(t.Name, func(b *testing.B) {
 			for _, policy := range policies {
 				b.Run("policy="+policy.name, func(b *testing.B) {
