Add membership between entries

Entries must know each other while the table is down, inside the 14 KB/s that a node may spend on control. Entries exchange PeerState over streams: with all peers of the own region each second, with two of each other region every two seconds. News is merged by incarnation, sequence and age; a dead incarnation's age only grows, so it cannot replace its successor. A member that was described on a stream is named by id and sequence afterwards, and the message size follows from a budget divided by the messages a second.

--- /dev/null
+++ b/control/membership/membership_test.go
@@ -0,0 +1,370 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// Guards against a view that depends on the order in which news arrives, and
+// against a dead incarnation that replaces its successor.
+func TestLearnIsOrderIndependent(t *testing.T) {
+	base := time.Now()
+	rapid.Check(t, func(t *rapid.T) {
+		var all []News
+		at := 0
+		for i := range rapid.IntRange(1, 12).Draw(t, "news") {
+			at += rapid.IntRange(1, 900).Draw(t, "gap")
+			inc := rapid.SampledFrom([]string{"one", "two"}).Draw(t, "incarnation")
+			all = append(all, News{Member: Member{Entry: "b", Incarnation: ident.Incarnation(inc)}, Sequence: uint64(i + 1), AliveAt: base.Add(time.Duration(at) * time.Millisecond)})
+		}
+		want := all[len(all)-1]
+		v := NewView(Member{Entry: "a"})
+		for _, n := range rapid.Permutation(slices.Concat(all, all)).Draw(t, "order") {
+			v.Learn(base, n)
+		}
+		got := v.peers["b"]
+		if got.Incarnation != want.Incarnation || got.Sequence != want.Sequence || !got.AliveAt.Equal(want.AliveAt) {
+			t.Fatalf("ended with %+v, want %+v", got, want)
+		}
+	})
+}
+
+// Guards against a region that opens more than two streams into another one,
+// or that keeps trying a peer that cannot be reached.
+func TestTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		v := NewView(Member{Entry: "m", Region: "makati"})
+		n := rapid.IntRange(0, 12).Draw(t, "members")
+		for i := range n {
+			region := rapid.SampledFrom([]ident.Region{"makati", "mandaue", "lanang"}).Draw(t, "region")
+			v.Learn(now, News{Member: Member{Entry: ident.Entry(fmt.Sprintf("e%02d", i)), Region: region}, Sequence: 1, AliveAt: now})
+		}
+		now = now.Add(dialHold)
+		perRegion := map[ident.Region]int{}
+		for _, p := range v.Peers(now) {
+			perRegion[p.Region]++
+		}
+		counts := func() map[ident.Region]int {
+			out := map[ident.Region]int{}
+			for _, m := range v.Targets(now) {
+				out[m.Region]++
+			}
+			return out
+		}
+		got := counts()
+		for region, have := range perRegion {
+			want := have
+			if region != "makati" {
+				want = min(have, crossRegionPeers)
+			}
+			if got[region] != want {
+				t.Fatalf("%s: %d targets of %d members", region, got[region], have)
+			}
+		}
+		for _, m := range v.Targets(now) {
+			v.Failed(now, m.Entry)
+			if slices.Contains(v.Targets(now), m) {
+				t.Fatalf("%s is tried again at once", m.Entry)
+			}
+		}
+	})
+}
+
+// testNet connects groups in memory and counts their traffic.
+type testNet struct {
+	mu     sync.Mutex
+	nodes  map[string]*testNode
+	cut    func(a, b Member) bool
+	table  bool
+	rows   map[ident.Entry]Session
+	bytes  map[ident.Entry]int
+	maxMsg int
+}
+
+type testNode struct {
+	group  *Group
+	cancel func()
+	ctx    context.Context
+}
+
+func newTestNet() *testNet {
+	return &testNet{nodes: map[string]*testNode{}, table: true, rows: map[ident.Entry]Session{}, bytes: map[ident.Entry]int{}, cut: func(Member, Member) bool { return false }}
+}
+
+var regions = []ident.Region{"amman", "irbid", "aqaba", "zarqa"}
+
+func memberNo(i int, incarnation string) Member {
+	return Member{
+		Entry: ident.Entry(fmt.Sprintf("entry-%02d", i)), Address: fmt.Sprintf("10.0.%d.%d:7000", i%4, i), HTTPAddress: fmt.Sprintf("10.0.%d.%d:8080", i%4, i),
+		Zone: ident.Zone(fmt.Sprintf("%s-%d", regions[i%4], i%3)), Region: regions[i%4], Incarnation: ident.Incarnation(incarnation),
+	}
+}
+
+func (n *testNet) start(ctx context.Context, wg *sync.WaitGroup, m Member, local Local) *testNode {
+	node := &testNode{}
+	node.ctx, node.cancel = context.WithCancel(ctx)
+	node.group = NewGroup(Options{
+		Self: m, Local: func() Local { return local }, Sessions: n.sessions, Seeds: []string{memberNo(0, "").Address, memberNo(1, "").Address},
+		Dial: func(ctx context.Context, addr string) (Stream, error) { return n.dial(ctx, m, addr) },
+	})
+	n.mu.Lock()
+	n.nodes[m.Address] = node
+	n.rows[m.Entry] = Session{Member: m, Version: n.rows[m.Entry].Version + 1}
+	n.mu.Unlock()
+	wg.Go(func() { node.group.Run(node.ctx) })
+	return node
+}
+
+func (n *testNet) sessions(context.Context) ([]Session, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.table {
+		return nil, errkind.New(errkind.StoreUnavailable, "down")
+	}
+	var out []Session
+	for _, s := range n.rows {
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// pipe is one end of a stream.
+type pipe struct {
+	net      *testNet
+	from, to Member
+	ctx      context.Context
+	out, in  chan *rpc.PeerState
+}
+
+func (p *pipe) Send(m *rpc.PeerState) error {
+	p.net.mu.Lock()
+	size := proto.Size(m)
+	p.net.bytes[p.from.Entry] += size + frameOverhead
+	p.net.bytes[p.to.Entry] += size + frameOverhead
+	if m.GetSelf() == nil {
+		p.net.maxMsg = max(p.net.maxMsg, size)
+	}
+	cut := p.net.cut(p.from, p.to)
+	p.net.mu.Unlock()
+	if cut {
+		return nil
+	}
+	select {
+	case p.out <- m:
+		return nil
+	case <-p.ctx.Done():
+		return p.ctx.Err()
+	}
+}
+
+func (p *pipe) Recv() (*rpc.PeerState, error) {
+	select {
+	case m := <-p.in:
+		return m, nil
+	case <-p.ctx.Done():
+		return nil, p.ctx.Err()
+	case <-time.After(3 * time.Second):
+		return nil, errkind.New(errkind.Unreachable, "keepalive")
+	}
+}
+
+func (n *testNet) dial(ctx context.Context, from Member, addr string) (Stream, error) {
+	n.mu.Lock()
+	node, ok := n.nodes[addr]
+	cut := ok && n.cut(from, node.group.opts.Self)
+	n.mu.Unlock()
+	if !ok || cut || node.ctx.Err() != nil {
+		return nil, errkind.New(errkind.Unreachable, "no answer")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(node.ctx, cancel)
+	a, b := make(chan *rpc.PeerState, 64), make(chan *rpc.PeerState, 64)
+	to := node.group.opts.Self
+	go func() {
+		defer cancel()
+		node.group.Serve(ctx, &pipe{n, to, from, ctx, b, a})
+	}()
+	return &pipe{n, from, to, ctx, a, b}, nil
+}
+
+// converged reports the first node that does not see exactly the others.
+func (n *testNet) converged(want map[ident.Entry]ident.Incarnation) string {
+	for _, node := range n.nodes {
+		if node.ctx.Err() != nil {
+			continue
+		}
+		got := map[ident.Entry]ident.Incarnation{node.group.Self().Entry: want[node.group.Self().Entry]}
+		for _, p := range node.group.Peers() {
+			got[p.Entry] = p.Incarnation
+		}
+		for id, inc := range want {
+			if got[id] != inc {
+				return fmt.Sprintf("%s sees incarnation %q of %s, want %q", node.group.Self().Entry, got[id], id, inc)
+			}
+		}
+		if len(got) != len(want) {
+			return fmt.Sprintf("%s sees %d members, want %d", node.group.Self().Entry, len(got), len(want))
+		}
+	}
+	return ""
+}
+
+// Guards against members that are not found, that stay after their death, or
+// that are lost because the table is down or a region is cut off.
+func TestGroupFollowsDeathRestartAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		net := newTestNet()
+		want := map[ident.Entry]ident.Incarnation{}
+		check := func(after time.Duration, what string) {
+			t.Helper()
+			time.Sleep(after)
+			synctest.Wait()
+			if problem := net.converged(want); problem != "" {
+				t.Errorf("%s: %s", what, problem)
+			}
+		}
+		for i := range 16 {
+			m := memberNo(i, "first")
+			net.start(ctx, &wg, m, Local{})
+			want[m.Entry] = "first"
+		}
+		check(6*time.Second, "start")
+		net.table = false
+		net.nodes[memberNo(5, "").Address].cancel()
+		delete(want, "entry-05")
+		check(RemoteTTL+3*time.Second, "death while the table is down")
+		net.start(ctx, &wg, memberNo(5, "second"), Local{})
+		net.start(ctx, &wg, memberNo(16, "first"), Local{})
+		want["entry-05"], want["entry-16"] = "second", "first"
+		check(10*time.Second, "restart and newcomer while the table is down")
+		net.mu.Lock()
+		net.cut = func(a, b Member) bool { return (a.Region == "aqaba") != (b.Region == "aqaba") }
+		net.mu.Unlock()
+		time.Sleep(60 * time.Second)
+		for _, p := range net.nodes[memberNo(0, "").Address].group.Peers() {
+			if p.Region == "aqaba" {
+				t.Errorf("%s is behind the cut but counts as alive", p.Entry)
+			}
+		}
+		net.mu.Lock()
+		net.cut = func(Member, Member) bool { return false }
+		net.mu.Unlock()
+		check(45*time.Second, "region back")
+		net.nodes[memberNo(3, "").Address].group.SetDraining()
+		time.Sleep(3 * time.Second)
+		for _, p := range net.nodes[memberNo(7, "").Address].group.Peers() {
+			if p.Draining != (p.Entry == "entry-03") {
+				t.Errorf("%s draining: %v", p.Entry, p.Draining)
+			}
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against traffic that grows with the installation beyond 14 KB/s.
+func TestTrafficIsBounded(t *testing.T) {
+	capacity := map[ident.Service]Capacity{}
+	for i := range 610 {
+		capacity[ident.Service(fmt.Sprintf("team-%03d-studies", i))] = Capacity{FreeSlots: i}
+	}
+	for _, n := range []int{4, 12, 24, 48} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			net := newTestNet()
+			want := map[ident.Entry]ident.Incarnation{}
+			for i := range n {
+				m := memberNo(i, "inc-0123456789abcdef01234567")
+				net.start(ctx, &wg, m, Local{ConfigVersion: 1_000_000, Capacity: capacity, Partitions: map[ident.Partition]ident.Epoch{ident.Partition(m.Zone): 77}})
+				want[m.Entry] = m.Incarnation
+			}
+			time.Sleep(15 * time.Second)
+			synctest.Wait()
+			if problem := net.converged(want); problem != "" {
+				t.Errorf("%d members: %s", n, problem)
+			}
+			net.mu.Lock()
+			clear(net.bytes)
+			net.maxMsg = 0
+			net.mu.Unlock()
+			const window = 20
+			time.Sleep(window * time.Second)
+			synctest.Wait()
+			if problem := net.converged(want); problem != "" {
+				t.Errorf("%d members, steady: %s", n, problem)
+			}
+			worst := 0
+			for _, b := range net.bytes {
+				worst = max(worst, b/window)
+			}
+			t.Logf("%d members: at most %d bytes/s sent and received by one node, largest message %d bytes", n, worst, net.maxMsg)
+			if worst > 14_000 {
+				t.Errorf("%d members: %d bytes/s exceed 14 KB/s", n, worst)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
+// Guards against a message that waited in a buffer while the process was
+// paused and then confirms the configuration version as of its arrival.
+func TestConfirmationCountsFromTheAnsweredMessage(t *testing.T) {
+	start := time.Now()
+	a, b := memberNo(0, "first"), memberNo(4, "first")
+	la, lb := newLink(true), newLink(false)
+	va, vb := NewView(a), NewView(b)
+	local := Local{ConfigVersion: 7, ConfigAge: 2 * time.Second}
+	ask := la.compose(start, va, a, 1, Local{}, maxMessage)
+	if _, err := lb.receive(start, vb, ask); err != nil {
+		t.Fatal(err)
+	}
+	answer := lb.compose(start.Add(time.Second), vb, b, 1, local, maxMessage)
+	confirmed, err := la.receive(start.Add(time.Minute), va, answer)
+	if want := start.Add(-2 * time.Second); err != nil || !confirmed.Equal(want) {
+		t.Errorf("confirmed at %v, want %v: %v", confirmed, want, err)
+	}
+	unasked := newLink(false).compose(start, vb, b, 2, local, maxMessage)
+	if confirmed, err := newLink(true).receive(start, va, unasked); err != nil || !confirmed.IsZero() {
+		t.Errorf("a message that answers nothing confirmed %v: %v", confirmed, err)
+	}
+	if _, err := newLink(true).receive(start, va, &rpc.PeerState{Sequence: 1}); !errkind.Is(err, errkind.InvalidArgument) {
+		t.Errorf("a stream without a name was accepted: %v", err)
+	}
+}
+
+// Guards against a newcomer that is never described on streams whose message
+// budget is smaller than a description.
+func TestSmallBudgetStillDescribesNewcomers(t *testing.T) {
+	now := time.Now()
+	v, l := NewView(memberNo(0, "first")), newLink(true)
+	l.compose(now, v, v.self, 1, Local{}, minMessage)
+	for i := range 3 {
+		v.Learn(now, News{Member: memberNo(i+1, "inc-0123456789abcdef01234567"), Sequence: 1, AliveAt: now})
+	}
+	seen := map[string]bool{}
+	for s := range uint64(3) {
+		for _, m := range l.compose(now, v, v.self, s+2, Local{}, minMessage).GetMembers() {
+			seen[m.GetAddress()] = true
+		}
+	}
+	if len(seen) != 3 {
+		t.Errorf("described %v, want three members", seen)
+	}
+}
