--- a/route/pick/pick.go
+++ b/route/pick/pick.go
@@ -115,6 +115,13 @@
 	load  float64
 }
 
+// The errors are built once, because a stack trace for each request that finds
+// no free slot would cost more than the choice.
+var (
+	errSlotsFull  = errkind.New(errkind.SlotsFull, "no upstream has a free slot")
+	errNoUpstream = errkind.New(errkind.NoUpstream, "no upstream is known that was not tried")
+)
+
 // Pick returns the candidate that the request is sent to, and counts it as
 // started. The error has kind NoUpstream when no candidate may be used at all,
 // and SlotsFull when the usable ones have no credits left.
@@ -130,9 +137,9 @@
 		return c, nil
 	}
 	if usable {
-		return Candidate{}, errkind.New(errkind.SlotsFull, "no upstream has a free slot")
+		return Candidate{}, errSlotsFull
 	}
-	return Candidate{}, errkind.New(errkind.NoUpstream, "no upstream is known that was not tried")
+	return Candidate{}, errNoUpstream
 }
 
 func (p *Picker) choose(now time.Time, candidates []Candidate, req Request, among sample) (choice, bool) {
@@ -182,7 +189,7 @@
 func (p *Picker) weighRank(now time.Time, c *Candidate, s *state, usual float64, req Request) (rank, float64) {
 	place := p.place(c)
 	estimate := s.estimate(now, c, usual)
-	slow := estimate > slowFloor.Seconds() && estimate > slowFactor*usual
+	slow := isSlow(estimate, usual) || s.trying(usual)
 	if place == rankRemote && p.tooFar(req, estimate) {
 		return rankExcluded, 0
 	}
@@ -199,6 +206,10 @@
 	return place, p.load(now, c, s) * max(estimate, slowFloor.Seconds())
 }
 
+func isSlow(estimate, usual float64) bool {
+	return estimate > slowFloor.Seconds() && estimate > slowFactor*usual
+}
+
 // tooFar reports whether the way to another region uses up the deadline.
 func (p *Picker) tooFar(req Request, estimate float64) bool {
 	return req.TimeLeft > 0 && p.config.RegionCost.Seconds()+estimate > req.TimeLeft.Seconds()
--- a/route/pick/pick_test.go
+++ b/route/pick/pick_test.go
@@ -125,6 +125,47 @@
 	})
 }
 
+// Guards against a slow upstream that keeps its share, and against a burst of
+// requests at it when it is tried again.
+func TestSlowUpstream(t *testing.T) {
+	Convey("With one of two equal upstreams ten times slower", t, func() {
+		p := newPicker()
+		list := []pick.Candidate{candidate("slow", "z1", "r1"), candidate("usual", "z1", "r1")}
+		now := start
+		answer := func(id ident.Upstream, took time.Duration) {
+			now = now.Add(took)
+			for i := range list {
+				list[i].Reported = now
+			}
+			p.Done(now, id, pick.Answered, took)
+		}
+		for range 40 {
+			if pickID(p, now, list) == "slow" {
+				answer("slow", 200*time.Millisecond)
+			} else {
+				answer("usual", 20*time.Millisecond)
+			}
+		}
+		for range 7 {
+			So(pickID(p, now, list), ShouldEqual, "usual")
+		}
+		Convey("it is tried with one request at a time later", func() {
+			for range 7 {
+				p.Done(now, "usual", pick.Answered, 20*time.Millisecond)
+			}
+			now = now.Add(20 * time.Second)
+			answer("usual", 20*time.Millisecond)
+			slow := 0
+			for range 8 {
+				if pickID(p, now, list) == "slow" {
+					slow++
+				}
+			}
+			So(slow, ShouldEqual, 1)
+		})
+	})
+}
+
 // Guards against a choice outside the allowed candidates: tried, without
 // credits or stale ones, and other regions while a local slot is free.
 func TestPickProperties(t *testing.T) {
--- a/route/pick/state.go
+++ b/route/pick/state.go
@@ -12,10 +12,12 @@
 // state is what this process has seen of one upstream.
 type state struct {
 	seen time.Time
-	// report is the arrival time of the report that dispatched counts from.
-	report     time.Time
-	dispatched int
-	inFlight   int
+	// report is the arrival time of the report that taken counts from.
+	report time.Time
+	// taken is the number of credits used since the report, less those that
+	// came back. It is negative when more requests ended than started.
+	taken    int
+	inFlight int
 	// progress is when the upstream last answered, or began to have work.
 	progress time.Time
 	service  float64
@@ -43,20 +45,27 @@
 		s.progress = now
 	}
 	s.inFlight++
-	s.dispatched++
+	s.taken++
 }
 
-// sinceReport counts the requests that the report can not know about.
+// sinceReport is the change in requests in flight that the report can not know
+// about.
 func (s *state) sinceReport(c *Candidate) int {
 	if c.Reported.After(s.report) {
 		s.report = c.Reported
-		s.dispatched = 0
+		s.taken = 0
 	}
-	return s.dispatched
+	return s.taken
 }
 
 func (s *state) unreachable() bool { return s.failures > 0 }
 
+// trying reports whether an upstream that was slow is being tried with one
+// request. Without it all its slots would fill before that request is answered.
+func (s *state) trying(usual float64) bool {
+	return s.inFlight > 0 && !s.observed.IsZero() && isSlow(s.service, usual)
+}
+
 // suspect reports whether the upstream broke off its last request. After a
 // backoff it gets one request at a time until it answers.
 func (s *state) suspect(now time.Time) bool {
@@ -90,6 +99,12 @@
 	return value
 }
 
+// Reported notes the arrival of a report. Without the call the next Pick notes
+// it, and requests that ended in between return their credits too late.
+func (p *Picker) Reported(c Candidate) {
+	p.state(c.Reported, c.ID).sinceReport(&c)
+}
+
 // Result says how an attempt at an upstream ended.
 type Result uint8
 
@@ -113,6 +128,10 @@
 	if s.inFlight > 0 {
 		s.inFlight--
 	}
+	// A refused request found its slot taken, so its credit did not come back.
+	if result != Refused && result != Unreachable {
+		s.taken--
+	}
 	switch result {
 	case Answered:
 		s.progress = now
