--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -32,8 +32,8 @@
 
 // InFlight is implemented by daemons that can say what a forced exit cuts.
 type InFlight interface {
-	// InFlight returns the number of requests under way.
-	InFlight() int
+	// RequestsInFlight returns the ids of the requests under way.
+	RequestsInFlight() []string
 }
 
 // Main loads the settings at path into target, builds the daemon and runs it
@@ -75,9 +75,9 @@
 }
 
 func logForced(runner Runner, logger *log.Logger) {
-	cut := -1
-	if counter, ok := runner.(InFlight); ok {
-		cut = counter.InFlight()
+	var cut []string
+	if lister, ok := runner.(InFlight); ok {
+		cut = lister.RequestsInFlight()
 	}
-	logger.Warn().Int("requests_cut", cut).Msg("second signal; exiting at once")
+	logger.Warn().Int("requests_cut", len(cut)).Strs("requests", cut).Msg("second signal; exiting at once")
 }
--- a/cmd/internal/demo/system.go
+++ b/cmd/internal/demo/system.go
@@ -163,6 +163,8 @@
 	}
 	ctx, kill := context.WithCancel(ctx)
 	node := &entryNode{settings: settings, entry: entry.New(settings, transport.TCP{}, quietLogger()), kill: kill}
+	store := httpapi.NewClient(platformAddr)
+	node.entry.SetStore(store, store.Objects())
 	s.entries = append(s.entries, node)
 	s.tasks.Go(func() { _ = node.entry.Run(ctx) })
 	return nil
--- a/cmd/lacewing-entry/main.go
+++ b/cmd/lacewing-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/lacewingpier/lacewingpier/cmd/internal/daemon"
 	"github.com/lacewingpier/lacewingpier/control/entry"
 	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/platform/httpapi"
 )
 
 type flags struct {
@@ -23,5 +24,10 @@
 		kong.Description("Answers callers and operators, routes requests and schedules owned partitions."))
 	var s entry.Settings
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return entry.New(s, transport.TCP{}, logger) }))
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner {
+		e := entry.New(s, transport.TCP{}, logger)
+		store := httpapi.NewClient(s.PlatformAddr)
+		e.SetStore(store, store.Objects())
+		return e
+	}))
 }
--- a/control/agent/attach.go
+++ b/control/agent/attach.go
@@ -2,14 +2,37 @@
 
 import (
 	"context"
+	"fmt"
+	"sort"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/route/limit"
 )
 
-// reattachDelay is the wait before a broken stream to an entry is opened again.
-const reattachDelay = 500 * time.Millisecond
+const (
+	// reportInterval is how often the agent reports its load to each entry when
+	// nothing changes.
+	reportInterval = 250 * time.Millisecond
+	// reportSpacing is the least time between two reports to one entry.
+	reportSpacing = 10 * time.Millisecond
+	// reattachDelay is the wait before a broken stream to an entry is opened again.
+	reattachDelay = 500 * time.Millisecond
+)
+
+// attachment is the report stream to one entry.
+type attachment struct {
+	addr   string
+	cancel context.CancelFunc
+	// changed asks for a report before the interval has passed.
+	changed chan struct{}
+	// open says that the entry receives reports.
+	open bool
+	// queued is the entry's demand for the service.
+	queued int
+}
 
 // addEntry attaches to an entry unless the agent already does.
 func (a *Agent) addEntry(ctx context.Context, addr string) {
@@ -19,89 +42,168 @@
 		return
 	}
 	entryCtx, cancel := context.WithCancel(ctx)
-	a.entries[addr] = cancel
-	a.tasks.Go(func() { a.attachLoop(entryCtx, ctx, addr) })
+	at := &attachment{addr: addr, cancel: cancel, changed: make(chan struct{}, 1)}
+	a.entries[addr] = at
+	a.tasks.Go(func() { a.attachLoop(entryCtx, ctx, at) })
+}
+
+// notifyEntries asks for a report to each entry; the caller holds the lock.
+func (a *Agent) notifyEntries() {
+	for _, at := range a.entries {
+		select {
+		case at.changed <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // attachLoop keeps a report stream to one entry until entryCtx ends.
-func (a *Agent) attachLoop(entryCtx, agentCtx context.Context, addr string) {
-	conn, err := transport.NewGRPCClient(a.network, addr)
+func (a *Agent) attachLoop(entryCtx, agentCtx context.Context, at *attachment) {
+	conn, err := transport.NewGRPCClient(a.network, at.addr)
 	if err != nil {
-		a.logger.Error().Err(err).Str("entry_addr", addr).Msg("entry address is not usable")
+		a.logger.Error().Err(err).Str("entry_addr", at.addr).Msg("entry address is not usable")
 		return
 	}
 	defer conn.Close()
 	client := rpc.NewEntryClient(conn)
 	for entryCtx.Err() == nil {
-		if err := a.attach(entryCtx, agentCtx, client); err != nil && entryCtx.Err() == nil {
-			a.logger.Debug().Err(err).Str("entry_addr", addr).Msg("report stream broke; attaching again")
+		if err := a.attach(entryCtx, agentCtx, client, at); err != nil && entryCtx.Err() == nil {
+			a.logger.Debug().Err(err).Str("entry_addr", at.addr).Msg("report stream broke; attaching again")
 		}
-		timer := time.NewTimer(reattachDelay)
-		select {
-		case <-entryCtx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause(entryCtx, reattachDelay)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
 // attach reports to one entry until the stream breaks.
-func (a *Agent) attach(ctx, agentCtx context.Context, client rpc.EntryClient) error {
+func (a *Agent) attach(ctx, agentCtx context.Context, client rpc.EntryClient, at *attachment) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Attach(ctx)
 	if err != nil {
 		return err
 	}
+	a.setOpen(at, true)
+	defer a.setOpen(at, false)
 	a.tasks.Go(func() {
 		defer cancel()
-		a.receiveUpdates(agentCtx, stream)
+		a.receiveUpdates(agentCtx, stream, at)
 	})
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
-		if err := stream.Send(a.report(time.Now())); err != nil {
+		if err := stream.Send(a.report(time.Now(), at)); err != nil {
 			return err
 		}
+		pause(ctx, reportSpacing)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-at.changed:
 		}
 	}
 }
 
-func (a *Agent) receiveUpdates(agentCtx context.Context, stream rpc.Entry_AttachClient) {
+func (a *Agent) setOpen(at *attachment, open bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at.open = open
+	at.queued = 0
+	a.notifyEntries()
+}
+
+func (a *Agent) receiveUpdates(agentCtx context.Context, stream rpc.Entry_AttachClient, at *attachment) {
 	for {
 		update, err := stream.Recv()
 		if err != nil {
 			return
 		}
-		a.mu.Lock()
-		a.version = max(a.version, update.GetConfigVersion())
-		a.mu.Unlock()
+		a.updated(update, at)
 		for _, addr := range update.GetEntries() {
 			a.addEntry(agentCtx, addr)
 		}
 	}
 }
 
-// report describes the upstream's load.
-func (a *Agent) report(now time.Time) *rpc.AgentReport {
+// updated takes an entry's demand and configuration version in. Changed demand
+// changes the credits of every entry.
+func (a *Agent) updated(update *rpc.EntryUpdate, at *attachment) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version = max(a.version, update.GetConfigVersion())
+	queued := 0
+	for _, d := range update.GetDemand() {
+		if ident.Service(d.GetService()) == a.upstream.Service {
+			queued = int(d.GetQueued())
+		}
+	}
+	if queued != at.queued {
+		at.queued = queued
+		a.notifyEntries()
+	}
+}
+
+// credits shares the free slots among the attached entries and returns the
+// share of one of them; the caller holds the lock.
+func (a *Agent) credits(at *attachment) int {
+	var open []*attachment
+	for _, other := range a.entries {
+		if other.open {
+			open = append(open, other)
+		}
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].addr < open[j].addr })
+	demands := make([]limit.Demand, len(open))
+	shares := make([]int, len(open))
+	for i, other := range open {
+		demands[i].Queued = other.queued
+	}
+	limit.Distribute(a.limiter.Free(), demands, int(a.sequence%(1<<30)), shares)
+	for i, other := range open {
+		if other == at {
+			return shares[i]
+		}
+	}
+	return 0
+}
+
+// report describes the upstream's load to one entry.
+func (a *Agent) report(now time.Time, at *attachment) *rpc.AgentReport {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
+	if a.memory.RollDue(now) {
+		a.memory.Roll(now, a.nextIncarnation())
+	}
 	return &rpc.AgentReport{
 		Upstream:      string(a.upstream.Upstream),
-		Incarnation:   string(a.incarnation),
+		Incarnation:   string(a.memory.Incarnation()),
 		Service:       string(a.upstream.Service),
 		Zone:          string(a.settings.Zone),
 		Region:        string(a.settings.Region),
 		Address:       a.settings.GRPCAddr,
 		State:         a.state(now),
 		Slots:         int32(a.upstream.Slots),
-		InFlight:      int32(a.inFlight),
+		InFlight:      int32(a.limiter.InFlight()),
+		Credits:       int32(a.credits(at)),
+		ServiceTimeUs: a.limiter.ServiceTime().Microseconds(),
 		Sequence:      a.sequence,
 		ConfigVersion: a.version,
 	}
 }
+
+// nextIncarnation names the next generation of dispatch ids. The first part is
+// random for each life of the process, so no name is used twice.
+func (a *Agent) nextIncarnation() ident.Incarnation {
+	a.generation++
+	return ident.Incarnation(fmt.Sprintf("%s.%d", a.life, a.generation))
+}
--- a/control/agent/settings.go
+++ b/control/agent/settings.go
@@ -22,12 +22,17 @@
 	// Entries lists gRPC addresses of entries in the same region; the others
 	// are learned from them.
 	Entries []string `json:"entries"`
+	// DrainNotice is how long a draining agent still takes new requests.
+	DrainNotice settings.Duration `json:"drain_notice"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout settings.Duration `json:"drain_timeout"`
 }
 
 // Default fills the settings that have a default.
 func (s *Settings) Default() {
+	if s.DrainNotice == 0 {
+		s.DrainNotice = settings.Duration(3 * time.Second)
+	}
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = settings.Duration(time.Minute)
 	}
@@ -47,6 +52,7 @@
 	for _, addr := range s.Entries {
 		p.RequireAddr("entries", addr)
 	}
+	p.RequirePositive("drain_notice", s.DrainNotice)
 	p.RequirePositive("drain_timeout", s.DrainTimeout)
 	return p.Err()
 }
--- a/control/entry/attach.go
+++ b/control/entry/attach.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 // Attach implements rpc.EntryServer.
@@ -17,14 +19,34 @@
 			// The agent's upstream has not announced itself yet.
 			continue
 		}
-		if err := e.agents.update(report, time.Now()); err != nil {
+		if err := checkReport(report); err != nil {
 			return err
 		}
-		if err := stream.Send(&rpc.EntryUpdate{Entry: string(e.settings.ID)}); err != nil {
+		if err := e.services.update(report, time.Now()); err != nil {
 			return err
 		}
+		if err := stream.Send(e.entryUpdate(report)); err != nil {
+			return err
+		}
+	}
+}
+
+// checkReport refuses ids that could be taken for an entry of another region.
+func checkReport(report *rpc.AgentReport) error {
+	if isPeer(ident.Upstream(report.GetUpstream())) || report.GetService() == "" {
+		return errkind.New(errkind.InvalidArgument, "the report of upstream %q is not valid", report.GetUpstream())
+	}
+	return nil
+}
+
+// entryUpdate answers a report with the demand for the agent's service.
+func (e *Entry) entryUpdate(report *rpc.AgentReport) *rpc.EntryUpdate {
+	update := &rpc.EntryUpdate{Entry: string(e.settings.ID)}
+	if s, err := e.services.find(ident.Service(report.GetService())); err == nil {
+		update.Demand = []*rpc.ServiceDemand{{Service: report.GetService(), Queued: int32(s.queued())}}
 	}
+	return update
 }
 
 // Upstreams returns the last report of each attached agent.
-func (e *Entry) Upstreams() []*rpc.AgentReport { return e.agents.snapshot() }
+func (e *Entry) Upstreams() []*rpc.AgentReport { return e.services.snapshot() }
--- a/control/entry/dispatch.go
+++ b/control/entry/dispatch.go
@@ -2,187 +2,161 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// Limits of the routing loop.
-const (
-	// slotPoll is the wait before the next look for a free slot.
-	slotPoll = 2 * time.Millisecond
-	// chunkSize is the largest body frame in bytes.
-	chunkSize = 32 << 10
-)
+// chunkSize is the largest body frame in bytes.
+const chunkSize = 32 << 10
+
+// dispatchStream is a request on its way to an agent or to another entry.
+type dispatchStream = grpc.BidiStreamingClient[rpc.DispatchRequest, rpc.DispatchResponse]
 
-// route dispatches req until it is answered or must be refused.
-func (e *Entry) route(w http.ResponseWriter, req *request) error {
-	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
+// dispatch runs the request once at the target and passes the answer to out. A
+// nil error means that the whole answer was passed on.
+func (e *Entry) dispatch(ctx context.Context, req *request, t grant, out sink) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	tried := make(map[ident.Upstream]bool)
-	for {
-		agent, err := e.waitForSlot(ctx, req, tried)
-		if err != nil {
-			writeFailure(w, req.id, err)
-			return err
-		}
-		done, err := e.dispatch(ctx, w, req, agent)
-		e.agents.release(agent)
-		if done || !mayTryAgain(req, err) {
-			if !done {
-				writeFailure(w, req.id, err)
-			}
-			return err
+	stream, err := openStream(ctx, t.target)
+	if err != nil {
+		if ctx.Err() != nil {
+			return contextError(ctx, false)
 		}
-		tried[ident.Upstream(agent.report.GetUpstream())] = true
+		return errkind.Wrap(errkind.Unreachable, err, "open dispatch stream")
 	}
-}
-
-// mayTryAgain reports whether another upstream may run the request. Its body
-// can be sent again only while no byte of it has been read.
-func mayTryAgain(req *request, err error) bool {
-	if req.http.ContentLength != 0 {
-		return false
+	sender := &frameSender{stream: stream, request: string(req.id), dispatch: ident.NewID("dsp-")}
+	if err := sender.sendHead(requestHead(req, t)); err != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "send request head")
 	}
-	return errkind.Of(err).Answer().Outcome == errkind.NotRun || req.idempotent
-}
-
-func (e *Entry) waitForSlot(ctx context.Context, req *request, tried map[ident.Upstream]bool) (*agentState, error) {
-	ticker := time.NewTicker(slotPoll)
-	defer ticker.Stop()
-	for {
-		agent, err := e.agents.acquire(req.service, e.settings.Zone, tried, time.Now())
-		if err == nil || !errkind.Is(err, errkind.SlotsFull) {
-			return agent, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, errkind.Wrap(errkind.QueueTimeout, ctx.Err(), "wait for a slot")
-		case <-ticker.C:
-		}
+	if req.body.rest == nil {
+		// A failed send ends the stream, and the receiver reports why.
+		_ = sender.sendBody(req.body)
+	} else {
+		// The upstream may answer while it still reads, so both directions run
+		// at once. A reader that waits for a slow caller ends with the caller's
+		// connection or its deadline.
+		req.body.started = true
+		e.tasks.Go(func() {
+			if err := sender.sendBody(req.body); errkind.Is(err, errkind.Canceled) {
+				cancel()
+			}
+		})
 	}
+	return receive(ctx, stream, sender.dispatch, out)
 }
 
-// dispatch runs the request on one upstream. It reports done when the answer's
-// head has been written to the caller.
-func (e *Entry) dispatch(ctx context.Context, w http.ResponseWriter, req *request, agent *agentState) (bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := rpc.NewAgentClient(agent.conn).Dispatch(ctx)
-	if err != nil {
-		return false, errkind.Wrap(errkind.Unreachable, err, "open dispatch stream")
-	}
-	id := ident.NewID("dsp-")
-	if err := stream.Send(headFrame(req, id, agent)); err != nil {
-		return false, errkind.Wrap(errkind.OutcomeUnknown, err, "send request head")
+func openStream(ctx context.Context, t *target) (dispatchStream, error) {
+	if t.remote {
+		return rpc.NewEntryClient(t.conn).Forward(ctx)
 	}
-	if err := sendBody(stream, req, id); err != nil {
-		return false, err
-	}
-	return relay(stream, w, id)
+	return rpc.NewAgentClient(t.conn).Dispatch(ctx)
 }
 
-func headFrame(req *request, id string, agent *agentState) *rpc.DispatchRequest {
-	head := &rpc.RequestHead{
+func requestHead(req *request, t grant) *rpc.RequestHead {
+	return &rpc.RequestHead{
 		Service:          string(req.service),
 		Workspace:        string(req.workspace),
 		Caller:           string(req.caller),
-		Method:           req.http.Method,
+		Method:           req.method,
 		Path:             req.path,
+		Headers:          req.headers,
 		TimeLeftMs:       time.Until(req.deadline).Milliseconds(),
 		Idempotent:       req.idempotent,
-		ContentLength:    req.http.ContentLength,
-		AgentIncarnation: agent.report.GetIncarnation(),
-	}
-	if value := req.http.Header.Get("Content-Type"); value != "" {
-		head.Headers = append(head.Headers, &rpc.Header{Name: "Content-Type", Value: value})
+		Urgent:           req.urgent,
+		ContentLength:    req.length,
+		AgentIncarnation: t.incarnation,
 	}
-	return &rpc.DispatchRequest{RequestId: string(req.id), DispatchId: id, Frame: &rpc.DispatchRequest_Head{Head: head}}
 }
 
-func sendBody(stream rpc.Agent_DispatchClient, req *request, id string) error {
-	var total int64
-	buf := make([]byte, chunkSize)
-	for {
-		n, err := req.http.Body.Read(buf)
-		if n > 0 {
-			chunk := append([]byte(nil), buf[:n]...)
-			frame := &rpc.DispatchRequest{RequestId: string(req.id), DispatchId: id, Frame: &rpc.DispatchRequest_Chunk{Chunk: chunk}}
-			if sendErr := stream.Send(frame); sendErr != nil {
-				// The agent's answer says why it stopped reading.
-				return nil
-			}
-			total += int64(n)
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return errkind.Wrap(errkind.Canceled, err, "read the caller's body")
-		}
+// frameSender sends the frames of one request.
+type frameSender struct {
+	stream   dispatchStream
+	request  string
+	dispatch string
+}
+
+func (s *frameSender) frame() *rpc.DispatchRequest {
+	return &rpc.DispatchRequest{RequestId: s.request, DispatchId: s.dispatch}
+}
+
+func (s *frameSender) sendHead(head *rpc.RequestHead) error {
+	f := s.frame()
+	f.Frame = &rpc.DispatchRequest_Head{Head: head}
+	return s.stream.Send(f)
+}
+
+func (s *frameSender) sendBody(b *body) error {
+	total, err := b.send(func(p []byte) error {
+		f := s.frame()
+		f.Frame = &rpc.DispatchRequest_Chunk{Chunk: p}
+		return s.stream.Send(f)
+	})
+	if err != nil {
+		return err
 	}
-	end := &rpc.DispatchRequest{RequestId: string(req.id), DispatchId: id, Frame: &rpc.DispatchRequest_End{End: &rpc.End{Length: total}}}
-	if err := stream.Send(end); err != nil {
-		return nil
+	f := s.frame()
+	f.Frame = &rpc.DispatchRequest_End{End: &rpc.End{Length: total}}
+	if err := s.stream.Send(f); err != nil {
+		return err
 	}
-	return nil
+	return s.stream.CloseSend()
 }
 
-// relay copies the answer's frames to the caller.
-func relay(stream rpc.Agent_DispatchClient, w http.ResponseWriter, id string) (bool, error) {
-	started := false
+// receive passes the frames of the answer on. Only an end frame with the right
+// length makes an answer complete.
+func receive(ctx context.Context, stream dispatchStream, dispatch string, out sink) error {
 	var total int64
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			return started, abortIf(started, errkind.Wrap(errkind.OutcomeUnknown, err, "read answer"))
+			if ctx.Err() != nil {
+				return contextError(ctx, true)
+			}
+			return errkind.Wrap(errkind.OutcomeUnknown, err, "read answer")
 		}
-		if frame.GetDispatchId() != id {
-			return started, abortIf(started, errkind.New(errkind.OutcomeUnknown, "answer of another dispatch"))
+		if frame.GetDispatchId() != dispatch {
+			return errkind.New(errkind.OutcomeUnknown, "answer of another dispatch")
 		}
-		switch {
-		case frame.GetHead() != nil:
-			writeHead(w, frame.GetHead())
-			started = true
-		case frame.GetFailure() != nil:
-			return started, abortIf(started, failureError(frame.GetFailure()))
-		case frame.GetEnd() != nil:
-			if frame.GetEnd().GetLength() != total {
-				return started, abortIf(started, errkind.New(errkind.Truncated, "answer has %d of %d bytes", total, frame.GetEnd().GetLength()))
-			}
-			return true, nil
-		default:
-			n, err := w.Write(frame.GetChunk())
-			total += int64(n)
-			if err != nil {
-				return true, errkind.Wrap(errkind.Canceled, err, "write to caller")
-			}
+		switch f := frame.GetFrame().(type) {
+		case *rpc.DispatchResponse_Head:
+			err = out.head(f.Head)
+		case *rpc.DispatchResponse_Chunk:
+			total += int64(len(f.Chunk))
+			err = out.chunk(f.Chunk)
+		case *rpc.DispatchResponse_Failure:
+			return failureError(f.Failure)
+		case *rpc.DispatchResponse_End:
+			return finish(f.End.GetLength(), total, out)
+		}
+		if err != nil {
+			return err
 		}
 	}
 }
 
-// abortIf breaks the caller's connection when the head is already out, so
-// that an incomplete body is never taken for a whole one.
-func abortIf(started bool, err error) error {
-	if started {
-		panic(http.ErrAbortHandler)
+func finish(length, total int64, out sink) error {
+	if length != total {
+		return errkind.New(errkind.Truncated, "answer has %d of %d bytes", total, length)
 	}
-	return err
+	return out.end(total)
 }
 
-func writeHead(w http.ResponseWriter, head *rpc.ResponseHead) {
-	for _, h := range head.GetHeaders() {
-		w.Header().Add(h.GetName(), h.GetValue())
+// contextError says why a context ended. Before the dispatch nothing ran.
+func contextError(ctx context.Context, dispatched bool) error {
+	cause := ctx.Err()
+	switch {
+	case cause == context.Canceled:
+		return errkind.Wrap(errkind.Canceled, cause, "the caller has gone")
+	case dispatched:
+		return errkind.Wrap(errkind.DeadlineExceeded, cause, "the deadline passed after the dispatch")
+	default:
+		return errkind.Wrap(errkind.QueueTimeout, cause, "the deadline passed before the dispatch")
 	}
-	w.Header().Set(headerOutcome, errkind.Answered.String())
-	w.Header().Set(headerUpstream, head.GetUpstream())
-	w.WriteHeader(int(head.GetStatus()))
 }
 
 func failureError(f *rpc.Failure) error {
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -4,21 +4,31 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/route/claim"
+	"github.com/lacewingpier/lacewingpier/route/pick"
 )
 
-// headerTimeout bounds the wait for a caller's request head.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds the wait for a caller's request head.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds a caller's request head.
+	headerBytes = 64 << 10
+)
 
 // Entry is one entry process.
 type Entry struct {
@@ -27,9 +37,17 @@
 	settings Settings
 	network  transport.Network
 	logger   *log.Logger
-	agents   *agentRegistry
+	services *serviceRegistry
+	table    platform.Table
+	objects  platform.ObjectStore
+	observed *observedClaims
+	stats    *stats
+	running  *runningSet
 	draining atomic.Bool
 
+	forwardMu sync.Mutex
+	forwarded *claim.Memory
+
 	grpc  *grpc.Server
 	http  *http.Server
 	tasks conc.WaitGroup
@@ -37,9 +55,31 @@
 
 // New returns an entry with valid settings on the given network.
 func New(s Settings, network transport.Network, logger *log.Logger) *Entry {
-	return &Entry{settings: s, network: network, logger: logger, agents: newAgentRegistry(network)}
+	return &Entry{
+		settings:  s,
+		network:   network,
+		logger:    logger,
+		services:  newServiceRegistry(network, pick.DefaultConfig(s.Zone, s.Region)),
+		observed:  newObservedClaims(),
+		stats:     newStats(tally.NoopScope),
+		running:   newRunningSet(),
+		forwarded: newForwardMemory(),
+	}
 }
 
+// SetStore sets the table and the object store that hold the claims of keyed
+// requests. It is called before Run; without it keyed requests are refused.
+func (e *Entry) SetStore(table platform.Table, objects platform.ObjectStore) {
+	e.table = table
+	e.objects = objects
+}
+
+// SetScope sets where the counters are kept. It is called before Run.
+func (e *Entry) SetScope(scope tally.Scope) { e.stats = newStats(scope) }
+
+// SetWeights sets the share of each workspace, as the sheet gives it.
+func (e *Entry) SetWeights(weights map[ident.Workspace]int) { e.services.setWeights(weights) }
+
 // Run serves until ctx ends, then drains and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	grpcListener, err := e.network.Listen(e.settings.GRPCAddr)
@@ -51,9 +91,12 @@
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
 	}
+	probeCtx, stopProbes := context.WithCancel(context.WithoutCancel(ctx))
+	e.tasks.Go(func() { e.probeLoop(probeCtx) })
 	e.serve(grpcListener, httpListener)
 	<-ctx.Done()
 	e.drain()
+	stopProbes()
 	e.tasks.Wait()
 	return nil
 }
@@ -61,7 +104,7 @@
 func (e *Entry) serve(grpcListener, httpListener net.Listener) {
 	e.grpc = transport.NewGRPCServer()
 	rpc.RegisterEntryServer(e.grpc, e)
-	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
 	e.tasks.Go(func() {
 		if err := e.grpc.Serve(grpcListener); err != nil {
 			e.logger.Error().Err(err).Msg("gRPC server ended")
@@ -73,10 +116,14 @@
 func (e *Entry) routes() http.Handler {
 	router := httprouter.New()
 	router.HandleMethodNotAllowed = false
-	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+	for _, method := range methods {
 		router.Handle(method, "/v1/services/:service/*path", e.handleRequest)
 	}
 	router.GET("/readyz", e.handleReady)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeFailure(w, "", errkind.New(errkind.NotFound, "no operation at %s %s", r.Method, r.URL.Path))
+	})
 	return router
 }
 
@@ -92,9 +139,22 @@
 	e.logger.Info().Str("entry", string(e.settings.ID)).Msg("entry drains")
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.Std())
 	defer cancel()
+	e.noticeDrain(ctx)
 	if err := e.http.Shutdown(ctx); err != nil {
-		e.logger.Warn().Err(err).Msg("requests were cut by the drain timeout")
+		e.logger.Warn().Err(err).Strs("requests", e.running.list()).Msg("requests were cut by the drain timeout")
+		_ = e.http.Close()
 	}
-	e.agents.closeAll()
+	e.services.closeAll()
 	e.grpc.Stop()
 }
+
+// noticeDrain keeps serving while the load balancer and the other entries learn
+// from the readiness check and the exchange that this entry leaves.
+func (e *Entry) noticeDrain(ctx context.Context) {
+	notice := time.NewTimer(e.settings.DrainNotice.Std())
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+	case <-notice.C:
+	}
+}
--- /dev/null
+++ b/control/entry/forward.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/route/claim"
+	"github.com/lacewingpier/lacewingpier/route/pick"
+)
+
+// forwardMemory bounds the dispatch ids that an entry keeps for requests from
+// other regions.
+const forwardMemory = 1 << 17
+
+// Peer is an entry of another region.
+type Peer struct {
+	ID       ident.Entry
+	Region   ident.Region
+	Zone     ident.Zone
+	GRPCAddr string
+	// Incarnation is the peer's answer to Incarnation.
+	Incarnation ident.Incarnation
+	// Capacity is the peer's answer to Capacity.
+	Capacity []*rpc.ServiceCapacity
+}
+
+// UpdatePeer takes in what membership learned of an entry of another region.
+// Requests are forwarded to it while its free slots last.
+func (e *Entry) UpdatePeer(p Peer) error {
+	if p.Region == e.settings.Region {
+		return nil
+	}
+	for _, c := range p.Capacity {
+		candidate := pick.Candidate{
+			ID: peerID(p.ID), Zone: p.Zone, Region: p.Region,
+			Slots: peerSlots, Credits: int(c.GetFreeSlots()), Reported: time.Now(),
+		}
+		s := e.services.ensure(ident.Service(c.GetService()))
+		if err := s.enlist(e.network, candidate, p.GRPCAddr, string(p.Incarnation), true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peerSlots is above any number of requests that are under way to one peer, so
+// that only its reported free slots bound them.
+const peerSlots = 1 << 20
+
+// Capacity returns what this entry offers to other regions.
+func (e *Entry) Capacity() []*rpc.ServiceCapacity {
+	now := time.Now()
+	var list []*rpc.ServiceCapacity
+	for _, s := range e.services.all() {
+		list = append(list, s.capacity(now))
+	}
+	return list
+}
+
+// Incarnation returns what forwarded requests must name. It changes now and
+// then while the entry lives, so each exchange with a peer carries it.
+func (e *Entry) Incarnation() ident.Incarnation {
+	e.forwardMu.Lock()
+	defer e.forwardMu.Unlock()
+	if now := time.Now(); e.forwarded.RollDue(now) {
+		e.forwarded.Roll(now, newIncarnation())
+	}
+	return e.forwarded.Incarnation()
+}
+
+func newIncarnation() ident.Incarnation { return ident.Incarnation(ident.NewID("entry-")) }
+
+func newForwardMemory() *claim.Memory {
+	return claim.NewMemory(time.Now(), newIncarnation(), forwardMemory)
+}
+
+// Forward implements rpc.EntryServer.
+func (e *Entry) Forward(stream rpc.Entry_ForwardServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	out := &forwardAnswer{stream: stream, request: first.GetRequestId(), dispatch: first.GetDispatchId()}
+	if err := e.serveForward(first, out); err != nil {
+		e.stats.refused(err)
+		e.logger.Info().Str("request", out.request).Str("kind", errkind.Of(err).String()).Err(err).
+			Msg("forwarded request failed")
+		return out.fail(err)
+	}
+	e.stats.answered.Inc(1)
+	return nil
+}
+
+func (e *Entry) serveForward(first *rpc.DispatchRequest, out *forwardAnswer) error {
+	head := first.GetHead()
+	if head == nil {
+		return errkind.New(errkind.InvalidArgument, "first frame is not a head")
+	}
+	if err := e.admitForward(first.GetDispatchId(), head); err != nil {
+		return err
+	}
+	req := forwardedRequest(first.GetRequestId(), head, time.Now())
+	defer e.running.begin(req.id)()
+	reader := io.Reader(&frameReader{recv: out.stream.Recv})
+	if head.GetContentLength() == 0 {
+		reader = nil
+	}
+	var err error
+	if req.body, err = readBody(reader, head.GetContentLength(), keptBody); err != nil {
+		return err
+	}
+	return e.route(out.stream.Context(), req, out)
+}
+
+// admitForward refuses a copy of a non-idempotent request.
+func (e *Entry) admitForward(dispatch string, head *rpc.RequestHead) error {
+	if head.GetIdempotent() {
+		return nil
+	}
+	e.forwardMu.Lock()
+	defer e.forwardMu.Unlock()
+	left := time.Duration(head.GetTimeLeftMs()) * time.Millisecond
+	return e.forwarded.Admit(time.Now(), ident.Dispatch(dispatch), ident.Incarnation(head.GetAgentIncarnation()), left)
+}
+
+func forwardedRequest(id string, head *rpc.RequestHead, now time.Time) *request {
+	return &request{
+		id:         ident.Request(id),
+		service:    ident.Service(head.GetService()),
+		workspace:  ident.Workspace(head.GetWorkspace()),
+		caller:     ident.Caller(head.GetCaller()),
+		idempotent: head.GetIdempotent(),
+		urgent:     head.GetUrgent(),
+		forwarded:  true,
+		deadline:   now.Add(time.Duration(head.GetTimeLeftMs()) * time.Millisecond),
+		method:     head.GetMethod(),
+		path:       head.GetPath(),
+		headers:    head.GetHeaders(),
+		length:     head.GetContentLength(),
+	}
+}
+
+// forwardAnswer passes an answer to the entry that forwarded the request.
+type forwardAnswer struct {
+	stream   rpc.Entry_ForwardServer
+	request  string
+	dispatch string
+	started  bool
+}
+
+func (a *forwardAnswer) frame() *rpc.DispatchResponse {
+	return &rpc.DispatchResponse{RequestId: a.request, DispatchId: a.dispatch}
+}
+
+func (a *forwardAnswer) send(f *rpc.DispatchResponse) error {
+	a.started = true
+	return errkind.Wrap(errkind.Canceled, a.stream.Send(f), "send to entry")
+}
+
+func (a *forwardAnswer) begun() bool { return a.started }
+
+func (a *forwardAnswer) head(h *rpc.ResponseHead) error {
+	f := a.frame()
+	f.Frame = &rpc.DispatchResponse_Head{Head: h}
+	return a.send(f)
+}
+
+func (a *forwardAnswer) chunk(p []byte) error {
+	f := a.frame()
+	f.Frame = &rpc.DispatchResponse_Chunk{Chunk: p}
+	return a.send(f)
+}
+
+func (a *forwardAnswer) end(length int64) error {
+	f := a.frame()
+	f.Frame = &rpc.DispatchResponse_End{End: &rpc.End{Length: length}}
+	return a.send(f)
+}
+
+func (a *forwardAnswer) fail(err error) error {
+	f := a.frame()
+	f.Frame = &rpc.DispatchResponse_Failure{Failure: &rpc.Failure{
+		Kind:         errkind.Of(err).String(),
+		Message:      err.Error(),
+		RetryAfterMs: errkind.RetryAfter(err).Milliseconds(),
+	}}
+	return a.send(f)
+}
+
+// frameReader reads a request body from the frames of a stream.
+type frameReader struct {
+	recv  func() (*rpc.DispatchRequest, error)
+	rest  []byte
+	read  int64
+	ended bool
+}
+
+// Read implements io.Reader. A stream that ends before its end frame, or with
+// another length, is an unexpected end and never a short body.
+func (f *frameReader) Read(p []byte) (int, error) {
+	for len(f.rest) == 0 {
+		if f.ended {
+			return 0, io.EOF
+		}
+		frame, err := f.recv()
+		if err != nil {
+			return 0, errors.Wrap(io.ErrUnexpectedEOF, "stream ended inside the body")
+		}
+		if end := frame.GetEnd(); end != nil {
+			if end.GetLength() != f.read {
+				return 0, io.ErrUnexpectedEOF
+			}
+			f.ended = true
+			continue
+		}
+		f.rest = frame.GetChunk()
+		f.read += int64(len(f.rest))
+	}
+	n := copy(p, f.rest)
+	f.rest = f.rest[n:]
+	return n, nil
+}
--- a/control/entry/registry.go
+++ b/control/entry/registry.go
@@ -1,131 +1,299 @@
 package entry
 
 import (
+	"context"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/route/pick"
 )
 
-// reportTTL is how long an agent's report is valid: a dead agent receives no
-// new work well inside the 3 s bound.
-const reportTTL = 1500 * time.Millisecond
+const (
+	// probeInterval is how often unreachable targets are looked for. The
+	// backoff of each target is longer.
+	probeInterval = 100 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = time.Second
+	// unlistedLife is how long a target without reports is kept.
+	unlistedLife = time.Minute
+)
+
+// serviceRegistry holds the services that targets have announced. A service
+// name in a request creates no state.
+type serviceRegistry struct {
+	network transport.Network
+	place   pick.Config
 
-// agentState is what the entry knows of one agent.
-type agentState struct {
-	report   *rpc.AgentReport
-	received time.Time
-	// sent counts requests under way from this entry.
-	sent int
-	conn *grpc.ClientConn
+	mu      sync.RWMutex
+	byName  map[ident.Service]*service
+	reports map[ident.Upstream]*rpc.AgentReport
+	weights map[ident.Workspace]int
 }
 
-// agentRegistry holds the agents that are attached to the entry.
-type agentRegistry struct {
-	network transport.Network
+func newServiceRegistry(network transport.Network, place pick.Config) *serviceRegistry {
+	return &serviceRegistry{
+		network: network,
+		place:   place,
+		byName:  make(map[ident.Service]*service),
+		reports: make(map[ident.Upstream]*rpc.AgentReport),
+		weights: make(map[ident.Workspace]int),
+	}
+}
 
-	mu     sync.Mutex
-	agents map[ident.Upstream]*agentState
+func (r *serviceRegistry) find(name ident.Service) (*service, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if s := r.byName[name]; s != nil {
+		return s, nil
+	}
+	return nil, errkind.WithRetryAfter(errkind.NoUpstream, time.Second, "no upstream of service %q has announced itself", name)
 }
 
-func newAgentRegistry(network transport.Network) *agentRegistry {
-	return &agentRegistry{network: network, agents: make(map[ident.Upstream]*agentState)}
+func (r *serviceRegistry) all() []*service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]*service, 0, len(r.byName))
+	for _, s := range r.byName {
+		list = append(list, s)
+	}
+	return list
 }
 
-// update takes a report in.
-func (r *agentRegistry) update(report *rpc.AgentReport, now time.Time) error {
+func (r *serviceRegistry) ensure(name ident.Service) *service {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := ident.Upstream(report.GetUpstream())
-	state := r.agents[id]
-	if state == nil || state.report.GetAddress() != report.GetAddress() {
-		conn, err := transport.NewGRPCClient(r.network, report.GetAddress())
-		if err != nil {
-			return errkind.Wrap(errkind.InvalidArgument, err, "agent address")
+	s := r.byName[name]
+	if s == nil {
+		s = newService(name, r.place)
+		for ws, weight := range r.weights {
+			s.queue.SetWeight(ws, weight)
 		}
-		state = &agentState{conn: conn}
-		r.agents[id] = state
+		r.byName[name] = s
 	}
-	state.report = report
-	state.received = now
-	return nil
+	return s
 }
 
-// acquire chooses the upstream with the most free slots and counts a request
-// against it: same zone first, then the rest of the region.
-func (r *agentRegistry) acquire(service ident.Service, zone ident.Zone, tried map[ident.Upstream]bool, now time.Time) (*agentState, error) {
+// setWeights sets the share of each workspace in every queue.
+func (r *serviceRegistry) setWeights(weights map[ident.Workspace]int) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	var usable []*agentState
-	known := false
-	for id, s := range r.agents {
-		if ident.Service(s.report.GetService()) != service || tried[id] {
-			continue
+	r.weights = weights
+	r.mu.Unlock()
+	for _, s := range r.all() {
+		s.mu.Lock()
+		for ws, weight := range weights {
+			s.queue.SetWeight(ws, weight)
 		}
-		if now.Sub(s.received) > reportTTL || s.report.GetState() != rpc.UpstreamState_UPSTREAM_STATE_READY {
-			continue
-		}
-		known = true
-		if s.free() > 0 {
-			usable = append(usable, s)
+		s.mu.Unlock()
+	}
+}
+
+// update takes an agent's report in.
+func (r *serviceRegistry) update(report *rpc.AgentReport, now time.Time) error {
+	id := ident.Upstream(report.GetUpstream())
+	r.mu.Lock()
+	before := r.reports[id]
+	r.reports[id] = report
+	r.mu.Unlock()
+	if before != nil && before.GetService() != report.GetService() {
+		if old, err := r.find(ident.Service(before.GetService())); err == nil {
+			old.unlist(id, now)
 		}
 	}
-	if len(usable) == 0 && known {
-		return nil, errkind.New(errkind.SlotsFull, "every slot of service %s is in use", service)
+	s := r.ensure(ident.Service(report.GetService()))
+	c := pick.Candidate{
+		ID:          id,
+		Zone:        ident.Zone(report.GetZone()),
+		Region:      ident.Region(report.GetRegion()),
+		Slots:       int(report.GetSlots()),
+		InFlight:    int(report.GetInFlight()),
+		Credits:     int(report.GetCredits()),
+		ServiceTime: time.Duration(report.GetServiceTimeUs()) * time.Microsecond,
+		Reported:    now,
 	}
-	if len(usable) == 0 {
-		return nil, errkind.New(errkind.NoUpstream, "no upstream of service %s", service)
+	if report.GetState() != rpc.UpstreamState_UPSTREAM_STATE_READY {
+		s.unlist(id, now)
+		return nil
 	}
-	sort.Slice(usable, func(i, j int) bool { return better(usable[i], usable[j], zone) })
-	usable[0].sent++
-	return usable[0], nil
+	return s.enlist(r.network, c, report.GetAddress(), report.GetIncarnation(), false)
 }
 
-func better(a, b *agentState, zone ident.Zone) bool {
-	localA, localB := a.report.GetZone() == string(zone), b.report.GetZone() == string(zone)
-	if localA != localB {
-		return localA
+// snapshot returns the last report of each agent in order of upstream.
+func (r *serviceRegistry) snapshot() []*rpc.AgentReport {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]*rpc.AgentReport, 0, len(r.reports))
+	for _, report := range r.reports {
+		list = append(list, report)
 	}
-	if a.free() != b.free() {
-		return a.free() > b.free()
+	sort.Slice(list, func(i, j int) bool { return list[i].GetUpstream() < list[j].GetUpstream() })
+	return list
+}
+
+func (r *serviceRegistry) closeAll() {
+	for _, s := range r.all() {
+		s.close()
 	}
-	return a.report.GetUpstream() < b.report.GetUpstream()
 }
 
-// free estimates the free slots: the reported load may not yet include what
-// this entry has sent, so the larger of both counts.
-func (s *agentState) free() int {
-	return int(s.report.GetSlots()) - max(s.sent, int(s.report.GetInFlight()))
+// enlist adds or renews one candidate and lets waiting requests go.
+func (s *service) enlist(n transport.Network, c pick.Candidate, addr, incarnation string, remote bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.setTarget(n, c.ID, addr, incarnation, remote); err != nil {
+		return err
+	}
+	at := slices.IndexFunc(s.list, func(o pick.Candidate) bool { return o.ID == c.ID })
+	switch {
+	case at >= 0:
+		s.list[at] = c
+	case remote:
+		s.list = append(s.list, c)
+	default:
+		s.list = slices.Insert(s.list, s.local, c)
+		s.local++
+	}
+	s.picker.Reported(c)
+	s.pump(c.Reported)
+	return nil
 }
 
-func (r *agentRegistry) release(s *agentState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s.sent--
+func (s *service) setTarget(n transport.Network, id ident.Upstream, addr, incarnation string, remote bool) error {
+	old := s.targets[id]
+	if old != nil && old.addr == addr {
+		// Grants that are under way keep the incarnation that they were given.
+		old.incarnation = incarnation
+		return nil
+	}
+	conn, err := transport.NewGRPCClient(n, addr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidArgument, err, "target address")
+	}
+	conn.Connect()
+	s.targets[id] = &target{id: id, conn: conn, addr: addr, remote: remote, incarnation: incarnation}
+	if old != nil {
+		s.retire(old)
+	}
+	return nil
 }
 
-// snapshot returns the last report of each agent in order of upstream.
-func (r *agentRegistry) snapshot() []*rpc.AgentReport {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := make([]*rpc.AgentReport, 0, len(r.agents))
-	for _, s := range r.agents {
-		list = append(list, s.report)
+// unlist takes a candidate out at once. Its connection stays for the requests
+// that run on it.
+func (s *service) unlist(id ident.Upstream, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := slices.IndexFunc(s.list, func(o pick.Candidate) bool { return o.ID == id })
+	if at < 0 {
+		return
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].GetUpstream() < list[j].GetUpstream() })
-	return list
+	s.drop(at)
+	s.pump(now)
 }
 
-func (r *agentRegistry) closeAll() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.agents {
-		_ = s.conn.Close()
+func (s *service) drop(at int) {
+	s.list = slices.Delete(s.list, at, at+1)
+	if at < s.local {
+		s.local--
 	}
 }
+
+// sweep drops targets that have not reported for long, and returns those that
+// are due for a probe.
+func (s *service) sweep(now time.Time) []*target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.list) - 1; i >= 0; i-- {
+		if now.Sub(s.list[i].Reported) < unlistedLife {
+			continue
+		}
+		old := s.targets[s.list[i].ID]
+		delete(s.targets, s.list[i].ID)
+		s.drop(i)
+		s.retire(old)
+	}
+	var due []*target
+	for _, id := range s.picker.Probes(now, s.list, nil) {
+		due = append(due, s.targets[id])
+	}
+	return due
+}
+
+// retire closes a connection that nothing is granted on any more after the
+// longest deadline.
+func (s *service) retire(t *target) {
+	time.AfterFunc(maxTimeout, func() { _ = t.conn.Close() })
+}
+
+func (s *service) probed(t *target, reached bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.picker.Probed(now, t.id, reached)
+	s.pump(now)
+}
+
+// capacity is what the service offers to other regions.
+func (s *service) capacity(now time.Time) *rpc.ServiceCapacity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	free := 0
+	for _, c := range s.list[:s.local] {
+		if now.Sub(c.Reported) < pick.ReportLife {
+			free += max(c.Credits, 0)
+		}
+	}
+	return &rpc.ServiceCapacity{
+		Service:   string(s.name),
+		FreeSlots: int32(max(free-s.queue.Len(), 0)),
+		Queued:    int32(s.queue.Len()),
+	}
+}
+
+// probeLoop probes unreachable targets until ctx ends.
+func (e *Entry) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, s := range e.services.all() {
+				for _, t := range s.sweep(now) {
+					e.tasks.Go(func() { s.probed(t, probe(ctx, t.conn)) })
+				}
+			}
+		}
+	}
+}
+
+// probe reports whether a connection can be established.
+func probe(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn.ResetConnectBackoff()
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if state == connectivity.Idle {
+			conn.Connect()
+		}
+		if !conn.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+	return true
+}
+
+// peerID names an entry of another region among the candidates.
+func peerID(entry ident.Entry) ident.Upstream { return ident.Upstream("entry:" + string(entry)) }
+
+func isPeer(id ident.Upstream) bool { return strings.HasPrefix(string(id), "entry:") }
--- a/control/entry/settings.go
+++ b/control/entry/settings.go
@@ -25,6 +25,8 @@
 	PlatformAddr string `json:"platform_addr"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout settings.Duration `json:"default_timeout"`
+	// DrainNotice is how long a draining entry still takes new requests.
+	DrainNotice settings.Duration `json:"drain_notice"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout settings.Duration `json:"drain_timeout"`
 }
@@ -34,6 +36,9 @@
 	if s.DefaultTimeout == 0 {
 		s.DefaultTimeout = settings.Duration(30 * time.Second)
 	}
+	if s.DrainNotice == 0 {
+		s.DrainNotice = settings.Duration(3 * time.Second)
+	}
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = settings.Duration(time.Minute)
 	}
@@ -50,6 +55,7 @@
 	p.RequireAddr("grpc_addr", s.GRPCAddr)
 	p.RequireAddr("platform_addr", s.PlatformAddr)
 	p.RequirePositive("default_timeout", s.DefaultTimeout)
+	p.RequirePositive("drain_notice", s.DrainNotice)
 	p.RequirePositive("drain_timeout", s.DrainTimeout)
 	return p.Err()
 }
--- a/route/fairqueue/queue.go
+++ b/route/fairqueue/queue.go
@@ -143,6 +143,7 @@
 	if it == nil || it.waiting {
 		return false
 	}
+	q.rate.served(used.Seconds() - it.cost)
 	q.settle(it, used.Seconds())
 	it.flow.inFlight--
 	q.inFlight--
--- a/route/pick/pick.go
+++ b/route/pick/pick.go
@@ -39,8 +39,9 @@
 
 const (
 	// ReportLife is the age at which a report is no longer trusted and its
-	// upstream gets no new work.
-	ReportLife = 3 * time.Second
+	// upstream gets no new work. It lies inside the bound of 3 s on work for an
+	// upstream that is leaving.
+	ReportLife = 2 * time.Second
 	// loadHalfLife is the age at which a reported load counts half.
 	loadHalfLife = time.Second
 	// estimateHalfLife is the age at which an observed service time counts
@@ -226,9 +227,22 @@
 	}
 }
 
-// credits are the reported ones less those used since the report.
+// credits are the reported ones less those used since the report. Requests that
+// were on their way to the agent when it reported are not in the report, so the
+// slots that this process fills itself are a second bound.
 func (p *Picker) credits(c *Candidate, s *state) int {
-	return c.Credits - s.sinceReport(c)
+	return min(c.Credits-s.sinceReport(c), c.Slots-s.inFlight)
+}
+
+// Available reports whether any candidate has a credit left.
+func (p *Picker) Available(now time.Time, candidates []Candidate) bool {
+	for i := range candidates {
+		c := &candidates[i]
+		if now.Sub(c.Reported) < ReportLife && p.credits(c, p.state(now, c.ID)) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *Picker) inFlight(c *Candidate, s *state) int {
--- a/route/pick/pick_test.go
+++ b/route/pick/pick_test.go
@@ -59,7 +59,11 @@
 			So(pickID(p, start, list), ShouldEqual, "remote")
 		}
 		So(pickID(p, start, list), ShouldEqual, "slots_full")
-		Convey("a new report renews the credits", func() {
+		Convey("a new report renews the credits, an ended refusal does not", func() {
+			for range 8 {
+				p.Done(start, "zone", pick.Refused, 0)
+			}
+			So(pickID(p, start, list), ShouldEqual, "slots_full")
 			list[2].Reported = start.Add(time.Second)
 			So(pickID(p, start.Add(time.Second), list), ShouldEqual, "zone")
 		})
--- a/route/retry/retry.go
+++ b/route/retry/retry.go
@@ -171,7 +171,11 @@
 	if reason, stop := stops(a, answer); stop {
 		return Decision{Reason: reason}
 	}
-	wait := p.Backoff.Wait(a.Number, p.Random)
+	var wait time.Duration
+	if a.Kind != errkind.SlotsFull {
+		// A request without a slot waits in the queue and needs no backoff.
+		wait = p.Backoff.Wait(a.Number, p.Random)
+	}
 	if a.TimeLeft < wait+a.Expected {
 		return Decision{Reason: ReasonDeadline}
 	}
