--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -4,34 +4,52 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+	"github.com/lacewingpier/lacewingpier/route/claim"
+	"github.com/lacewingpier/lacewingpier/route/pick"
 )
 
-// headerTimeout bounds the wait for a caller's request head.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds the wait for a caller's request head.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds a caller's request head.
+	headerBytes = 64 << 10
+)
 
 // Entry is one entry process.
 type Entry struct {
 	rpc.UnimplementedEntryServer
 
 	settings Settings
+	state    *state
 	network  transport.Network
 	logger   *log.Logger
-	agents   *agentRegistry
-	state    *state
+	services *serviceRegistry
+	table    platform.Table
+	objects  platform.ObjectStore
+	observed *observedClaims
+	stats    *stats
+	running  *runningSet
 	draining atomic.Bool
 
+	forwardMu sync.Mutex
+	forwarded *claim.Memory
+
 	grpc  *grpc.Server
 	http  *http.Server
 	tasks conc.WaitGroup
@@ -46,9 +64,40 @@
 
 // New returns an entry with valid settings on the given network.
 func New(s Settings, network transport.Network, p Platform, logger *log.Logger) *Entry {
-	e := &Entry{settings: s, network: network, logger: logger, agents: newAgentRegistry(network)}
-	e.state = newState(s, network, p)
-	return e
+	st := newState(s, network, p)
+	return &Entry{
+		state:     st,
+		table:     st.table.At(tableclient.ClassClaim),
+		objects:   p.Objects,
+		settings:  s,
+		network:   network,
+		logger:    logger,
+		services:  newServiceRegistry(network, pick.DefaultConfig(s.Zone, s.Region)),
+		observed:  newObservedClaims(),
+		stats:     newStats(tally.NoopScope),
+		running:   newRunningSet(),
+		forwarded: newForwardMemory(),
+	}
+}
+
+// SetScope sets where the counters are kept. It is called before Run.
+func (e *Entry) SetScope(scope tally.Scope) { e.stats = newStats(scope) }
+
+// followWeights gives each accepted sheet's weights to the request queues.
+func (e *Entry) followWeights(ctx context.Context) {
+	sub := e.state.config.Subscribe()
+	defer sub.Close()
+	for {
+		next, err := sub.Next(ctx)
+		if err != nil {
+			return
+		}
+		weights := make(map[ident.Workspace]int, len(next.Sheet.Workspaces))
+		for _, w := range next.Sheet.Workspaces {
+			weights[w.Name] = w.Weight
+		}
+		e.services.setWeights(weights)
+	}
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -62,12 +111,14 @@
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
 	}
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	e.tasks.Go(func() { e.probeLoop(background) })
+	e.tasks.Go(func() { e.followWeights(background) })
+	e.tasks.Go(func() { e.state.run(background) })
 	e.serve(grpcListener, httpListener)
-	stateCtx, stopState := context.WithCancel(context.WithoutCancel(ctx))
-	e.tasks.Go(func() { e.state.run(stateCtx) })
 	<-ctx.Done()
 	e.drain()
-	stopState()
+	stopBackground()
 	e.tasks.Wait()
 	return nil
 }
@@ -75,7 +126,7 @@
 func (e *Entry) serve(grpcListener, httpListener net.Listener) {
 	e.grpc = transport.NewGRPCServer()
 	rpc.RegisterEntryServer(e.grpc, e)
-	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout}
+	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
 	e.tasks.Go(func() {
 		if err := e.grpc.Serve(grpcListener); err != nil {
 			e.logger.Error().Err(err).Msg("gRPC server ended")
@@ -87,10 +138,14 @@
 func (e *Entry) routes() http.Handler {
 	router := httprouter.New()
 	router.HandleMethodNotAllowed = false
-	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+	for _, method := range methods {
 		router.Handle(method, "/v1/services/:service/*path", e.handleRequest)
 	}
 	router.GET("/readyz", e.handleReady)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeFailure(w, "", errkind.New(errkind.NotFound, "no operation at %s %s", r.Method, r.URL.Path))
+	})
 	return router
 }
 
@@ -106,10 +161,26 @@
 	e.logger.Info().Str("entry", string(e.settings.ID)).Msg("entry drains")
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.Std())
 	defer cancel()
+	// Partitions move first: a leaving entry must not take over others.
+	var leaving conc.WaitGroup
+	leaving.Go(func() { e.state.jobs.Leave(ctx) })
+	e.noticeDrain(ctx)
 	if err := e.http.Shutdown(ctx); err != nil {
-		e.logger.Warn().Err(err).Msg("requests were cut by the drain timeout")
+		e.logger.Warn().Err(err).Strs("requests", e.running.list()).Msg("requests were cut by the drain timeout")
+		_ = e.http.Close()
 	}
-	e.state.jobs.Leave(ctx)
-	e.agents.closeAll()
+	leaving.Wait()
+	e.services.closeAll()
 	e.grpc.Stop()
 }
+
+// noticeDrain keeps serving while the load balancer and the other entries learn
+// from the readiness check and the exchange that this entry leaves.
+func (e *Entry) noticeDrain(ctx context.Context) {
+	notice := time.NewTimer(e.settings.DrainNotice.Std())
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+	case <-notice.C:
+	}
+}
--- a/control/entry/settings.go
+++ b/control/entry/settings.go
@@ -30,6 +30,8 @@
 	Partitions []partition.Spec `json:"partitions"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout settings.Duration `json:"default_timeout"`
+	// DrainNotice is how long a draining entry still takes new requests.
+	DrainNotice settings.Duration `json:"drain_notice"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout settings.Duration `json:"drain_timeout"`
 }
@@ -39,6 +41,9 @@
 	if s.DefaultTimeout == 0 {
 		s.DefaultTimeout = settings.Duration(30 * time.Second)
 	}
+	if s.DrainNotice == 0 {
+		s.DrainNotice = settings.Duration(3 * time.Second)
+	}
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = settings.Duration(time.Minute)
 	}
@@ -56,6 +61,7 @@
 	p.RequireAddr("platform_addr", s.PlatformAddr)
 	checkPartitions(&p, s.Partitions)
 	p.RequirePositive("default_timeout", s.DefaultTimeout)
+	p.RequirePositive("drain_notice", s.DrainNotice)
 	p.RequirePositive("drain_timeout", s.DrainTimeout)
 	return p.Err()
 }
--- a/control/partition/route.go
+++ b/control/partition/route.go
@@ -175,7 +175,7 @@
 }
 
 func (s *Service) submitTo(ctx context.Context, id ident.Partition, job model.Job) (*rpc.JobStatus, error) {
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobStatus, error) { return s.local.submit(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobStatus, error) {
 			return c.SubmitJob(ctx, &rpc.SubmitJobRequest{Spec: SpecToRPC(job), Partition: string(id)})
@@ -188,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobStatus, error) { return s.local.cancel(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobStatus, error) {
 			return c.CancelJob(ctx, &rpc.JobRef{Partition: string(id), Job: string(job)})
@@ -201,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobExplanation, error) { return s.local.explain(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobExplanation, error) {
 			return c.ExplainJob(ctx, &rpc.JobRef{Partition: string(id), Job: string(job)})
@@ -214,7 +214,7 @@
 	var all []*rpc.JobStatus
 	var missing []string
 	for _, p := range s.opts.Partitions {
-		list, err := forward(ctx, s, p.ID,
+		list, err := forward(s, p.ID,
 			func() (*rpc.JobList, error) {
 				jobs, err := s.local.list(ctx, p.ID, workspace)
 				return &rpc.JobList{Jobs: jobs}, err
@@ -236,7 +236,7 @@
 
 // View returns the owner's view of a partition.
 func (s *Service) View(ctx context.Context, id ident.Partition) (*rpc.PartitionView, error) {
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.PartitionView, error) { return s.local.view(ctx, id) },
 		func(c rpc.EntryClient) (*rpc.PartitionView, error) {
 			return c.PartitionStatus(ctx, &rpc.PartitionRef{Partition: string(id)})
@@ -245,7 +245,7 @@
 
 // forward runs the operation here when this entry owns the partition, and at
 // the owner otherwise.
-func forward[T any](ctx context.Context, s *Service, id ident.Partition, here func() (T, error), there func(rpc.EntryClient) (T, error)) (T, error) {
+func forward[T any](s *Service, id ident.Partition, here func() (T, error), there func(rpc.EntryClient) (T, error)) (T, error) {
 	var zero T
 	holder, ok := s.manager.Lookup(id)
 	if !ok {
--- a/control/partition/scheduler.go
+++ b/control/partition/scheduler.go
@@ -107,7 +107,7 @@
 	snapshot := sched.Snapshot{Plan: s.plan, Sequence: uint64(len(s.records)), Jobs: s.records}
 	s.records = nil
 	// Restore fails only for a scheduler that already has jobs.
-	if err := s.Scheduler.Restore(now, snapshot); err != nil {
+	if err := s.Restore(now, snapshot); err != nil {
 		panic(err)
 	}
 }
