--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -43,6 +43,7 @@
 	table    platform.Table
 	objects  platform.ObjectStore
 	observed *observedClaims
+	scope    tally.Scope
 	stats    *stats
 	running  *runningSet
 	draining atomic.Bool
@@ -64,10 +65,7 @@
 
 // New returns an entry with valid settings on the given network.
 func New(s Settings, network transport.Network, p Platform, logger *log.Logger) *Entry {
-	st := newState(s, network, p)
-	return &Entry{
-		state:     st,
-		table:     st.table.At(tableclient.ClassClaim),
+	e := &Entry{
 		objects:   p.Objects,
 		settings:  s,
 		network:   network,
@@ -77,11 +75,23 @@
 		stats:     newStats(tally.NoopScope),
 		running:   newRunningSet(),
 		forwarded: newForwardMemory(),
+		scope:     tally.NoopScope,
 	}
+	e.state = newState(s, network, p, e.countEvent)
+	e.table = e.state.table.At(tableclient.ClassClaim)
+	return e
 }
 
 // SetScope sets where the counters are kept. It is called before Run.
-func (e *Entry) SetScope(scope tally.Scope) { e.stats = newStats(scope) }
+func (e *Entry) SetScope(scope tally.Scope) {
+	e.scope = scope
+	e.stats = newStats(scope)
+}
+
+// countEvent counts an event of one part of the control side.
+func (e *Entry) countEvent(part, event string) {
+	e.scope.SubScope("control").Tagged(map[string]string{"part": part, "event": event}).Counter("events").Inc(1)
+}
 
 // followWeights gives each accepted sheet's weights to the request queues.
 func (e *Entry) followWeights(ctx context.Context) {
--- a/control/entry/state.go
+++ b/control/entry/state.go
@@ -23,10 +23,15 @@
 	jobs   *partition.Service
 }
 
-func newState(s Settings, network transport.Network, p Platform) *state {
-	st := &state{table: tableclient.New(p.Table, tableclient.Options{})}
+func newState(s Settings, network transport.Network, p Platform, count func(part, event string)) *state {
+	st := &state{table: tableclient.New(p.Table, tableclient.Options{
+		Count: func(e tableclient.Event, class tableclient.Class) { count("table_"+class.String(), string(e)) },
+	})}
 	st.store = config.NewStore(st.table.At(tableclient.ClassJob), p.Objects)
-	st.config = config.NewFollower(config.Options{Source: st.store})
+	st.config = config.NewFollower(config.Options{
+		Source:  st.store,
+		OnEvent: func(e config.Event, _ error) { count("config", string(e)) },
+	})
 	st.jobs = partition.New(partition.Options{
 		Self: ownership.Session{
 			Entry:   s.ID,
@@ -42,6 +47,7 @@
 		Config:     st.config,
 		Ownership:  ownership.DefaultTiming(),
 		Executor:   executor.DefaultTiming(),
+		Count:      count,
 	})
 	return st
 }
