--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_GO := v1.36.12
 PROTOC_GEN_GO_GRPC := v1.6.2
 
-.PHONY: demo test race vet fmt lint generate build bench ci
+.PHONY: demo test race vet fmt lint generate build bench soak ci
 
 build:
 	go build $(addsuffix /...,$(addprefix ./,$(MODULES)))
@@ -32,6 +32,10 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
+# Sends 200,000 requests while every part of the request path fails in turn.
+soak:
+	go test ./control/internal/rig -run TestSoak -count 1 -soak 200000 -timeout 15m -v
+
 # Needs protoc (Debian package protobuf-compiler).
 generate:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO)
--- a/control/entry/answer.go
+++ b/control/entry/answer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -44,6 +45,16 @@
 	recorded func(head *rpc.ResponseHead, body []byte)
 }
 
+// stopReading ends a read of the caller's body. The connection can not be used
+// for another request then.
+func (a *httpAnswer) stopReading() {
+	if !a.started {
+		a.w.Header().Set("Connection", "close")
+	}
+	// A connection without deadlines ends the read when the caller leaves.
+	_ = a.control.SetReadDeadline(time.Unix(1, 0))
+}
+
 func (a *httpAnswer) begun() bool { return a.started }
 
 func (a *httpAnswer) head(h *rpc.ResponseHead) error {
--- a/control/entry/attach.go
+++ b/control/entry/attach.go
@@ -50,3 +50,14 @@
 
 // Upstreams returns the last report of each attached agent.
 func (e *Entry) Upstreams() []*rpc.AgentReport { return e.services.snapshot() }
+
+// ReadyUpstreams returns the number of upstreams of this region that may be
+// sent work now.
+func (e *Entry) ReadyUpstreams() int {
+	now := time.Now()
+	ready := 0
+	for _, s := range e.services.all() {
+		ready += s.ready(now)
+	}
+	return ready
+}
--- a/control/entry/body.go
+++ b/control/entry/body.go
@@ -25,6 +25,11 @@
 	// started says that rest is being sent. It is set before the first dispatch
 	// that sends it.
 	started bool
+	// ended says that rest was read to its end.
+	ended bool
+	// interrupt ends a read of rest that waits for the caller. It is nil when
+	// such a read may outlive the request.
+	interrupt func()
 }
 
 // readBody reads the first part of a body of the given length, which is -1 when
@@ -67,6 +72,28 @@
 	return nil
 }
 
+// stop waits until the sender of the body has ended. The HTTP server reads the
+// next request from the same connection, so no read may go on after the answer.
+func (b *body) stop(sent <-chan struct{}) {
+	if b.interrupt == nil {
+		return
+	}
+	select {
+	case <-sent:
+	default:
+		b.interrupt()
+		<-sent
+	}
+}
+
+// abandon gives up what was not read. The HTTP server would otherwise read it
+// while it waits for the next request, and it fails when both happen at once.
+func (b *body) abandon() {
+	if b.rest != nil && !b.ended && b.interrupt != nil {
+		b.interrupt()
+	}
+}
+
 // repeatable reports whether the body can be sent again.
 func (b *body) repeatable() bool { return b.rest == nil || !b.started }
 
@@ -86,6 +113,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			b.ended = true
 			return total, nil
 		}
 		if err != nil {
--- a/control/entry/dispatch.go
+++ b/control/entry/dispatch.go
@@ -31,21 +31,26 @@
 	}
 	sender := &frameSender{stream: stream, request: string(req.id), dispatch: ident.NewID("dsp-")}
 	if err := sender.sendHead(requestHead(req, t)); err != nil {
-		return errkind.Wrap(errkind.OutcomeUnknown, err, "send request head")
+		return errkind.Wrap(errkind.UpstreamFailed, err, "send request head")
 	}
 	if req.body.rest == nil {
 		// A failed send ends the stream, and the receiver reports why.
 		_ = sender.sendBody(req.body)
 	} else {
 		// The upstream may answer while it still reads, so both directions run
-		// at once. A reader that waits for a slow caller ends with the caller's
-		// connection or its deadline.
+		// at once.
 		req.body.started = true
+		sent := make(chan struct{})
 		e.tasks.Go(func() {
+			defer close(sent)
 			if err := sender.sendBody(req.body); errkind.Is(err, errkind.Canceled) {
 				cancel()
 			}
 		})
+		defer func() {
+			cancel()
+			req.body.stop(sent)
+		}()
 	}
 	return receive(ctx, stream, sender.dispatch, out)
 }
@@ -117,7 +122,7 @@
 			if ctx.Err() != nil {
 				return contextError(ctx, true)
 			}
-			return errkind.Wrap(errkind.OutcomeUnknown, err, "read answer")
+			return errkind.Wrap(errkind.UpstreamFailed, err, "the connection broke before the end of the answer")
 		}
 		if frame.GetDispatchId() != dispatch {
 			return errkind.New(errkind.OutcomeUnknown, "answer of another dispatch")
--- a/control/entry/requests.go
+++ b/control/entry/requests.go
@@ -73,9 +73,8 @@
 	w.Header().Set(headerRequestID, string(req.id))
 	defer e.running.begin(req.id)()
 	control := http.NewResponseController(w)
-	// A server that cannot set deadlines or duplex mode serves without them.
+	// A server that cannot set deadlines serves without them.
 	_ = control.SetReadDeadline(req.deadline)
-	_ = control.EnableFullDuplex()
 	answer := &httpAnswer{w: w, control: control, limit: heldAnswer}
 	if req.keyed() {
 		answer.limit, answer.keep = keyedAnswer, true
@@ -99,6 +98,12 @@
 	if req.keyed() {
 		return e.answerKeyed(r.Context(), req, answer)
 	}
+	if req.body.rest != nil {
+		req.body.interrupt = answer.stopReading
+		defer req.body.abandon()
+		// Without duplex mode the server reads the whole body before the answer.
+		_ = answer.control.EnableFullDuplex()
+	}
 	return e.route(r.Context(), req, answer)
 }
 
--- a/control/entry/route.go
+++ b/control/entry/route.go
@@ -132,10 +132,18 @@
 }
 
 // finalError is what the caller is told. A refusal after an attempt that may
-// have run does not make the request "not run".
+// have run does not make the request "not run", and a non-idempotent request
+// that may have run must not look as if it could be sent again.
 func finalError(req *request, err error) error {
 	if req.mayHaveRun != nil && errkind.Of(err).Answer().Outcome == errkind.NotRun {
-		return req.mayHaveRun
+		err = req.mayHaveRun
+	}
+	switch kind := errkind.Of(err); {
+	case req.idempotent:
+		return err
+	case kind == errkind.UpstreamFailed || kind == errkind.Truncated:
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "the request may have run")
+	default:
+		return err
 	}
-	return err
 }
--- a/control/entry/service.go
+++ b/control/entry/service.go
@@ -111,6 +111,19 @@
 	return false
 }
 
+// ready counts the upstreams of this region with a recent report.
+func (s *service) ready(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.list[:s.local] {
+		if now.Sub(c.Reported) < pick.ReportLife {
+			n++
+		}
+	}
+	return n
+}
+
 // candidates are the targets that a request may use. A forwarded request stays
 // in this region, so that it crosses a region link once.
 func (s *service) candidates(req *request) []pick.Candidate {
--- a/route/pick/pick.go
+++ b/route/pick/pick.go
@@ -258,7 +258,8 @@
 	return (reported + float64(s.sinceReport(c)) + 1) / slots
 }
 
-// usual is the service time of the fastest candidate.
+// usual is the service time of the fastest candidate. The past of each counts as
+// well, since one upstream may do all the work and be the only one known.
 func (p *Picker) usual(now time.Time, candidates []Candidate) float64 {
 	lowest := math.Inf(1)
 	for i := range candidates {
@@ -266,9 +267,13 @@
 		if now.Sub(c.Reported) >= ReportLife {
 			continue
 		}
-		if estimate, known := p.state(now, c.ID).known(c); known {
+		s := p.state(now, c.ID)
+		if estimate, known := s.known(c); known {
 			lowest = min(lowest, estimate)
 		}
+		if s.samples > 0 {
+			lowest = min(lowest, s.usual)
+		}
 	}
 	if math.IsInf(lowest, 1) {
 		return 0
--- a/route/pick/pick_test.go
+++ b/route/pick/pick_test.go
@@ -132,6 +132,21 @@
 // Guards against a slow upstream that keeps its share, and against a burst of
 // requests at it when it is tried again.
 func TestSlowUpstream(t *testing.T) {
+	Convey("An upstream that did all the work is slow by its own past", t, func() {
+		p := newPicker()
+		list := []pick.Candidate{candidate("worker", "z1", "r1"), candidate("unused", "z2", "r1")}
+		list[0].ServiceTime, list[1].ServiceTime = 0, 0
+		took := 20 * time.Millisecond
+		for i := range 45 {
+			if i == 40 {
+				took *= 10
+			}
+			if pickID(p, start, list) == "worker" {
+				p.Done(start, "worker", pick.Answered, took)
+			}
+		}
+		So(pickID(p, start, list), ShouldEqual, "unused")
+	})
 	Convey("With one of two equal upstreams ten times slower", t, func() {
 		p := newPicker()
 		list := []pick.Candidate{candidate("slow", "z1", "r1"), candidate("usual", "z1", "r1")}
--- a/route/pick/state.go
+++ b/route/pick/state.go
@@ -6,8 +6,15 @@
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// serviceGain is the weight of a new sample in the observed service time.
-const serviceGain = 0.3
+const (
+	// serviceGain is the weight of a new sample in the observed service time.
+	serviceGain = 0.3
+	// usualGain is the same for the usual service time of one upstream.
+	usualGain = 0.005
+	// usualSamples is the number of samples of which the usual time is the mean
+	// at first. Many more would let a slow spell become the usual at once.
+	usualSamples = 10
+)
 
 // state is what this process has seen of one upstream.
 type state struct {
@@ -22,6 +29,9 @@
 	progress time.Time
 	service  float64
 	observed time.Time
+	// usual is the moving average over a long time.
+	usual   float64
+	samples int
 	// failures counts the failed attempts to reach the upstream in a row.
 	failures int
 	probeAt  time.Time
@@ -154,6 +164,12 @@
 }
 
 func (s *state) observe(now time.Time, sample float64) {
+	s.samples++
+	gain := usualGain
+	if s.samples <= usualSamples {
+		gain = 1 / float64(s.samples)
+	}
+	s.usual += (sample - s.usual) * gain
 	if s.observed.IsZero() {
 		s.service = sample
 	} else {
