--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -116,6 +116,9 @@
 func (e *Entry) routes() http.Handler {
 	router := httprouter.New()
 	router.HandleMethodNotAllowed = false
+	// A redirect would be an answer without an outcome.
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
 	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 	for _, method := range methods {
 		router.Handle(method, "/v1/services/:service/*path", e.handleRequest)
