--- a/control/recovery/model_test.go
+++ b/control/recovery/model_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,8 @@
 const (
 	modelNodes   = 3
 	modelWorkers = 5
-	modelSteps   = 30
+	minSteps     = 20
+	maxSteps     = 60
 )
 
 // step is one fault, repair or request, followed by a wait.
@@ -48,23 +50,34 @@
 	wait time.Duration
 }
 
-var stepKinds = []string{
-	"submit", "submit", "submit", "resubmit", "cancel", "preempt", "wait",
-	"kill entry", "pause entry", "resume entry", "table down", "table up", "table down for one",
-	"lose table answers", "slow table", "objects down", "cut", "heal cuts", "kill worker",
-	"restart worker", "refuse prepares", "fail starts", "lose worker answers",
+// stepKinds lists the steps by weight. Repairs are frequent, because most
+// faults hide the effects of others while they last.
+var stepKinds = slices.Concat(
+	slices.Repeat([]string{"submit"}, 8),
+	slices.Repeat([]string{"wait", "resume entry", "table up", "heal cuts", "restart worker"}, 3),
+	slices.Repeat([]string{"resubmit", "cancel", "preempt", "cut", "lose table answers", "lose worker answers"}, 2),
+	[]string{
+		"kill entry", "pause entry", "table down", "table down for one", "slow table", "objects down",
+		"kill worker", "refuse prepares", "accept prepares", "fail starts", "pass starts",
+	},
+)
+
+var stepWaits = []time.Duration{
+	0, 50 * time.Millisecond, 200 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second,
 }
 
+// drawSteps draws from lists, because rapid prefers small numbers in ranges.
 func drawSteps(rt *rapid.T) []step {
+	indices := []int{0, 1, 2, 3, 4}
 	draw := rapid.Custom(func(rt *rapid.T) step {
 		return step{
 			kind: rapid.SampledFrom(stepKinds).Draw(rt, "kind"),
-			node: rapid.IntRange(0, modelNodes-1).Draw(rt, "node"),
-			arg:  rapid.IntRange(0, modelWorkers-1).Draw(rt, "arg"),
-			wait: time.Duration(rapid.IntRange(0, 80).Draw(rt, "wait")) * 100 * time.Millisecond,
+			node: rapid.SampledFrom(indices[:modelNodes]).Draw(rt, "node"),
+			arg:  rapid.SampledFrom(indices[:modelWorkers]).Draw(rt, "arg"),
+			wait: rapid.SampledFrom(stepWaits).Draw(rt, "wait"),
 		}
 	})
-	return rapid.SliceOfN(draw, 1, modelSteps).Draw(rt, "steps")
+	return rapid.SliceOfN(draw, minSteps, maxSteps).Draw(rt, "steps")
 }
 
 // ledger is what the callers were told.
@@ -120,7 +133,7 @@
 	switch s.kind {
 	case "submit":
 		id := fmt.Sprintf("j%d", len(w.order))
-		w.submitJob(gang(id, 1+s.arg%4, time.Duration(10+20*s.arg)*time.Second))
+		w.submitJob(gang(id, 1+s.arg%4, time.Duration(10+40*s.node)*time.Second))
 	case "resubmit":
 		if len(w.order) > 0 {
 			w.submitJob(w.specs[w.order[s.arg%len(w.order)]])
@@ -166,11 +179,11 @@
 		w.fleet.Kill(id)
 	case "restart worker":
 		w.restart(id)
-	case "refuse prepares":
-		w.fleet.SetRefusePrepares(id, s.node == 0)
-	case "fail starts":
-		w.anyFailed = true
-		w.fleet.SetFailStarts(id, s.node == 0)
+	case "refuse prepares", "accept prepares":
+		w.fleet.SetRefusePrepares(id, s.kind == "refuse prepares")
+	case "fail starts", "pass starts":
+		w.anyFailed = w.anyFailed || s.kind == "fail starts"
+		w.fleet.SetFailStarts(id, s.kind == "fail starts")
 	case "lose worker answers":
 		w.fleet.SetLoseAnswers(id, 1+s.node)
 	}
