--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_GO := v1.36.12
 PROTOC_GEN_GO_GRPC := v1.6.2
 
-.PHONY: demo test race vet fmt lint generate build bench ci
+.PHONY: demo test race vet fmt lint generate build bench soak capacity ci
 
 build:
 	go build $(addsuffix /...,$(addprefix ./,$(MODULES)))
@@ -32,6 +32,16 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
+# Thousands of cases of the model test of partition owners under faults. SEED
+# chooses others.
+SEED ?= 1000
+soak:
+	go test -run TestOwnersUnderFaults -rapid.seed=$(SEED) -rapid.checks=3000 -timeout 60m ./control/recovery
+
+# Tables of takeover and recovery time, table operations and renewal cost.
+capacity:
+	go test -run '^$$' -bench Capacity -benchtime 3x ./control/recovery | grep Capacity
+
 # Needs protoc (Debian package protobuf-compiler).
 generate:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO)
--- /dev/null
+++ b/control/recovery/capacity_test.go
@@ -0,0 +1,307 @@
+package recovery_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/ownership"
+	"github.com/lacewingpier/lacewingpier/control/recovery"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform"
+	"github.com/lacewingpier/lacewingpier/platform/httpapi"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+// BenchmarkCapacityTakeover prints the virtual time from the death of an owner
+// to the rebuilt partition, over deaths at 20 moments of the renewal period.
+func BenchmarkCapacityTakeover(b *testing.B) {
+	for _, entries := range []int{2, 8, 30} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var total, longest time.Duration
+			const deaths = 20
+			for range b.N {
+				for i := range deaths {
+					took := takeoverTime(entries, time.Duration(i)*50*time.Millisecond)
+					total += took
+					longest = max(longest, took)
+				}
+			}
+			b.ReportMetric(total.Seconds()/float64(deaths*b.N), "mean-takeover-s")
+			b.ReportMetric(longest.Seconds(), "max-takeover-s")
+		})
+	}
+}
+
+// inBubble runs body in virtual time inside a benchmark.
+func inBubble(body func()) {
+	testing.RunTests(func(_, _ string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: "bubble", F: func(t *testing.T) { synctest.Test(t, func(*testing.T) { body() }) },
+	}})
+}
+
+func startEntries(c *cluster, entries int) {
+	for i := range entries {
+		c.startNode(fmt.Sprintf("entry%d", i), "z2")
+		time.Sleep(37 * time.Millisecond)
+	}
+	await(time.Minute, func() bool { return c.owner() != nil })
+	time.Sleep(30 * time.Second)
+}
+
+func takeoverTime(entries int, offset time.Duration) (took time.Duration) {
+	inBubble(func() {
+		c := newCluster(12)
+		defer c.close()
+		startEntries(c, entries)
+		time.Sleep(offset)
+		owner := c.owner()
+		died := time.Now()
+		owner.kill()
+		await(time.Minute, func() bool { next := c.owner(); return next != nil && next != owner })
+		took = time.Since(died)
+	})
+	return took
+}
+
+// BenchmarkCapacityTableOps prints the table operations of idle entries and of
+// jobs, each of which is accepted, started and finished.
+func BenchmarkCapacityTableOps(b *testing.B) {
+	for _, entries := range []int{2, 8, 30} {
+		for _, perSecond := range []int{0, 2, 8} {
+			b.Run(fmt.Sprintf("entries=%d/jobs-per-s=%d", entries, perSecond), func(b *testing.B) {
+				for range b.N {
+					reportTableOps(b, entries, perSecond)
+				}
+			})
+		}
+	}
+}
+
+func reportTableOps(b *testing.B, entries, perSecond int) {
+	const seconds = 60
+	var before, after standin.Usage
+	inBubble(func() {
+		c := newCluster(100)
+		defer c.close()
+		startEntries(c, entries)
+		owner := c.owner()
+		before = c.store.Usage()
+		for i := range seconds * perSecond {
+			_ = owner.submit(gang(fmt.Sprintf("j%d", i), 1, 5*time.Second))
+			time.Sleep(time.Second / time.Duration(perSecond))
+		}
+		if perSecond == 0 {
+			time.Sleep(seconds * time.Second)
+		}
+		after = c.store.Usage()
+	})
+	writes := float64(after.Writes - before.Writes)
+	b.ReportMetric(writes/seconds, "writes/s")
+	b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
+	b.ReportMetric(float64(after.RowsWritten-before.RowsWritten)/seconds, "rows/s")
+}
+
+// fleetOverHTTP is a stand-in behind the HTTP adapters, which counts bytes.
+type fleetOverHTTP struct {
+	store  *standin.Store
+	fleet  *standin.Fleet
+	server *httptest.Server
+	client *httpapi.Client
+	bytes  atomic.Int64
+}
+
+func newFleetOverHTTP(workers, tasksPerWorker int) *fleetOverHTTP {
+	f := &fleetOverHTTP{store: standin.NewStore(), fleet: standin.NewFleet()}
+	inner := httpapi.NewHandler(httpapi.Service{Table: f.store.Table("x"), Objects: f.store.Objects("x"), Workers: f.fleet.Client("x")})
+	f.server = httptest.NewServer(inner)
+	addr := strings.TrimPrefix(f.server.URL, "http://")
+	f.client = httpapi.NewClient(addr, func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{conn, &f.bytes}, nil
+	})
+	for i := range workers {
+		f.fleet.Add(platform.WorkerInfo{
+			ID: ident.Worker(fmt.Sprintf("worker-%05d", i)), Rack: ident.Rack(fmt.Sprint(i / 3)), Zone: theZone,
+			Region: theRegion, Addr: addr, Capacity: platform.Resources{Accelerators: 16, Cores: 64, MemoryMB: 131072},
+		})
+	}
+	f.fill(workers, tasksPerWorker)
+	return f
+}
+
+// countedConn counts the bytes of a connection, headers included.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (f *fleetOverHTTP) close() {
+	f.client.Close()
+	f.server.Close()
+}
+
+// fill runs gangs of six tasks and writes their rows.
+func (f *fleetOverHTTP) fill(workers, tasksPerWorker int) {
+	const gangSize = 6
+	ctx := context.Background()
+	direct := f.fleet.Client("fill")
+	fence := platform.Fence{Partition: thePartition, Epoch: 1}
+	for g := range workers * tasksPerWorker / gangSize {
+		row := executor.JobRow{Spec: gang(fmt.Sprintf("job-%06d", g), gangSize, time.Hour), State: executor.JobRunning, Attempt: 1, Epoch: 1}
+		for m := range gangSize {
+			task := g*gangSize + m
+			info := platform.WorkerInfo{ID: ident.Worker(fmt.Sprintf("worker-%05d", task%workers))}
+			ref := platform.TaskRef{Job: row.Spec.ID, Attempt: 1, Member: m}
+			slot := []int{task / workers}
+			row.Members = append(row.Members, model.Member{Worker: info.ID, Accelerators: slot})
+			if err := direct.Prepare(ctx, info, platform.PrepareRequest{Fence: fence, Ref: ref, Accelerators: slot, Hold: time.Minute}); err != nil {
+				panic(err)
+			}
+			if err := direct.Start(ctx, info, platform.StartRequest{Fence: fence, Ref: ref, Lease: time.Hour, RunTime: time.Hour}); err != nil {
+				panic(err)
+			}
+		}
+		value, err := executor.EncodeJob(row)
+		if err != nil {
+			panic(err)
+		}
+		txn := platform.Txn{ID: ident.NewID("t-"), Ops: []platform.Op{{Kind: platform.OpPut, Key: executor.JobKey(thePartition, row.Spec.ID), Value: value}}}
+		if _, err := f.store.Table("fill").Commit(ctx, txn); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// leaseCatcher hands the first lease of a manager over.
+type leaseCatcher struct{ leases chan *ownership.Lease }
+
+func (h leaseCatcher) Acquired(l *ownership.Lease)               { h.leases <- l }
+func (h leaseCatcher) Release(context.Context, *ownership.Lease) {}
+func (h leaseCatcher) Lost(*ownership.Lease)                     {}
+
+// acquire returns a lease of the partition and a function that ends it.
+func (f *fleetOverHTTP) acquire() (*ownership.Lease, *tableclient.Client, func()) {
+	table := tableclient.New(f.client, tableclient.Options{WritesPerSecond: 100, ReadsPerSecond: 400})
+	catcher := leaseCatcher{make(chan *ownership.Lease, 1)}
+	manager := ownership.New(ownership.Options{
+		Self:       ownership.Session{Entry: "e", Zone: "z2", Region: theRegion},
+		Partitions: []ownership.PartitionSpec{{ID: thePartition, Zone: theZone, Region: theRegion}},
+		Timing:     ownership.DefaultTiming(), Table: table, Handler: catcher,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go manager.Run(ctx)
+	return <-catcher.leases, table, cancel
+}
+
+func (f *fleetOverHTTP) host(table *tableclient.Client) *recovery.Host {
+	return recovery.NewHost(recovery.HostOptions{
+		Table: table, Objects: f.client.Objects(), Workers: f.client.Workers(),
+		Places:    map[ident.Partition]recovery.Place{thePartition: {Zone: theZone}},
+		Scheduler: func(ident.Partition) executor.Scheduler { return newFIFO() },
+		Plan:      func(ident.Partition) model.Plan { return model.Plan{} },
+		Timing:    executor.DefaultTiming(),
+	})
+}
+
+// BenchmarkCapacityRecovery prints the time from the lease to the first answer
+// of the rebuilt partition, over HTTP on loopback, and its slope against size.
+func BenchmarkCapacityRecovery(b *testing.B) {
+	const smallest = 39
+	var first float64
+	for _, workers := range []int{smallest, 78, 156, 312, 624} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", workers, workers*12), func(b *testing.B) {
+			var total time.Duration
+			for range b.N {
+				total += recoveryTime(workers)
+			}
+			took := total.Seconds() / float64(b.N)
+			b.ReportMetric(took*1000, "recovery-ms")
+			if workers == smallest {
+				first = took
+				return
+			}
+			b.ReportMetric(math.Log(took/first)/math.Log(float64(workers)/smallest), "log-slope")
+		})
+	}
+}
+
+func recoveryTime(workers int) time.Duration {
+	f := newFleetOverHTTP(workers, 12)
+	defer f.close()
+	lease, table, end := f.acquire()
+	defer end()
+	host := f.host(table)
+	defer host.Close()
+	begun := time.Now()
+	host.Acquired(lease)
+	for {
+		if x, ok := host.Executor(thePartition); ok {
+			if all, err := x.Jobs(context.Background()); err == nil && len(all) == workers*12/6 {
+				return time.Since(begun)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// BenchmarkCapacityRenewals prints the bytes of renewals for each worker, and the processor time of both sides, which share this process.
+func BenchmarkCapacityRenewals(b *testing.B) {
+	for _, tasks := range []int{2, 6, 12} {
+		b.Run(fmt.Sprintf("workers=104/tasks-per-worker=%d", tasks), func(b *testing.B) {
+			for range b.N {
+				reportRenewals(b, 104, tasks)
+			}
+		})
+	}
+}
+
+func reportRenewals(b *testing.B, workers, tasks int) {
+	f := newFleetOverHTTP(workers, tasks)
+	defer f.close()
+	lease, table, end := f.acquire()
+	defer end()
+	host := f.host(table)
+	defer host.Close()
+	host.Acquired(lease)
+	time.Sleep(7 * time.Second)
+	bytes, cpu, begun := f.bytes.Load(), processorTime(), time.Now()
+	time.Sleep(10 * time.Second)
+	seconds := time.Since(begun).Seconds()
+	b.ReportMetric(float64(f.bytes.Load()-bytes)/seconds/float64(workers), "bytes/s/worker")
+	b.ReportMetric((processorTime()-cpu).Seconds()*1e6/seconds/float64(workers), "cpu-us/s/worker")
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
