--- a/control/config/sheet/check.go
+++ b/control/config/sheet/check.go
@@ -170,3 +170,16 @@
 		}
 	}
 }
+
+// KeepHomes gives shapes without a home partition the one they have in the
+// previous sheet, for a comparison without a check.
+func KeepHomes(s, previous *Sheet) *Sheet {
+	out := s.clone()
+	for i := range out.Shapes {
+		sh := &out.Shapes[i]
+		if old, ok := previous.Shape(sh.Workspace, sh.Name); ok && sh.Partition == "" {
+			sh.Partition = old.Partition
+		}
+	}
+	return out
+}
--- a/control/config/sheet/problem.go
+++ b/control/config/sheet/problem.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 )
 
@@ -64,3 +66,12 @@
 }
 
 func (e *listError) Error() string { return e.text }
+
+// ProblemsOf returns the problems that an error of this package lists.
+func ProblemsOf(err error) Problems {
+	var list *listError
+	if errors.As(err, &list) {
+		return list.list
+	}
+	return nil
+}
--- a/control/config/store.go
+++ b/control/config/store.go
@@ -179,6 +179,15 @@
 	return s.commit(ctx, next, delta, row.Version)
 }
 
+// CheckSeen returns an error of kind Conflict when another version is in force.
+func (s *Store) CheckSeen(ctx context.Context, seen ident.ConfigVersion) error {
+	current, err := s.Current(ctx)
+	if err != nil || current.Version == seen {
+		return err
+	}
+	return conflict(current, seen)
+}
+
 func conflict(current Record, seen ident.ConfigVersion) error {
 	return errkind.New(errkind.Conflict, "version %d of %s is in force, the change is based on version %d",
 		current.Version, current.Operator, seen)
