--- a/sched/trace/checker.go
+++ b/sched/trace/checker.go
@@ -15,6 +15,11 @@
 	// faultExcuse is how long a job that has failed, or any job after a fault
 	// of a worker, may wait for other reasons than a late decision.
 	faultExcuse = time.Minute
+	// failingExcuse is how long after its fault a failing worker still counts
+	// as missing for late claims: a policy that has quarantined the worker
+	// cannot know better before its next probe, and probes are up to half an
+	// hour apart.
+	failingExcuse = 30 * time.Minute
 )
 
 // shapeKey names a guaranteed shape.
@@ -122,14 +127,20 @@
 	}
 }
 
-// excused reports whether a worker is or was just missing or failing.
-func (c *checker) excused(at time.Duration) bool {
+// excusedUntil returns the end of the time in which a missing or failing worker
+// excuses late claims, and false outside of such a time.
+func (c *checker) excusedUntil(at time.Duration) (time.Duration, bool) {
+	end, excused := time.Duration(0), false
 	for _, fault := range c.trace.Faults {
-		if at >= fault.Window.From && at < fault.Window.To+faultExcuse {
-			return true
+		until := fault.Window.To + faultExcuse
+		if fault.Kind == FaultFailing {
+			until = fault.Window.To + failingExcuse
+		}
+		if at >= fault.Window.From && at < until {
+			end, excused = max(end, until), true
 		}
 	}
-	return false
+	return end, excused
 }
 
 // check looks for violations. It returns the time at which it has to be called
@@ -201,12 +212,12 @@
 	}
 	g.due = g.due[len(g.due)-able:]
 	g.late = min(g.late, able)
-	if c.excused(now) {
+	if until, excused := c.excusedUntil(now); excused {
 		for i := range g.due {
 			g.due[i] = now
 		}
 		g.late = 0
-		return now + claimBound, able > 0
+		return until, able > 0
 	}
 	for g.late < able && now+startDelay-g.due[g.late] > claimBound {
 		g.late++
@@ -227,9 +238,16 @@
 // maxNotes bounds the described violations.
 const maxNotes = 20
 
-// note describes a violation.
+// note describes a violation and the gangs that hold shapes at that time.
 func (c *checker) note(now time.Duration, what string) {
-	if len(c.events) < maxNotes {
-		c.events = append(c.events, now.String()+": "+what)
+	if len(c.events) >= maxNotes {
+		return
+	}
+	text := now.String() + ": " + what + "; held:"
+	for _, g := range c.order {
+		for _, job := range g.holders {
+			text += " " + g.shape.Name + "=" + string(job.Job.ID) + "@" + job.where()
+		}
 	}
+	c.events = append(c.events, text)
 }
--- a/sched/trace/run.go
+++ b/sched/trace/run.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,8 @@
 	// excusedUntil is the end of the time in which a wait after a fault is
 	// not a late claim.
 	excusedUntil time.Duration
+	// workerFailures counts the attempts that failed because of a worker.
+	workerFailures int
 	// pieces are the spans of run time that counted.
 	pieces []Window
 }
@@ -69,6 +72,15 @@
 	return false
 }
 
+// where lists the workers of the attempt, each as often as it has members.
+func (job *run) where() string {
+	names := make([]string, len(job.members))
+	for i, member := range job.members {
+		names[i] = string(member.Worker)
+	}
+	return strings.Join(names, ",")
+}
+
 // progress returns how long the tasks of the attempt have run at a time.
 func (job *run) progress(at time.Duration) time.Duration {
 	return max(at-job.startAt, 0)
@@ -162,8 +174,11 @@
 		return
 	}
 	worker := r.failingMember(job)
-	if worker == "" && job.FailsEverywhere {
+	switch {
+	case job.FailsEverywhere && worker == "":
 		worker = job.members[0].Worker
+	case worker != "" && !job.FailsEverywhere:
+		job.workerFailures++
 	}
 	if worker != "" {
 		r.finished(job, model.OutcomeFailed, worker)
