--- a/control/adminapi/api_test.go
+++ b/control/adminapi/api_test.go
@@ -285,6 +285,9 @@
 			code, h, _ = f.do("POST", "/v1/config/apply?seen=1", "ops", next)
 			So(code, ShouldEqual, 409)
 			So(h.Get(HeaderOutcome), ShouldEqual, "not_run")
+			// The conflict is the cause to report, whatever else is wrong.
+			code, _, _ = f.do("POST", "/v1/config/apply?seen=1", "ops", "broken")
+			So(code, ShouldEqual, 409)
 		})
 	})
 }
