--- a/control/telemetry/metrics.go
+++ b/control/telemetry/metrics.go
@@ -57,9 +57,9 @@
 		Tags:           map[string]string{"process": id.Process, "id": id.ID, "zone": id.Zone, "region": id.Region},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
-		// The scope's own cardinality gauges have names that the reporter
-		// rejects with a panic. Sanitising them would also turn the slashes of
-		// routes into underscores.
+		// The scope's own cardinality gauges have names that Prometheus
+		// refuses. Sanitising them would also turn the slashes of routes into
+		// underscores.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	m := &Metrics{
@@ -79,12 +79,9 @@
 		tagged := m.Scope.Tagged(map[string]string{"kind": k.String()})
 		m.refused[k] = tagged.Counter("refused_total")
 		m.retried[k] = tagged.Counter("retried_total")
-		m.refused[k].Inc(0)
-		m.retried[k].Inc(0)
 	}
 	for _, r := range model.Reasons() {
 		m.reasons[r] = m.Scope.Tagged(map[string]string{"reason": r.String()}).Counter("decision_total")
-		m.reasons[r].Inc(0)
 	}
 }
 
