Add the command line of lacewingpier

Operators and callers need one tool whose output scripts can read and whose exit codes say whether an operation took effect. lacewingctl covers jobs, requests, workspaces, workers, upstreams, sheets, status, settings and keys, prints aligned tables or JSON, and completes in bash and zsh from the same model that parses the arguments. load sends a seeded mix and counts lost, wrong and duplicated answers and false refusals; report writes one HTML page with SVG plots. The demo command is in demo.go, unchanged.

--- /dev/null
+++ b/cmd/internal/report/plots.go
@@ -0,0 +1,86 @@
+package report
+
+import (
+	"bytes"
+	"html/template"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/lacewingpier/lacewingpier/cmd/internal/load"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+)
+
+// Sizes of a plot.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barGroup   = 24
+	// maxBars bounds the groups of a bar plot that can still be read.
+	maxBars = 40
+)
+
+type series struct {
+	name   string
+	values []float64
+}
+
+// bars draws one group of bars for each name.
+func bars(title string, names []string, all []series) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	width := vg.Points(barGroup / float64(len(all)))
+	for i, s := range all {
+		chart, err := plotter.NewBarChart(plotter.Values(s.values), width)
+		if err != nil {
+			return "", errkind.Wrap(errkind.Internal, err, "plot "+title)
+		}
+		chart.Color = plotutil.Color(i)
+		chart.Offset = width * vg.Length(float64(i)-float64(len(all)-1)/2)
+		p.Add(chart)
+		p.Legend.Add(s.name, chart)
+	}
+	p.Legend.Top = true
+	p.Y.Min = 0
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = 0.4
+	p.X.Tick.Label.XAlign = -1
+	return svg(p)
+}
+
+// curve draws latency against percentile.
+func curve(title string, points []load.Point) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "percentile"
+	p.Y.Label.Text = "ms"
+	xys := make(plotter.XYs, len(points))
+	for i, point := range points {
+		xys[i].X, xys[i].Y = point.Percentile, point.Millis
+	}
+	if err := plotutil.AddLinePoints(p, xys); err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "plot "+title)
+	}
+	return svg(p)
+}
+
+// svg renders a plot as an element for the page.
+func svg(p *plot.Plot) (template.HTML, error) {
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "draw a plot")
+	}
+	var out bytes.Buffer
+	if _, err := writer.WriteTo(&out); err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "draw a plot")
+	}
+	raw := out.Bytes()
+	// The XML prologue is not allowed inside HTML.
+	if start := bytes.Index(raw, []byte("<svg")); start > 0 {
+		raw = raw[start:]
+	}
+	// The plot library escapes the texts in its output.
+	return template.HTML(raw), nil
+}
--- /dev/null
+++ b/cmd/lacewingctl/demo.go
@@ -0,0 +1,13 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/lacewingpier/lacewingpier/cmd/internal/demo"
+)
+
+type demoCommand struct{}
+
+// Run runs the demo and fails when a promise was broken.
+func (demoCommand) Run() error { return demo.Run(context.Background(), os.Stdout) }
--- a/cmd/lacewingctl/main.go
+++ b/cmd/lacewingctl/main.go
@@ -3,24 +3,105 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
-	"github.com/lacewingpier/lacewingpier/cmd/internal/demo"
+	"github.com/lacewingpier/lacewingpier/cmd/internal/client"
+	"github.com/lacewingpier/lacewingpier/cmd/internal/output"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 )
 
 type commands struct {
-	Demo demoCommand `cmd:"" help:"Run the whole system in one process against stand-ins and check its promises."`
+	Server  string        `help:"Base URL of an entry." env:"LACEWING_SERVER" default:"http://127.0.0.1:7000"`
+	KeyFile string        `help:"File with the bearer key; LACEWING_KEY may hold the key itself." env:"LACEWING_KEY_FILE" type:"path"`
+	CACert  string        `name:"ca-cert" help:"PEM file with the server's certificate authority." env:"LACEWING_CA_CERT" type:"path"`
+	Output  output.Format `help:"Print as table or json." enum:"table,json" default:"table" short:"o"`
+
+	Submit    submitCommand    `cmd:"" help:"Submit a job."`
+	Job       jobCommands      `cmd:"" help:"List, show, explain, cancel or wait for jobs."`
+	Request   requestCommand   `cmd:"" help:"Send one request to a service."`
+	Workspace workspaceCommand `cmd:"" help:"Show workspaces and their guarantees."`
+	Worker    workerCommands   `cmd:"" help:"List, quarantine or release workers."`
+	Upstream  upstreamCommands `cmd:"" help:"List or drain upstreams."`
+	Sheet     sheetCommands    `cmd:"" help:"Check, compare, apply or list configuration sheets."`
+	Status    statusCommand    `cmd:"" help:"Show processes, partitions and the version in force."`
+	Settings  settingsCommands `cmd:"" help:"Check settings files."`
+	Key       keyCommands      `cmd:"" help:"Create bearer keys."`
+	Load      loadCommand      `cmd:"" help:"Send a seeded mix of requests and jobs and check every answer."`
+	Report    reportCommand    `cmd:"" help:"Write a self-contained HTML report."`
+	Demo      demoCommand      `cmd:"" help:"Run the whole system in one process against stand-ins and check its promises."`
+
+	Completion completionCommand `cmd:"" help:"Print a shell completion script."`
 }
 
-type demoCommand struct{}
+// session is what a command needs to run.
+type session struct {
+	ctx     context.Context
+	global  *commands
+	printer output.Printer
+	stderr  io.Writer
+	model   *kong.Application
+}
 
-// Run runs the demo and fails when a promise was broken.
-func (demoCommand) Run() error { return demo.Run(context.Background(), os.Stdout) }
+// client returns a client with the key that the flags and environment name.
+func (s *session) client(connections int) (*client.Client, error) {
+	key := os.Getenv("LACEWING_KEY")
+	if s.global.KeyFile != "" {
+		raw, err := os.ReadFile(s.global.KeyFile)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.InvalidArgument, err, "read the key file")
+		}
+		key = strings.TrimSpace(string(raw))
+	}
+	return client.New(client.Settings{Server: s.global.Server, Key: key, CACert: s.global.CACert, Connections: connections})
+}
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run parses the arguments, runs the command and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var c commands
-	parsed := kong.Parse(&c, kong.Name("lacewingctl"), kong.Description("Command line of lacewingpier."))
-	parsed.FatalIfErrorf(parsed.Run())
+	exited := -1
+	parser, err := kong.New(&c, kong.Name("lacewingctl"), kong.Description("Command line of lacewingpier."),
+		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		printError(stderr, err)
+		return client.ExitFailure
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		printError(stderr, err)
+		return client.ExitUsage
+	}
+	s := &session{ctx: ctx, global: &c, printer: output.Printer{Out: stdout, Format: c.Output}, stderr: stderr, model: parser.Model}
+	if err := parsed.Run(s); err != nil {
+		printError(stderr, err)
+		return client.ExitCode(err)
+	}
+	return client.ExitOK
+}
+
+func printError(w io.Writer, err error) {
+	lines := []string{"lacewingctl: " + err.Error()}
+	if problems := client.ProblemsOf(err); len(problems) > 0 {
+		lines = []string{fmt.Sprintf("lacewingctl: the sheet was refused with %d problems:", len(problems))}
+		for _, p := range problems {
+			lines = append(lines, "  "+p.String())
+		}
+	}
+	// There is nothing left to do when the terminal is gone.
+	_, _ = fmt.Fprintln(w, strings.Join(lines, "\n"))
 }
