--- a/cmd/internal/load/load.go
+++ b/cmd/internal/load/load.go
@@ -289,7 +289,9 @@
 }
 
 func (r *runner) summarise() {
-	millis := func(p float64) float64 { return float64(r.hist.ValueAtQuantile(p)) / float64(time.Millisecond/time.Microsecond) }
+	millis := func(p float64) float64 {
+		return float64(r.hist.ValueAtQuantile(p)) / float64(time.Millisecond/time.Microsecond)
+	}
 	r.result.Latency = Latency{P50: millis(50), P90: millis(90), P99: millis(99), Max: millis(percent)}
 	for _, p := range []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99} {
 		r.result.Latency.Curve = append(r.result.Latency.Curve, Point{p, millis(p)})
--- a/control/rpc/status.go
+++ b/control/rpc/status.go
@@ -1,3 +1,5 @@
+// Package rpc holds the messages between the processes and the conversion of
+// errors to gRPC statuses.
 package rpc
 
 import (
