Quarantine a worker that repeatedly fails the same few jobs

Change: the last three results of a worker quarantine it also when they are failures of one or two jobs that have failed on no other worker. A test holds that a job that fails everywhere causes at most one such quarantine.

--- a/sched/health/health_test.go
+++ b/sched/health/health_test.go
@@ -90,10 +90,25 @@
 		for range 16 {
 			So(tr.JobFailsEverywhere("j"), ShouldBeFalse)
 			tr.Failed(start, "w0", "j")
+			tr.Succeeded(start, "w0", "other")
 		}
 		So(tr.JobFailsEverywhere("j"), ShouldBeTrue)
 		So(tr.Quarantined(start, "w0"), ShouldBeFalse)
 	})
+	Convey("A job that is retried on one worker only has it quarantined, but no second one", t, func() {
+		tr := withWorkers(10)
+		for range 3 {
+			So(tr.Quarantined(start, "w0"), ShouldBeFalse)
+			tr.Failed(start, "w0", "j")
+		}
+		So(tr.Quarantined(start, "w0"), ShouldBeTrue)
+		for range 3 {
+			tr.Failed(start, "w1", "j")
+			tr.Failed(start, "w2", "j")
+		}
+		So(tr.Quarantined(start, "w1"), ShouldBeFalse)
+		So(tr.Quarantined(start, "w2"), ShouldBeFalse)
+	})
 	Convey("A success elsewhere excuses the job", t, func() {
 		tr := withWorkers(10)
 		tr.Failed(start, "w0", "j")
--- a/sched/health/score.go
+++ b/sched/health/score.go
@@ -153,11 +153,28 @@
 }
 
 // bad reports whether a worker's results quarantine it: several different jobs
-// failed in a row, or more failed than succeeded.
+// failed in a row, more failed than succeeded, or the newest results are
+// failures of jobs that have failed nowhere else. Such a job may be the cause,
+// but the quarantine makes its next attempt tell, and a job causes it on one
+// worker only.
 func (t *Tracker) bad(w *workerState) bool {
 	failures, successes, inARow := t.score(w)
 	limit := t.config.WorkerFailures
-	return inARow >= limit || failures >= limit && failures > successes
+	return inARow >= limit || failures >= limit && failures > successes || t.failedOnlyHere(w) >= limit
+}
+
+// failedOnlyHere counts the newest results of a worker that are failures of
+// jobs without failures on other workers.
+func (t *Tracker) failedOnlyHere(w *workerState) int {
+	count := 0
+	for i := len(w.recent) - 1; i >= 0; i-- {
+		j, ok := t.jobs[w.recent[i].job]
+		if !ok || w.recent[i].ok || slices.ContainsFunc(j.failures, func(f jobFailure) bool { return f.worker != w.id }) {
+			break
+		}
+		count++
+	}
+	return count
 }
 
 // failedBefore reports whether the results hold a failure of the job.
