Let any surplus gang of a shape be the one outside the guarantee

Cause: when more gangs ran under a shape's name than its guarantee covers, the checker took the earliest ones as holders. A policy may hold the shape with a later one, and the guarantee is kept if any choice can be met. Change: the checker tries each choice of holders among the running gangs.

--- a/sched/trace/checker.go
+++ b/sched/trace/checker.go
@@ -1,7 +1,6 @@
 package trace
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -178,18 +177,7 @@
 	for i, w := range cluster.workers {
 		free[i] = w.Capacity.Accelerators
 	}
-	counts := make([]int, len(c.packer.layouts))
-	for _, g := range c.order {
-		slices.SortFunc(g.holders, func(a, b *run) int { return cmp.Compare(a.startAt, b.startAt) })
-		held := g.holders[:min(len(g.holders), g.shape.Count)]
-		for _, job := range held {
-			for _, member := range job.members {
-				free[cluster.index[member.Worker]] -= len(member.Accelerators)
-			}
-		}
-		counts[g.kind] += g.shape.Count - len(held)
-	}
-	possible := c.packer.fits(free, counts)
+	possible := c.possible(cluster, free, make([]int, len(c.packer.layouts)), 0)
 	if !possible && !c.unmet {
 		c.unmetCount++
 		c.note(now, "the guaranteed shapes cannot all be met")
@@ -197,6 +185,44 @@
 	c.unmet = !possible
 }
 
+// possible reports whether the shapes from the given one on can be met besides
+// those in counts. When more gangs run under a shape's name than the guarantee
+// covers, any of them may be the ones that hold it.
+func (c *checker) possible(cluster *machines, free, counts []int, from int) bool {
+	if from == len(c.order) {
+		return c.packer.fits(free, counts)
+	}
+	g := c.order[from]
+	held := min(len(g.holders), g.shape.Count)
+	counts[g.kind] += g.shape.Count - held
+	found := c.choose(cluster, free, counts, from, g.holders, held)
+	counts[g.kind] -= g.shape.Count - held
+	return found
+}
+
+// choose tries the ways to take left of the gangs as holders.
+func (c *checker) choose(cluster *machines, free, counts []int, from int, gangs []*run, left int) bool {
+	if left == 0 {
+		return c.possible(cluster, free, counts, from+1)
+	}
+	for i := 0; i+left <= len(gangs); i++ {
+		gangs[i].occupy(cluster, free, 1)
+		found := c.choose(cluster, free, counts, from, gangs[i+1:], left-1)
+		gangs[i].occupy(cluster, free, -1)
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+// occupy takes the accelerators of a running job out of free, or returns them.
+func (job *run) occupy(cluster *machines, free []int, sign int) {
+	for _, member := range job.members {
+		free[cluster.index[member.Worker]] -= sign * len(member.Accelerators)
+	}
+}
+
 // checkClaims counts a violation for each claim that could have started and
 // did not. It returns the time of the next claim that becomes late.
 func (c *checker) checkClaims(now time.Duration, g *guarantee) (time.Duration, bool) {
--- a/sched/trace/replay_test.go
+++ b/sched/trace/replay_test.go
@@ -153,6 +153,9 @@
 			0: {start("o", 1, "w0", full...)}}, 1, 0},
 		{"other work on the shape can be stopped", []Arrival{other}, map[time.Duration][]model.Action{
 			0: {start("x", 1, "w0", full...)}}, 0, 0},
+		{"one of two gangs can be stopped", []Arrival{one, arrival("o2", 4, "one")}, map[time.Duration][]model.Action{
+			0:           {start("o", 1, "w0", full...)},
+			time.Second: {start("o2", 1, "w2", full...)}}, 1, 0},
 		{"a claim never starts", []Arrival{one}, nil, 0, 1},
 		{"a claim starts late", []Arrival{one}, map[time.Duration][]model.Action{
 			16 * time.Second: {start("o", 1, "w2", full...)}}, 0, 1},
