Reserve racks for large gangs and backfill around them

Cause: small jobs took every freed accelerator, so whole-rack gangs starved. Change: the largest waiting gang of a workspace within its share keeps racks; others start there only if they end before it. The queue heads of a decision are kept instead of searched for each start.

--- a/sched/sched/bench_test.go
+++ b/sched/sched/bench_test.go
@@ -17,6 +17,7 @@
 const (
 	benchTasksPerWorker = 12
 	benchDecisions      = 4000
+	benchBacklog        = 500
 	benchRack           = 16
 	benchWorkspaces     = 610
 )
@@ -49,9 +50,9 @@
 	return b
 }
 
-// fill starts jobs until the given number of tasks runs.
+// fill submits jobs until the given number of tasks runs and a backlog waits.
 func (b *standing) fill(tasks int) {
-	for b.tasks < tasks {
+	for b.tasks < tasks || b.s.queuedCount() < benchBacklog {
 		b.submit(false)
 		b.schedule()
 	}
@@ -66,6 +67,9 @@
 		PerTask: model.Resources{Accelerators: 1, Cores: 3, MemoryMB: 6000}, Locality: model.Locality(b.rng.IntN(2)),
 		RunTime: time.Duration(1+b.rng.IntN(240)) * time.Minute, Checkpointable: b.rng.IntN(2) == 0,
 	}
+	if b.rng.IntN(5) == 0 {
+		spec.PerTask.Accelerators = 2
+	}
 	if claim {
 		spec.Shape, spec.Tasks, spec.Locality = "gang", 4, model.LocalityRack
 		spec.PerTask = model.Resources{Accelerators: 4, Cores: 12, MemoryMB: 24000}
@@ -121,7 +125,7 @@
 		victims = nil
 		claim := b.rng.IntN(20) == 0
 		measure(func() { b.submit(claim) })
-		if b.tasks > target {
+		if b.tasks > target || b.s.queuedCount() > benchBacklog {
 			id := b.running[b.rng.IntN(len(b.running))]
 			if b.s.jobs[id].state == StateRunning {
 				measure(func() { b.finish(id, model.OutcomeSucceeded) })
--- a/sched/sched/capacity.go
+++ b/sched/sched/capacity.go
@@ -107,6 +107,8 @@
 // occupy turns wanted places into used ones.
 func (s *Scheduler) occupy(j *job) {
 	s.unwant(j, j.places)
+	s.gangs++
+	s.gangAccelerators += j.accelerators()
 	eachWorker(j.places, func(n int, mask uint64, tasks int) {
 		w := s.workers[n]
 		w.occupied |= mask
@@ -121,6 +123,8 @@
 func (s *Scheduler) vacate(j *job) {
 	places := j.places
 	j.places = nil
+	s.gangs--
+	s.gangAccelerators -= j.accelerators()
 	eachWorker(places, func(n int, mask uint64, tasks int) {
 		w := s.workers[n]
 		w.occupied &^= mask
--- a/sched/sched/claim.go
+++ b/sched/sched/claim.go
@@ -12,6 +12,9 @@
 // claimShapes gives idle slots to the jobs that claim them.
 func (s *Scheduler) claimShapes() {
 	for _, ws := range s.order {
+		if ws.claiming == 0 {
+			continue
+		}
 		for _, shape := range ws.plan.Shapes {
 			s.claimShape(ws, shape.Name)
 		}
--- a/sched/sched/explain.go
+++ b/sched/sched/explain.go
@@ -75,7 +75,12 @@
 }
 
 // whyHeldBack explains why a job for which there is room has not started.
-func (s *Scheduler) whyHeldBack(_ *job) (model.Reason, []string) {
+func (s *Scheduler) whyHeldBack(j *job) (model.Reason, []string) {
+	q := j.query()
+	q.Avoid = s.avoid(j)
+	if len(q.Avoid) > 0 && s.free.Find(q) == nil {
+		return model.ReasonWaitReservation, []string{string(s.reservation.job.spec.ID)}
+	}
 	return model.ReasonWaitCapacity, nil
 }
 
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -108,6 +108,8 @@
 	weight int
 	plan   model.WorkspacePlan
 	queued int
+	// claiming counts the queued jobs that name a shape.
+	claiming int
 	// usage is what the workspace runs beyond its guarantees.
 	usage   model.Resources
 	share   float64
--- a/sched/sched/queue.go
+++ b/sched/sched/queue.go
@@ -157,6 +157,7 @@
 	if j.ws.claims[j.spec.Shape] == nil {
 		j.ws.claims[j.spec.Shape] = &jobQueue{ws: j.ws}
 	}
+	j.ws.claiming++
 	j.ws.claims[j.spec.Shape].add(j)
 }
 
@@ -177,6 +178,7 @@
 	j.class = nil
 	j.ws.queued--
 	if j.spec.Shape != "" {
+		j.ws.claiming--
 		j.ws.claims[j.spec.Shape].remove(j)
 	}
 }
--- a/sched/sched/sched.go
+++ b/sched/sched/sched.go
@@ -76,6 +76,12 @@
 	// restored lists the attempts of a snapshot until the first decision.
 	restored []*job
 	suspects []int
+	// reservation is for the largest waiting gang, or nil.
+	reservation *reservation
+	// gangs counts the attempts that hold capacity, gangAccelerators what they
+	// were started with.
+	gangs            int
+	gangAccelerators int
 	// generation counts the events that may let a blocked class start.
 	generation uint64
 	counts     map[model.Reason]int
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -18,7 +18,10 @@
 	s.wakeDelayed()
 	s.startReady()
 	s.claimShapes()
+	s.keepReservation()
 	s.fill()
+	s.serveBlocked()
+	s.startReady()
 	out := s.outbox
 	s.outbox = nil
 	return out
@@ -59,37 +62,66 @@
 	s.judgeSuspects()
 }
 
+// head is the next job of a class.
+type head struct {
+	class *class
+	job   *job
+}
+
 // fill starts waiting jobs on idle capacity in the order of their shares.
 func (s *Scheduler) fill() {
+	heads := s.unblocked()
 	for {
-		j := s.next()
-		if j == nil {
+		best := first(heads)
+		if best == nil {
 			return
 		}
+		j := best.job
 		if !s.tryStart(j) {
-			j.class.blocked = s.generation
+			best.class.blocked = s.generation
+			best.job = nil
+			continue
 		}
+		refreshHeads(heads, j.ws)
 	}
 }
 
-// next returns the job that is served next among the classes that may start.
-func (s *Scheduler) next() *job {
-	var best *job
+// unblocked returns the heads of the classes that may start.
+func (s *Scheduler) unblocked() []head {
+	var heads []head
 	for _, c := range s.classes {
-		if c.blocked == s.generation {
-			continue
+		if c.blocked != s.generation {
+			heads = append(heads, head{c, c.best()})
 		}
-		if j := c.best(); best == nil || before(j, best) {
-			best = j
+	}
+	return heads
+}
+
+func first(heads []head) *head {
+	var best *head
+	for i := range heads {
+		if h := &heads[i]; h.job != nil && (best == nil || before(h.job, best.job)) {
+			best = h
 		}
 	}
 	return best
 }
 
+// refreshHeads replaces the heads of a workspace whose share has grown. Those of
+// other workspaces still precede its jobs.
+func refreshHeads(heads []head, ws *workspace) {
+	for i := range heads {
+		if h := &heads[i]; h.job != nil && h.job.ws == ws {
+			h.job = h.class.best()
+		}
+	}
+}
+
 // tryStart starts a job where no guarantee is idle, or else on capacity that an
 // idle guarantee lends.
 func (s *Scheduler) tryStart(j *job) bool {
 	q := j.query()
+	q.Avoid = s.avoid(j)
 	spots := s.open.Find(q)
 	if spots == nil {
 		spots = s.free.Find(q)
--- a/sched/topology/query.go
+++ b/sched/topology/query.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -266,3 +267,34 @@
 	}
 	return spots
 }
+
+// Roomiest returns up to limit racks that hold the most tasks of the given size
+// now, roomiest first.
+func (x *Index) Roomiest(perTask model.Resources, limit int) []int {
+	n := min(perTask.Accelerators, x.width-1)
+	var found []int
+	for floor := x.node(1)[n].fit; len(found) < limit; floor /= 2 {
+		found = x.atLeast(1, n, floor, limit, found)
+		if floor == 0 {
+			break
+		}
+	}
+	slices.SortStableFunc(found, func(a, b int) int {
+		return cmp.Compare(x.RackFits(b, perTask), x.RackFits(a, perTask))
+	})
+	return found
+}
+
+// atLeast adds racks with at least floor tasks to found, up to limit.
+func (x *Index) atLeast(node, n int, floor int32, limit int, found []int) []int {
+	if len(found) >= limit || x.nodes[node*x.width+n].fit < floor {
+		return found
+	}
+	if node < x.leaves {
+		return x.atLeast(2*node+1, n, floor, limit, x.atLeast(2*node, n, floor, limit, found))
+	}
+	if rack := node - x.leaves; rack < len(x.racks) && !slices.Contains(found, rack) {
+		found = append(found, rack)
+	}
+	return found
+}
