Adopt running gangs of a shape when its slot becomes idle

Cause: a gang that started while its shape was in use kept running outside the guarantee after the holder had ended, and its place blocked other shapes. Change: Book.Annex gives the idle slot the place of that gang and moves idle slots out of the way; it changes nothing when they do not fit.

--- a/sched/sched/finish.go
+++ b/sched/sched/finish.go
@@ -76,15 +76,17 @@
 	s.book.Repair(-1)
 }
 
-// adopt gives an idle slot to a gang of the same shape that runs outside the
-// guarantee, if the slot can take over the gang's place.
+// adopt gives an idle slot to the gang of the same shape that has run longest
+// outside the guarantee, if the witness can be rearranged around its place.
 func (s *Scheduler) adopt(slot *witness.Slot) {
 	ws := s.workspaces[slot.Key.Workspace]
 	for _, j := range ws.borrowed {
-		if j.state == StateRunning && j.spec.Shape == slot.Key.Shape && s.book.Adopt(slot, j.places) {
+		if j.state != StateRunning || j.spec.Shape != slot.Key.Shape || !accepts(slot.Shape, j.spec) {
+			continue
+		}
+		if s.book.Annex(slot, j.places, j.spec.ID) {
 			s.uncharge(j)
 			j.slot = slot
-			s.book.Hold(slot, j.spec.ID)
 			return
 		}
 	}
--- a/sched/witness/book.go
+++ b/sched/witness/book.go
@@ -242,6 +242,45 @@
 	return false
 }
 
+// Annex gives an idle slot to a job that runs at the given places. Idle slots in
+// the way move elsewhere. It changes nothing and returns false when they cannot
+// or when a held slot is in the way.
+func (b *Book) Annex(s *Slot, places []Place, job ident.Job) bool {
+	var idle []*Slot
+	for _, o := range b.slots {
+		if o.Holder == "" && !o.Short() && o != s {
+			idle = append(idle, o)
+		}
+	}
+	old := append(b.liftAll(idle), saved{s, b.lift(s)})
+	if b.vacant(s, places) {
+		b.putPlaces(s, places)
+		b.Hold(s, job)
+		if b.settle(idle, old) {
+			return true
+		}
+		b.lift(s)
+		s.Holder = ""
+	}
+	b.restore(old)
+	return false
+}
+
+// settle places lifted slots, where they were if possible.
+func (b *Book) settle(set []*Slot, old []saved) bool {
+	for i, s := range set {
+		if b.vacant(s, old[i].places) {
+			b.putPlaces(s, old[i].places)
+		}
+	}
+	for _, s := range set {
+		if s.Short() && !b.place(s) {
+			return b.fitAll(set, nil)
+		}
+	}
+	return true
+}
+
 // vacant reports whether no slot owns a part of the places.
 func (b *Book) vacant(s *Slot, places []Place) bool {
 	need := make(map[int]model.Resources, len(places))
