Choose cheaper places for claims and move idle slots off large gangs

Cause: claims of small shapes stopped whole-rack gangs that had borrowed their place, once for each claim. Change: the cost of stopping a gang includes the wait to gather its accelerators again; a claim moves its slot to where the occupants cost least; a large gang that starts on lent capacity moves the idle slots elsewhere if all have a place.

--- a/sched/sched/capacity.go
+++ b/sched/sched/capacity.go
@@ -206,7 +206,7 @@
 func (s *Scheduler) cheapest(w *worker) []*job {
 	gangs := slices.Clone(w.gangs)
 	slices.SortStableFunc(gangs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.state, a.state), cmp.Compare(a.loss(s.now), b.loss(s.now)), cmp.Compare(a.seq, b.seq))
+		return cmp.Or(cmp.Compare(b.state, a.state), cmp.Compare(a.stopCost(s.now), b.stopCost(s.now)), cmp.Compare(a.seq, b.seq))
 	})
 	return gangs
 }
--- a/sched/sched/claim.go
+++ b/sched/sched/claim.go
@@ -54,8 +54,8 @@
 			return slot
 		}
 	}
-	if best != nil {
-		s.moveToVacant(best)
+	if best != nil && !s.moveToVacant(best) {
+		s.moveToCheaper(best, lowest)
 	}
 	return best
 }
@@ -70,14 +70,40 @@
 	return slices.ContainsFunc(slot.Places, func(p witness.Place) bool { return s.free.Closed(p.Worker) })
 }
 
-func (s *Scheduler) moveToVacant(slot *witness.Slot) {
-	q := topology.Query{Tasks: slot.Shape.Tasks, PerTask: slot.Shape.PerTask, Locality: slot.Shape.Locality}
-	spots := s.open.Find(q)
-	if spots == nil {
-		return
+func (s *Scheduler) moveToVacant(slot *witness.Slot) bool {
+	spots := s.open.Find(topology.Query{Tasks: slot.Shape.Tasks, PerTask: slot.Shape.PerTask, Locality: slot.Shape.Locality})
+	return spots != nil && s.book.Adopt(slot, s.assign(shaped(slot), spots))
+}
+
+// shaped returns a gang of the slot's layout.
+func shaped(slot *witness.Slot) *job {
+	return &job{spec: model.Job{Tasks: slot.Shape.Tasks, PerTask: slot.Shape.PerTask, Locality: slot.Shape.Locality}}
+}
+
+// claimRacks bounds how many racks are searched for a cheaper place of a slot.
+const claimRacks = 8
+
+// moveToCheaper moves an idle slot to where stopping the occupants costs less
+// than lowest, outside of all other slots.
+func (s *Scheduler) moveToCheaper(slot *witness.Slot, lowest float64) {
+	racks := s.book.Unowned().Roomiest(slot.Shape.PerTask, claimRacks)
+	r := s.newRoom(shaped(slot), racks)
+	r.banned = make(map[int]uint64, len(r.list))
+	for _, n := range r.list {
+		r.banned[n] = s.book.Owned(n) &^ maskOn(slot.Places, n)
+		r.mask[n] &^= r.banned[n]
+		others := topology.Sub(s.book.IdleReserve(n), topology.Scale(slot.Shape.PerTask, tasksOn(slot.Places, n)))
+		r.free[n] = topology.Sub(r.free[n], others)
+	}
+	var best *eviction
+	for _, part := range r.scopes() {
+		if e := s.evictFrom(part, func(*job) bool { return true }); e != nil && e.loss < lowest {
+			best, lowest = e, e.loss
+		}
+	}
+	if best != nil {
+		s.book.Adopt(slot, best.places)
 	}
-	shaped := &job{spec: model.Job{Tasks: slot.Shape.Tasks, PerTask: slot.Shape.PerTask}}
-	s.book.Adopt(slot, s.assign(shaped, spots))
 }
 
 // reclaimCost returns the work that is lost when the occupants of a slot stop.
@@ -105,7 +131,7 @@
 		}
 		if j.slot == nil {
 			left -= onesCount(maskOn(j.places, spot.Worker))
-			cost += j.loss(s.now)
+			cost += j.stopCost(s.now)
 		}
 	}
 	return cost
--- a/sched/sched/evict.go
+++ b/sched/sched/evict.go
@@ -17,6 +17,8 @@
 	list []int
 	free map[int]model.Resources
 	mask map[int]uint64
+	// banned are accelerators that must not be used.
+	banned map[int]uint64
 }
 
 // newRoom returns what is free on the open workers of the racks. Capacity that
@@ -46,7 +48,7 @@
 		}
 		r.free[p.Worker] = topology.Add(free, topology.Scale(g.spec.PerTask, sign))
 		if sign > 0 {
-			r.mask[p.Worker] |= p.Mask
+			r.mask[p.Worker] |= p.Mask &^ r.banned[p.Worker]
 		} else {
 			r.mask[p.Worker] &^= p.Mask
 		}
@@ -110,22 +112,45 @@
 // evict returns the eviction in the given racks that stops the cheapest
 // eligible gangs, or nil. Gangs inside guarantees are never eligible.
 func (s *Scheduler) evict(j *job, racks []int, eligible func(*job) bool) *eviction {
-	if j.spec.Locality != model.LocalityWorker && j.spec.Tasks > 1 {
-		return s.evictFrom(s.newRoom(j, racks), eligible)
-	}
 	var best *eviction
-	for _, n := range s.newRoom(j, racks).list {
-		one := s.newRoom(j, nil)
-		one.list = []int{n}
-		one.free[n], one.mask[n] = s.workers[n].available(), s.workers[n].freeMask()
-		if e := s.evictFrom(one, eligible); e != nil && (best == nil || e.loss < best.loss) {
+	for _, r := range s.newRoom(j, racks).scopes() {
+		if e := s.evictFrom(r, eligible); e != nil && (best == nil || e.loss < best.loss) {
 			best = e
 		}
 	}
 	return best
 }
 
-func (s *Scheduler) evictFrom(r *room, eligible func(*job) bool) *eviction {
+// scopes splits a room into the parts that can hold a gang of its locality.
+func (r *room) scopes() []*room {
+	if r.j.spec.Locality == model.LocalityPartition && r.j.spec.Tasks > 1 {
+		return []*room{r}
+	}
+	var parts []*room
+	for _, n := range r.list {
+		rack := r.s.all.RackOf(n)
+		last := len(parts) - 1
+		if r.j.spec.Locality == model.LocalityRack && r.j.spec.Tasks > 1 && last >= 0 && r.s.all.RackOf(parts[last].list[0]) == rack {
+			parts[last].list = append(parts[last].list, n)
+			continue
+		}
+		parts = append(parts, &room{s: r.s, j: r.j, list: []int{n}, free: r.free, mask: r.mask, banned: r.banned})
+	}
+	return parts
+}
+
+// own returns a copy of the part whose capacity can be changed.
+func (r *room) own() *room {
+	c := *r
+	c.free, c.mask = make(map[int]model.Resources, len(r.list)), make(map[int]uint64, len(r.list))
+	for _, n := range r.list {
+		c.free[n], c.mask[n] = r.free[n], r.mask[n]
+	}
+	return &c
+}
+
+func (s *Scheduler) evictFrom(shared *room, eligible func(*job) bool) *eviction {
+	r := shared.own()
 	candidates := s.candidates(r.list, eligible)
 	var victims []*job
 	for !r.fits() {
@@ -144,7 +169,7 @@
 		}
 		r.remove(victims[i], 1)
 		e.victims = append(e.victims, victims[i])
-		e.loss += victims[i].loss(s.now)
+		e.loss += victims[i].stopCost(s.now)
 	}
 	e.places = r.choose()
 	return e
@@ -164,7 +189,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.loss(s.now)/a.weight(), b.loss(s.now)/b.weight()), cmp.Compare(b.seq, a.seq))
+		return cmp.Or(cmp.Compare(a.stopCost(s.now)/a.weight(), b.stopCost(s.now)/b.weight()), cmp.Compare(b.seq, a.seq))
 	})
 	return list
 }
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -91,6 +91,16 @@
 	return max(since.Seconds(), 0) * j.weight()
 }
 
+// restartWait is the expected wait of a stopped gang for each of its
+// accelerators: the larger the gang, the longer it takes to gather them again.
+const restartWait = 5 * time.Second
+
+// stopCost is the lost work of stopping the job plus the accelerator-seconds
+// that it waits to run again.
+func (j *job) stopCost(now time.Time) float64 {
+	return j.loss(now) + restartWait.Seconds()*j.weight()*j.weight()
+}
+
 func (j *job) lastSaved() time.Time {
 	if j.checkpoint.After(j.started) {
 		return j.checkpoint
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -21,7 +21,8 @@
 	s.keepReservation()
 	s.fill()
 	s.serveBlocked()
-	s.startReady()
+	// A started gang may have moved idle slots to workers that are open.
+	s.claimShapes()
 	out := s.outbox
 	s.outbox = nil
 	return out
@@ -53,6 +54,9 @@
 		j.charged = true
 		s.charge(j, 1)
 		j.ws.borrowed = append(j.ws.borrowed, j)
+		if float64(j.accelerators()) > reservationRatio*s.meanGang() {
+			s.book.Yield(j.places, j.spec.PerTask)
+		}
 	}
 	s.outbox = append(s.outbox, model.Action{
 		Kind: model.ActionStart, Job: j.spec.ID, Attempt: j.attempt,
--- a/sched/witness/book.go
+++ b/sched/witness/book.go
@@ -266,6 +266,21 @@
 	return false
 }
 
+// Yield moves idle slots away from the places of a gang if all of them have
+// other places, so that a claim is less likely to stop the gang.
+func (b *Book) Yield(places []Place, perTask model.Resources) {
+	overlaps := slices.ContainsFunc(places, func(p Place) bool { return b.owned[p.Worker]&p.Mask != 0 })
+	if !overlaps {
+		return
+	}
+	phantom := &Slot{Shape: model.Shape{Tasks: len(places), PerTask: perTask}}
+	b.short++
+	if b.Annex(phantom, places, "phantom") {
+		b.lift(phantom)
+	}
+	b.short--
+}
+
 // settle places lifted slots, where they were if possible.
 func (b *Book) settle(set []*Slot, old []saved) bool {
 	for i, s := range set {
