--- a/sched/sched/capacity.go
+++ b/sched/sched/capacity.go
@@ -107,6 +107,8 @@
 // occupy turns wanted places into used ones.
 func (s *Scheduler) occupy(j *job) {
 	s.unwant(j, j.places)
+	s.gangs++
+	s.gangAccelerators += j.accelerators()
 	eachWorker(j.places, func(n int, mask uint64, tasks int) {
 		w := s.workers[n]
 		w.occupied |= mask
@@ -121,6 +123,8 @@
 func (s *Scheduler) vacate(j *job) {
 	places := j.places
 	j.places = nil
+	s.gangs--
+	s.gangAccelerators -= j.accelerators()
 	eachWorker(places, func(n int, mask uint64, tasks int) {
 		w := s.workers[n]
 		w.occupied &^= mask
@@ -202,7 +206,7 @@
 func (s *Scheduler) cheapest(w *worker) []*job {
 	gangs := slices.Clone(w.gangs)
 	slices.SortStableFunc(gangs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.state, a.state), cmp.Compare(a.loss(s.now), b.loss(s.now)), cmp.Compare(a.seq, b.seq))
+		return cmp.Or(cmp.Compare(b.state, a.state), cmp.Compare(a.stopCost(s.now), b.stopCost(s.now)), cmp.Compare(a.seq, b.seq))
 	})
 	return gangs
 }
