--- a/control/internal/rig/system.go
+++ b/control/internal/rig/system.go
@@ -74,6 +74,7 @@
 	Ledger *Ledger
 
 	size   Size
+	fleet  *standin.Fleet
 	logger *log.Logger
 	client *http.Client
 	cancel context.CancelFunc
@@ -91,6 +92,7 @@
 		Store:  standin.NewStore(),
 		Ledger: NewLedger(),
 		size:   size,
+		fleet:  standin.NewFleet(),
 		logger: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		client: &http.Client{Timeout: time.Second},
 		cancel: cancel,
@@ -200,10 +202,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	network, done := NewNetwork(), make(chan struct{})
 	g := &gate{table: s.Store.Table(string(e.Settings.ID)), objects: s.Store.Objects(string(e.Settings.ID))}
-	process := entry.New(e.Settings, network, s.logger)
+	services := entry.Platform{Table: g, Objects: gateObjects{g}, Workers: s.fleet.Client(string(e.Settings.ID))}
+	process := entry.New(e.Settings, network, services, s.logger)
 	scope := tally.NewTestScope("", nil)
 	process.SetScope(scope)
-	process.SetStore(g, gateObjects{g})
 	s.mu.Lock()
 	e.Entry, e.Scope, e.network, e.gate, e.cancel, e.done = process, scope, network, g, cancel, done
 	s.mu.Unlock()
