Close the connections to targets when an entry ends

A draining entry left its connections to agents open, and an agent its idle connections to the upstream; the session test in a synctest bubble reported the goroutines that remained.

--- a/control/agent/agent.go
+++ b/control/agent/agent.go
@@ -160,6 +160,9 @@
 	}
 	_ = a.announce.Close()
 	a.checks.CloseIdleConnections()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.http.CloseIdleConnections()
 }
 
 // close refuses new dispatches and returns a channel that is closed when none
--- a/control/agent/announce.go
+++ b/control/agent/announce.go
@@ -63,6 +63,7 @@
 		a.limiter = limit.New(got.Slots, got.Connections)
 	}
 	if old.Addr != got.Addr || old.Connections != got.Connections {
+		a.http.CloseIdleConnections()
 		a.http = upstreamClient(a.network, got.Connections)
 	}
 	if old.Upstream != got.Upstream || old.Addr != got.Addr {
