Add golden files of whole sessions under virtual time

Cause: nothing compared what callers and operators see over a whole session. Change: control/session runs entries, agents, upstreams and workers in one synctest bubble and compares answers, log lines, counters and the workers' ledger byte for byte; random ids are numbered by appearance. Targets close their connections with the entry; four client connections stayed open after Run before. Conclusion: changes of visible behaviour show up as differences of the files.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,7 @@
 PROTOC_GEN_GO := v1.36.12
 PROTOC_GEN_GO_GRPC := v1.6.2
 
-<<<<<<< HEAD
-.PHONY: demo test race vet fmt lint generate build bench soak ci
-=======
 .PHONY: demo test race vet fmt lint generate build bench soak capacity ci
->>>>>>> state
 
 build:
 	go build $(addsuffix /...,$(addprefix ./,$(MODULES)))
@@ -36,21 +32,17 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
-<<<<<<< HEAD
-# Sends 200,000 requests while every part of the request path fails in turn.
-soak:
-	go test ./control/internal/rig -run TestSoak -count 1 -soak 200000 -timeout 15m -v
-=======
-# Thousands of cases of the model test of partition owners under faults. SEED
-# chooses others.
+# Long runs under seeded faults: thousands of cases of the model test of
+# partition owners, then 200,000 requests while every part of the request path
+# fails in turn. SEED chooses other cases.
 SEED ?= 1000
 soak:
 	go test -run TestOwnersUnderFaults -rapid.seed=$(SEED) -rapid.checks=3000 -timeout 60m ./control/recovery
+	go test ./control/internal/rig -run TestSoak -count 1 -soak 200000 -timeout 15m -v
 
 # Tables of takeover and recovery time, table operations and renewal cost.
 capacity:
 	go test -run '^$$' -bench Capacity -benchtime 3x ./control/recovery | grep Capacity
->>>>>>> state
 
 # Needs protoc (Debian package protobuf-compiler).
 generate:
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -183,8 +183,9 @@
 		_ = e.http.Close()
 	}
 	leaving.Wait()
-	e.services.closeAll()
+	// Agents report until the server stops, and a report opens a connection.
 	e.grpc.Stop()
+	e.services.closeAll()
 }
 
 // noticeDrain keeps serving while the load balancer and the other entries learn
--- a/control/entry/front_test.go
+++ b/control/entry/front_test.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/settings"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
 )
 
 func frontEntry(t testing.TB) *Entry {
@@ -24,7 +25,9 @@
 		t.Fatal(err)
 	}
 	s.DefaultTimeout = settings.Duration(time.Second)
-	return New(s, transport.TCP{}, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	store := standin.NewStore()
+	services := Platform{Table: store.Table("e"), Objects: store.Objects("e"), Workers: standin.NewFleet().Client("e")}
+	return New(s, transport.TCP{}, services, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
 }
 
 // Guards against a request of any form that crashes the front, gets no outcome,
--- a/control/entry/registry.go
+++ b/control/entry/registry.go
@@ -228,9 +228,14 @@
 }
 
 // retire closes a connection that nothing is granted on any more after the
-// longest deadline.
+// longest deadline. The caller holds the lock.
 func (s *service) retire(t *target) {
-	time.AfterFunc(maxTimeout, func() { _ = t.conn.Close() })
+	s.retired[t] = time.AfterFunc(maxTimeout, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.retired, t)
+		_ = t.conn.Close()
+	})
 }
 
 func (s *service) probed(t *target, reached bool) {
--- a/control/entry/service.go
+++ b/control/entry/service.go
@@ -55,6 +55,8 @@
 	picker  *pick.Picker
 	policy  retry.Policy
 	targets map[ident.Upstream]*target
+	// retired holds the replaced targets whose requests may still run.
+	retired map[*target]*time.Timer
 	// list holds the candidates, those of this region first.
 	list  []pick.Candidate
 	local int
@@ -73,6 +75,7 @@
 		costs:   costs,
 		picker:  pick.New(place, rand.New(rand.NewPCG(rand.Uint64(), seed))),
 		targets: make(map[ident.Upstream]*target),
+		retired: make(map[*target]*time.Timer),
 		policy: retry.Policy{
 			Budget:  retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 			Backoff: retry.DefaultBackoff(),
@@ -275,4 +278,11 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	for _, t := range s.targets {
+		_ = t.conn.Close()
+	}
+	for t, timer := range s.retired {
+		timer.Stop()
+		_ = t.conn.Close()
+	}
 }
--- a/control/internal/rig/system.go
+++ b/control/internal/rig/system.go
@@ -200,10 +200,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	network, done := NewNetwork(), make(chan struct{})
 	g := &gate{table: s.Store.Table(string(e.Settings.ID)), objects: s.Store.Objects(string(e.Settings.ID))}
-	process := entry.New(e.Settings, network, s.logger)
+	services := entry.Platform{Table: g, Objects: gateObjects{g}, Workers: standin.NewFleet().Client(string(e.Settings.ID))}
+	process := entry.New(e.Settings, network, services, s.logger)
 	scope := tally.NewTestScope("", nil)
 	process.SetScope(scope)
-	process.SetStore(g, gateObjects{g})
 	s.mu.Lock()
 	e.Entry, e.Scope, e.network, e.gate, e.cancel, e.done = process, scope, network, g, cancel, done
 	s.mu.Unlock()
--- /dev/null
+++ b/control/session/jobs_test.go
@@ -0,0 +1,140 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/platform/standin"
+	"github.com/lacewingpier/lacewingpier/sched/model"
+)
+
+const morningSheet = `record,workspace,name,count,tasks,accelerators,locality,weight,priority,max_queue
+workspace,carrier,,,,,,2,30,20
+workspace,inspection,,,,,,1,40,20
+workspace,archive,,,,,,1,10,20
+shape,carrier,rack-of-16,1,2,8,rack,,,
+shape,inspection,one-worker,2,1,8,worker,,,
+service,carrier,coverage,,,,,,,
+`
+
+// submit submits a job and returns its id, or "" when it was refused.
+func (c *cluster) submit(n *node, workspace, shape string, tasks, accelerators int, locality model.Locality, key string) ident.Job {
+	job := model.Job{
+		Workspace: ident.Workspace(workspace), Caller: "planning", Service: "coverage", Shape: shape,
+		Tasks: tasks, PerTask: model.Resources{Accelerators: accelerators}, Locality: locality,
+		RunTime: time.Hour, Checkpointable: true, Submitted: time.Now(),
+	}
+	status, err := n.entry.Jobs().Submit(context.Background(), job, key)
+	c.printf("submit  workspace=%s shape=%q tasks=%d accelerators=%d key=%q: %s %v", workspace, shape, tasks, accelerators, key, status.GetSpec().GetId(), err)
+	return ident.Job(status.GetSpec().GetId())
+}
+
+// explain writes what a job does.
+func (c *cluster) explain(n *node, id ident.Job) {
+	e, err := n.entry.Jobs().Explain(context.Background(), id)
+	var places []string
+	for _, p := range e.GetStatus().GetPlacements() {
+		places = append(places, p.GetWorker())
+	}
+	c.printf("explain %s state=%s attempt=%d reason=%s on=%s waits_for=%d %v", id, e.GetStatus().GetState(), e.GetStatus().GetAttempt(),
+		e.GetReason(), strings.Join(places, ","), len(e.GetWaitsFor()), err)
+}
+
+func (c *cluster) cancel(n *node, id ident.Job) {
+	status, err := n.entry.Jobs().Cancel(context.Background(), id)
+	c.printf("cancel  %s: %s %v", id, status.GetState(), err)
+}
+
+// shapes writes what is held, lent and short.
+func (c *cluster) shapes(n *node) {
+	view, err := n.entry.Jobs().View(context.Background(), "amman-a")
+	for _, s := range view.GetShapes() {
+		c.printf("shape   %s/%s guaranteed=%d held=%d lent=%d short=%d", s.GetWorkspace(), s.GetShape(), s.GetGuaranteed(), s.GetHeld(), s.GetLent(), s.GetShort())
+	}
+	c.printf("owner   %s epoch=%d queued=%d running=%d %v", view.GetOwner(), view.GetEpoch(), view.GetQueued(), view.GetRunning(), err)
+}
+
+// cutOff separates an entry from the table and the workers, as a paused or
+// dead process is.
+func (c *cluster) cutOff(name string) {
+	c.store.SetTableFaults(name, standin.Faults{Down: true})
+	c.store.SetObjectFaults(name, standin.Faults{Down: true})
+	for i := range 10 {
+		c.fleet.SetCut(name, ident.Worker(fmt.Sprintf("worker-%02d", i)), true)
+	}
+}
+
+// runs writes each run in the workers' ledger that is or was part of a job.
+func (c *cluster) runs(id ident.Job) {
+	for _, r := range c.fleet.Runs() {
+		if r.Ref.Job == id {
+			c.printf("run     %s attempt=%d member=%d worker=%s from=%.1fs state=%s", id, r.Ref.Attempt, r.Ref.Member, r.Worker, r.Start.Sub(c.began).Seconds(), r.State)
+		}
+	}
+}
+
+// Guards against a change of what operators and job owners see: racing
+// operators, reclaim, explanations, cancellation, a lost worker and a takeover.
+func TestJobSession(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		first := c.startEntry("entry-1", "10.0.0.1", zoneA)
+		second := c.startEntry("entry-2", "10.0.0.2", zoneB)
+		time.Sleep(3 * time.Second)
+		c.applySheet(first, morningSheet, 0)
+		c.printf("note    a second operator applies on the version that it saw before")
+		c.applySheet(second, strings.Replace(morningSheet, "carrier,,,,,,2", "carrier,,,,,,3", 1), 0)
+		c.versions()
+		c.printf("note    work outside its guarantee fills the zone")
+		var fill []ident.Job
+		for range 10 {
+			fill = append(fill, c.submit(second, "archive", "", 1, 8, model.LocalityWorker, ""))
+		}
+		time.Sleep(5 * time.Second)
+		c.shapes(second)
+		waiting := c.submit(first, "archive", "", 1, 8, model.LocalityWorker, "")
+		time.Sleep(time.Second)
+		c.explain(first, waiting)
+		c.submit(first, "archive", "", 1, 9, model.LocalityWorker, "")
+		c.submit(first, "carrier", "no-such-shape", 1, 8, model.LocalityWorker, "")
+		c.printf("note    the carrier reclaims its rack")
+		gang := c.submit(first, "carrier", "rack-of-16", 2, 8, model.LocalityRack, "night-study")
+		c.submit(second, "carrier", "rack-of-16", 2, 8, model.LocalityRack, "night-study")
+		time.Sleep(4600 * time.Millisecond)
+		c.explain(second, gang)
+		c.shapes(first)
+		c.cancel(first, waiting)
+		c.printf("note    a worker of the gang fails")
+		c.fleet.Kill(c.workerOf(second, gang, 1))
+		time.Sleep(40 * time.Second)
+		c.explain(first, gang)
+		c.runs(gang)
+		c.printf("note    the owner is cut off from the table and the workers")
+		view, _ := first.entry.Jobs().View(context.Background(), "amman-a")
+		c.cutOff(view.GetOwner())
+		time.Sleep(5 * time.Second)
+		survivor := first
+		if view.GetOwner() == "entry-1" {
+			survivor = second
+		}
+		c.shapes(survivor)
+		c.explain(survivor, gang)
+		c.cancel(survivor, fill[9])
+		time.Sleep(30 * time.Second)
+		c.explain(survivor, fill[9])
+		c.runs(gang)
+		c.golden("jobs", "control.eventsmap[event:acquired", "control.eventsmap[event:takeover", "control.eventsmap[event:gang_started",
+			"control.eventsmap[event:worker_lost", "control.eventsmap[event:submit_refused")
+	})
+}
+
+func (c *cluster) workerOf(n *node, id ident.Job, member int) ident.Worker {
+	e, err := n.entry.Jobs().Explain(context.Background(), id)
+	if err != nil || len(e.GetStatus().GetPlacements()) <= member {
+		c.t.Fatalf("job %s has no member %d: %v", id, member, err)
+	}
+	return ident.Worker(e.GetStatus().GetPlacements()[member].GetWorker())
+}
