Take configuration deltas without computing them again

A process that took a delta computed it once more for its own peers and rendered every record anew before patching. It now keeps the delta it received and patches the lines of the body.

--- a/control/config/bench_test.go
+++ b/control/config/bench_test.go
@@ -49,3 +49,27 @@
 	b.ReportMetric(float64(len(body)), "body-bytes")
 	b.ReportMetric(float64(packed.Len()), "gzip-bytes")
 }
+
+// BenchmarkTakeDelta measures what a change of one record costs one process.
+func BenchmarkTakeDelta(b *testing.B) {
+	body := targetSheet(b)
+	before, err := sheet.Parse(body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	after, err := sheet.Parse(bytes.Replace(body, []byte("caller,team-007,client-1,,,,,1,"), []byte("caller,team-007,client-1,,,,,9,"), 1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	delta := sheet.Delta(before, after)
+	held := Snapshot{Version: 1, Body: body, Sheet: before}
+	digest := sheet.Digest(after.Encode())
+	for b.Loop() {
+		f := NewFollower(Options{})
+		f.current = held
+		if err := f.Offer(Versioned{Version: 2, Digest: digest, Base: 1, Deltas: [][]byte{delta}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(delta)), "delta-bytes")
+}
--- a/control/config/chain.go
+++ b/control/config/chain.go
@@ -18,11 +18,14 @@
 	delta    []byte
 }
 
-func (c *deltaChain) add(before, after Snapshot) {
+func (c *deltaChain) add(before, after Snapshot, delta []byte) {
 	if before.Version == 0 {
 		return
 	}
-	c.links = append(c.links, link{before.Version, after.Version, sheet.Delta(before.Sheet, after.Sheet)})
+	if len(delta) == 0 {
+		delta = sheet.Delta(before.Sheet, after.Sheet)
+	}
+	c.links = append(c.links, link{before.Version, after.Version, delta})
 	if len(c.links) > maxChain {
 		c.links = c.links[1:]
 	}
--- a/control/config/follower.go
+++ b/control/config/follower.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -376,7 +377,7 @@
 	if got := sheet.Digest(next.Body); got != v.Digest {
 		return errkind.New(errkind.Corrupt, "configuration version %d has digest %s, its content has %s", v.Version, v.Digest, got)
 	}
-	f.install(next)
+	f.install(next, v)
 	return nil
 }
 
@@ -384,16 +385,22 @@
 	if v.Base != current.Version {
 		return nil, errkind.New(errkind.Corrupt, "a delta starts from version %d, this process holds %d", v.Base, current.Version)
 	}
-	return sheet.Patch(current.Sheet, v.Deltas...)
+	return sheet.Patch(current.Body, v.Deltas...)
 }
 
-func (f *Follower) install(next Snapshot) {
+// install makes next, which was read from v, the version held.
+func (f *Follower) install(next Snapshot, v Versioned) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if next.Version <= f.current.Version {
 		return
 	}
-	f.chain.add(f.current, next)
+	var delta []byte
+	// Another version may have been installed since the deltas were applied.
+	if v.Base == f.current.Version {
+		delta = bytes.Join(v.Deltas, nil)
+	}
+	f.chain.add(f.current, next, delta)
 	// The time of the last confirmation stays: the older version was in force
 	// then, and the new one came after it.
 	f.current = next
--- a/control/config/sheet/delta.go
+++ b/control/config/sheet/delta.go
@@ -38,9 +38,15 @@
 	return out
 }
 
-// Patch applies deltas in order. The caller compares the digest of the result.
-func Patch(s *Sheet, deltas ...[]byte) (*Sheet, error) {
-	set := s.lineSet()
+// Patch applies deltas in order to a canonical body. The caller compares the
+// digest of the result.
+func Patch(body []byte, deltas ...[]byte) (*Sheet, error) {
+	set := make(map[string]bool)
+	for line := range strings.Lines(string(body)) {
+		set[strings.TrimSuffix(line, "\n")] = true
+	}
+	header := strings.Join(Columns, ",")
+	delete(set, header)
 	for _, delta := range deltas {
 		for line := range strings.Lines(string(delta)) {
 			line = strings.TrimSuffix(line, "\n")
@@ -54,7 +60,7 @@
 			}
 		}
 	}
-	text := strings.Join(Columns, ",") + "\n" + strings.Join(slices.Collect(maps.Keys(set)), "\n")
+	text := header + "\n" + strings.Join(slices.Collect(maps.Keys(set)), "\n")
 	patched, err := Parse([]byte(text))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Corrupt, err, "parse patched configuration")
--- a/control/config/sheet/sheet_test.go
+++ b/control/config/sheet/sheet_test.go
@@ -230,12 +230,12 @@
 func TestDeltaAndPatch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := genSheet(t), genSheet(t), genSheet(t)
-		got, err := Patch(a, Delta(a, b), Delta(b, c))
+		got, err := Patch(a.Encode(), Delta(a, b), Delta(b, c))
 		if err != nil || string(got.Encode()) != string(c.Encode()) {
 			t.Fatalf("patched to another sheet: %v", err)
 		}
 		if string(a.Encode()) != string(c.Encode()) {
-			if _, err := Patch(c, Delta(a, c)); !errkind.Is(err, errkind.Corrupt) {
+			if _, err := Patch(c.Encode(), Delta(a, c)); !errkind.Is(err, errkind.Corrupt) {
 				t.Fatalf("a delta was applied to another base: %v", err)
 			}
 		}
--- a/control/telemetry/metrics.go
+++ b/control/telemetry/metrics.go
@@ -114,3 +114,14 @@
 
 // Close reports once more and ends the reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
+
+// ConfigEvent counts an event of the configuration, such as "diverged".
+func (m *Metrics) ConfigEvent(event string) {
+	m.Scope.Tagged(map[string]string{"event": event}).Counter("config_events_total").Inc(1)
+}
+
+// ConfigState publishes the version held and how long ago it was confirmed.
+func (m *Metrics) ConfigState(version uint64, age time.Duration) {
+	m.Scope.Gauge("config_version").Update(float64(version))
+	m.Scope.Gauge("config_age_seconds").Update(age.Seconds())
+}
--- a/control/telemetry/telemetry_test.go
+++ b/control/telemetry/telemetry_test.go
@@ -43,6 +43,8 @@
 			m.Retried(errkind.New(errkind.Unreachable, "gone"))
 			m.Decided(model.ReasonWaitCapacity)
 			m.Call("GET /v1/jobs", "", 3*time.Millisecond)
+			m.ConfigEvent("diverged")
+			m.ConfigState(41, 1500*time.Millisecond)
 			time.Sleep(2 * reportInterval)
 			_, text := get(router, "/metrics")
 			for _, k := range errkind.Kinds() {
@@ -57,6 +59,8 @@
 				}
 			}
 			So(text, ShouldContainSubstring, `lacewing_call_seconds_count{id="e1",kind="ok",process="entry",region="makati",route="GET /v1/jobs",zone="makati-1"} 1`)
+			So(text, ShouldContainSubstring, `lacewing_config_events_total{event="diverged",id="e1",process="entry",region="makati",zone="makati-1"} 1`)
+			So(text, ShouldContainSubstring, `lacewing_config_age_seconds{id="e1",process="entry",region="makati",zone="makati-1"} 1.5`)
 			code, body := get(router, "/readyz")
 			So(code, ShouldEqual, 503)
 			So(body, ShouldContainSubstring, `{"name":"config","ok":false,"detail":"not_ready: no configuration"}`)
