--- /dev/null
+++ b/control/adminapi/docs_test.go
@@ -0,0 +1,105 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+)
+
+// example is one documented call with the part of its answer that is shown.
+type example struct {
+	method, path, who, body string
+	status                  int
+	answer                  string
+}
+
+var exampleBlocks = regexp.MustCompile("(?s)```http (\\d+)\n(\\S+) (\\S+)\nKey: (\\S+)\n(.*?)```\n\n```json\n(.*?)```")
+
+func readExamples(t *testing.T) []example {
+	raw, err := os.ReadFile("../../docs/api.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []example
+	for _, m := range exampleBlocks.FindAllStringSubmatch(string(raw), -1) {
+		status, _ := strconv.Atoi(m[1])
+		out = append(out, example{method: m[2], path: m[3], who: m[4], body: strings.TrimPrefix(m[5], "\n"), status: status, answer: m[6]})
+	}
+	if want := strings.Count(string(raw), "```http"); want != len(out) {
+		t.Fatalf("%d of %d examples have the documented form", len(out), want)
+	}
+	return out
+}
+
+// missing returns where got lacks something that want shows. The text "..."
+// stands for any text; lists and objects may hold more than is shown.
+func missing(path string, want, got any) string {
+	switch w := want.(type) {
+	case map[string]any:
+		g, ok := got.(map[string]any)
+		if !ok {
+			return path
+		}
+		for key, value := range w {
+			if where := missing(path+"."+key, value, g[key]); where != "" {
+				return where
+			}
+		}
+	case []any:
+		g, ok := got.([]any)
+		if !ok || len(g) < len(w) || (len(w) == 0 && len(g) > 0) {
+			return path
+		}
+		for i, value := range w {
+			if where := missing(fmt.Sprintf("%s[%d]", path, i), value, g[i]); where != "" {
+				return where
+			}
+		}
+	default:
+		if _, isText := got.(string); want == "..." && isText {
+			return ""
+		}
+		if !reflect.DeepEqual(want, got) {
+			return fmt.Sprintf("%s is %v, not %v", path, got, want)
+		}
+	}
+	return ""
+}
+
+// Guards against documentation that no longer describes the interface.
+func TestDocumentedExamples(t *testing.T) {
+	covered := map[string]bool{}
+	for _, e := range readExamples(t) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			code, _, body := f.do(e.method, e.path, e.who, e.body)
+			var want, got any
+			if err := json.Unmarshal([]byte(e.answer), &want); err != nil {
+				t.Fatalf("%s %s: the shown answer is not JSON: %v", e.method, e.path, err)
+			}
+			if err := json.Unmarshal([]byte(body), &got); err != nil {
+				t.Fatalf("%s %s: %v: %s", e.method, e.path, err, body)
+			}
+			if where := missing("answer", want, got); code != e.status || where != "" {
+				t.Errorf("%s %s: status %d, want %d; %s\n%s", e.method, e.path, code, e.status, where, body)
+			}
+		})
+		covered[e.method+" "+e.path] = true
+	}
+	names := strings.NewReplacer(":workspace", "alpha", ":job", "job-alpha", ":worker", "w-17", ":upstream", "plots-3")
+	for _, route := range Routes() {
+		shown := false
+		for call := range covered {
+			shown = shown || call == route.Method+" "+names.Replace(route.Path) || strings.HasPrefix(call, route.Method+" "+names.Replace(route.Path)+"?")
+		}
+		if !shown {
+			t.Errorf("%s %s has no example in docs/api.md", route.Method, route.Path)
+		}
+	}
+}
