--- a/control/entry/front_test.go
+++ b/control/entry/front_test.go
@@ -26,8 +26,8 @@
 	}
 	s.DefaultTimeout = settings.Duration(time.Second)
 	store := standin.NewStore()
-	p := Platform{Table: store.Table("e"), Objects: store.Objects("e"), Workers: standin.NewFleet().Client("e")}
-	return New(s, transport.TCP{}, p, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	services := Platform{Table: store.Table("e"), Objects: store.Objects("e"), Workers: standin.NewFleet().Client("e")}
+	return New(s, transport.TCP{}, services, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
 }
 
 // Guards against a request of any form that crashes the front, gets no outcome,
--- a/control/entry/service.go
+++ b/control/entry/service.go
@@ -55,7 +55,7 @@
 	picker  *pick.Picker
 	policy  retry.Policy
 	targets map[ident.Upstream]*target
-	// retired holds the targets that are closed later.
+	// retired holds the replaced targets whose requests may still run.
 	retired map[*target]*time.Timer
 	// list holds the candidates, those of this region first.
 	list  []pick.Candidate
@@ -278,11 +278,11 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	for t, timer := range s.retired {
-		timer.Stop()
+	for _, t := range s.targets {
 		_ = t.conn.Close()
 	}
-	for _, t := range s.targets {
+	for t, timer := range s.retired {
+		timer.Stop()
 		_ = t.conn.Close()
 	}
 }
