Send small bodies in one frame with the head

A request of 1 KiB took three frames in each direction and a CloseSend.

RequestHead and ResponseHead carry the whole body up to 16 KiB now.

--- a/control/agent/dispatch.go
+++ b/control/agent/dispatch.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -15,8 +16,12 @@
 	"github.com/lacewingpier/lacewingpier/route/limit"
 )
 
-// chunkSize is the largest body frame in bytes.
-const chunkSize = 32 << 10
+const (
+	// chunkSize is the largest body frame in bytes.
+	chunkSize = 32 << 10
+	// wholeBody is the largest body that is sent in the same frame as the head.
+	wholeBody = 16 << 10
+)
 
 // admission is what a request holds while it runs.
 type admission struct {
@@ -159,7 +164,11 @@
 	head := first.GetHead()
 	// A body without a way to rewind it keeps the HTTP client from sending the
 	// request a second time by itself, which it does for some methods.
-	req, err := http.NewRequestWithContext(ctx, head.GetMethod(), "http://"+target.Addr+head.GetPath(), &frameReader{stream: stream})
+	var body io.Reader = &frameReader{stream: stream}
+	if head.GetWhole() {
+		body = struct{ io.Reader }{bytes.NewReader(head.GetBody())}
+	}
+	req, err := http.NewRequestWithContext(ctx, head.GetMethod(), "http://"+target.Addr+head.GetPath(), body)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "build upstream request")
 	}
--- a/control/agent/reply.go
+++ b/control/agent/reply.go
@@ -43,6 +43,9 @@
 		Upstream:      string(target.Upstream),
 		Zone:          string(zone),
 	}}
+	if resp.ContentLength >= 0 && resp.ContentLength <= wholeBody {
+		return r.relayWhole(frame, resp)
+	}
 	if err := r.stream.Send(frame); err != nil {
 		return errkind.Wrap(errkind.Canceled, err, "send answer head")
 	}
@@ -58,6 +61,18 @@
 	return nil
 }
 
+// relayWhole sends a small answer in one frame.
+func (r *replier) relayWhole(frame *rpc.DispatchResponse, resp *http.Response) error {
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errkind.Wrap(errkind.Truncated, err, "read upstream body")
+	}
+	head := frame.GetHead()
+	head.Whole = true
+	head.Body = content
+	return errkind.Wrap(errkind.Canceled, r.stream.Send(frame), "send answer")
+}
+
 func (r *replier) relayBody(body io.Reader) (int64, error) {
 	var total int64
 	buf := make([]byte, chunkSize)
--- a/control/entry/dispatch.go
+++ b/control/entry/dispatch.go
@@ -11,8 +11,13 @@
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// chunkSize is the largest body frame in bytes.
-const chunkSize = 32 << 10
+const (
+	// chunkSize is the largest body frame in bytes.
+	chunkSize = 32 << 10
+	// wholeBody is the largest body that is sent in the same frame as the head.
+	// One frame instead of three takes half of the time of a small request.
+	wholeBody = 16 << 10
+)
 
 // dispatchStream is a request on its way to an agent or to another entry.
 type dispatchStream = grpc.BidiStreamingClient[rpc.DispatchRequest, rpc.DispatchResponse]
@@ -33,10 +38,14 @@
 	if err := sender.sendHead(requestHead(req, t)); err != nil {
 		return errkind.Wrap(errkind.UpstreamFailed, err, "send request head")
 	}
-	if req.body.rest == nil {
+	switch {
+	case sendsWhole(req.body):
+		// The head carries the body.
+		_ = stream.CloseSend()
+	case req.body.rest == nil:
 		// A failed send ends the stream, and the receiver reports why.
 		_ = sender.sendBody(req.body)
-	} else {
+	default:
 		// The upstream may answer while it still reads, so both directions run
 		// at once.
 		req.body.started = true
@@ -62,8 +71,11 @@
 	return rpc.NewAgentClient(t.conn).Dispatch(ctx)
 }
 
+// sendsWhole reports whether a body goes in one frame with the head.
+func sendsWhole(b *body) bool { return b.rest == nil && len(b.kept) <= wholeBody }
+
 func requestHead(req *request, t grant) *rpc.RequestHead {
-	return &rpc.RequestHead{
+	head := &rpc.RequestHead{
 		Service:          string(req.service),
 		Workspace:        string(req.workspace),
 		Caller:           string(req.caller),
@@ -76,6 +88,11 @@
 		ContentLength:    req.length,
 		AgentIncarnation: t.incarnation,
 	}
+	if sendsWhole(req.body) {
+		head.Whole = true
+		head.Body = req.body.kept
+	}
+	return head
 }
 
 // frameSender sends the frames of one request.
@@ -129,6 +146,9 @@
 		}
 		switch f := frame.GetFrame().(type) {
 		case *rpc.DispatchResponse_Head:
+			if f.Head.GetWhole() {
+				return receiveWhole(f.Head, out)
+			}
 			err = out.head(f.Head)
 		case *rpc.DispatchResponse_Chunk:
 			total += int64(len(f.Chunk))
@@ -144,6 +164,19 @@
 	}
 }
 
+// receiveWhole passes on an answer that came in one frame.
+func receiveWhole(head *rpc.ResponseHead, out sink) error {
+	content := head.GetBody()
+	head.Body, head.Whole = nil, false
+	if err := out.head(head); err != nil {
+		return err
+	}
+	if err := out.chunk(content); err != nil {
+		return err
+	}
+	return out.end(int64(len(content)))
+}
+
 func finish(length, total int64, out sink) error {
 	if length != total {
 		return errkind.New(errkind.Truncated, "answer has %d of %d bytes", total, length)
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -106,17 +106,20 @@
 	}
 	req := forwardedRequest(first.GetRequestId(), head, time.Now())
 	defer e.running.begin(req.id)()
-	reader := io.Reader(&frameReader{recv: out.stream.Recv})
-	if head.GetContentLength() == 0 {
-		reader = nil
-	}
 	var err error
-	if req.body, err = readBody(reader, head.GetContentLength(), keptBody); err != nil {
+	if req.body, err = forwardedBody(head, out.stream); err != nil {
 		return err
 	}
 	return e.route(out.stream.Context(), req, out)
 }
 
+func forwardedBody(head *rpc.RequestHead, stream rpc.Entry_ForwardServer) (*body, error) {
+	if head.GetWhole() {
+		return &body{kept: head.GetBody()}, nil
+	}
+	return readBody(&frameReader{recv: stream.Recv}, head.GetContentLength(), keptBody)
+}
+
 // admitForward refuses a copy of a non-idempotent request.
 func (e *Entry) admitForward(dispatch string, head *rpc.RequestHead) error {
 	if head.GetIdempotent() {
