--- a/control/agent/reply.go
+++ b/control/agent/reply.go
@@ -63,8 +63,11 @@
 
 // relayWhole sends a small answer in one frame.
 func (r *replier) relayWhole(frame *rpc.DispatchResponse, resp *http.Response) error {
-	content, err := io.ReadAll(resp.Body)
-	if err != nil {
+	content := make([]byte, resp.ContentLength)
+	if resp.Request.Method == http.MethodHead {
+		content = nil
+	}
+	if _, err := io.ReadFull(resp.Body, content); err != nil {
 		return errkind.Wrap(errkind.Truncated, err, "read upstream body")
 	}
 	head := frame.GetHead()
--- a/control/entry/body.go
+++ b/control/entry/body.go
@@ -43,7 +43,7 @@
 	if length > 0 && length < int64(limit) {
 		size = int(length)
 	}
-	kept, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	kept, err := readFirst(r, size, length > 0)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Canceled, err, "read the caller's body")
 	}
@@ -54,6 +54,16 @@
 	return b, nil
 }
 
+// readFirst reads up to size bytes. With a known length all of them must come.
+func readFirst(r io.Reader, size int, known bool) ([]byte, error) {
+	if !known {
+		return io.ReadAll(io.LimitReader(r, int64(size)))
+	}
+	kept := make([]byte, size)
+	_, err := io.ReadFull(r, kept)
+	return kept, err
+}
+
 // whole reads what follows the kept part, up to limit, so that all is kept.
 func (b *body) whole(limit int) error {
 	if b.rest == nil {
--- a/control/internal/rig/upstream_test.go
+++ b/control/internal/rig/upstream_test.go
@@ -270,7 +270,7 @@
 			for {
 				frame, err := stream.Recv()
 				So(err, ShouldBeNil)
-				if frame.GetEnd() != nil {
+				if frame.GetHead().GetWhole() {
 					return "answered"
 				}
 				if frame.GetFailure() != nil {
