--- a/control/internal/rig/network.go
+++ b/control/internal/rig/network.go
@@ -41,11 +41,8 @@
 
 // Dial implements transport.Network.
 func (n *Network) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	n.mu.Lock()
-	denied := n.denied[addr]
-	n.mu.Unlock()
-	if denied {
-		return nil, errors.New("the path is cut")
+	if n.isCut(addr) {
+		return nil, errCut()
 	}
 	c, err := transport.TCP{}.Dial(ctx, addr)
 	if err != nil {
@@ -54,9 +51,23 @@
 	if !n.track(c) {
 		return nil, errKilled()
 	}
+	// The path may have been cut while the connection was made.
+	if n.isCut(addr) {
+		n.forget(c)
+		_ = c.Close()
+		return nil, errCut()
+	}
 	return &conn{Conn: c, network: n}, nil
 }
 
+func (n *Network) isCut(addr string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.denied[addr]
+}
+
+func errCut() error { return errors.New("the path is cut") }
+
 // Cut forbids or allows connections to an address and closes the open ones.
 func (n *Network) Cut(addr string, on bool) {
 	n.mu.Lock()
