Wire administration API, membership, telemetry and peers into the entry

Cause: these parts existed as libraries; an entry served only requests and jobs of its own region, and nobody could operate it. Change: the entry serves the administration API with bearer keys and TLS, health, metrics and pprof; it exchanges membership and configuration versions with other entries and forwards requests to their regions; agents learn the region's entries, the version in force and an operator's drain; job ids that a caller gives are keys, fixed in one row with their partition; sheets are checked against workers and held gangs. A dial that was under way when the test network was cut no longer survives the cut, which made TestUnreachableButListed fail once.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -38,14 +38,18 @@
 
 // Main loads the settings at path into target, builds the daemon and runs it
 // until SIGTERM or SIGINT. It returns the exit code.
-func Main(path string, target settings.Validator, logger *log.Logger, build func() Runner) int {
+func Main(path string, target settings.Validator, logger *log.Logger, build func() (Runner, error)) int {
 	if err := settings.Load(path, target); err != nil {
 		logger.Error().Err(err).Str("settings", path).Msg("settings are not valid")
 		return ExitSettings
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	runner := build()
+	runner, err := build()
+	if err != nil {
+		logger.Error().Err(err).Msg("daemon can not be set up")
+		return ExitSettings
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	result := make(chan error, 1)
--- a/cmd/internal/demo/system.go
+++ b/cmd/internal/demo/system.go
@@ -161,7 +161,7 @@
 	}
 	settings := entry.Settings{
 		ID: id, Zone: zone, Region: region,
-		HTTPAddr: httpAddr, GRPCAddr: grpcAddr, PlatformAddr: platformAddr,
+		HTTPAddr: httpAddr, GRPCAddr: grpcAddr, PlatformAddr: platformAddr, AnonymousRequests: true,
 		Partitions: []partition.Spec{{ID: demoPartition, Zone: "makati-a", Region: "makati"}},
 	}
 	if err := settings.Validate(); err != nil {
@@ -171,7 +171,12 @@
 	client := httpapi.NewClient(platformAddr, network.Dial)
 	services := entry.Platform{Table: client, Objects: client.Objects(), Workers: client.Workers()}
 	ctx, leave := context.WithCancel(ctx)
-	node := &entryNode{settings: settings, entry: entry.New(settings, network, services, quietLogger()), leave: leave, sever: network.sever}
+	process, err := entry.New(settings, network, services, quietLogger())
+	if err != nil {
+		leave()
+		return err
+	}
+	node := &entryNode{settings: settings, entry: process, leave: leave, sever: network.sever}
 	s.entries = append(s.entries, node)
 	s.tasks.Go(func() { _ = node.entry.Run(ctx) })
 	return nil
--- a/cmd/lacewing-agent/main.go
+++ b/cmd/lacewing-agent/main.go
@@ -23,5 +23,5 @@
 		kong.Description("Runs beside one upstream and enforces its slots."))
 	var s agent.Settings
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner { return agent.New(s, transport.TCP{}, logger) }))
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() (daemon.Runner, error) { return agent.New(s, transport.TCP{}, logger), nil }))
 }
--- a/cmd/lacewing-entry/main.go
+++ b/cmd/lacewing-entry/main.go
@@ -24,7 +24,7 @@
 		kong.Description("Answers callers and operators, routes requests and schedules owned partitions."))
 	var s entry.Settings
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	os.Exit(daemon.Main(f.Settings, &s, logger, func() daemon.Runner {
+	os.Exit(daemon.Main(f.Settings, &s, logger, func() (daemon.Runner, error) {
 		network := transport.TCP{}
 		client := httpapi.NewClient(s.PlatformAddr, network.Dial)
 		services := entry.Platform{Table: client, Objects: client.Objects(), Workers: client.Workers()}
--- a/control/agent/agent.go
+++ b/control/agent/agent.go
@@ -64,6 +64,8 @@
 	// running counts the dispatches under way for each request id.
 	running  map[string]int
 	draining bool
+	// drainOrdered is set when an operator drains the upstream.
+	drainOrdered bool
 	// closed says that no dispatch is admitted any more.
 	closed   bool
 	idle     chan struct{}
--- a/control/agent/announce.go
+++ b/control/agent/announce.go
@@ -103,7 +103,7 @@
 	switch {
 	case a.upstream.Upstream == "" || now.Sub(a.announcedAt) > announcementTTL:
 		return rpc.UpstreamState_UPSTREAM_STATE_UNHEALTHY
-	case a.draining || a.upstream.Draining:
+	case a.draining || a.drainOrdered || a.upstream.Draining:
 		return rpc.UpstreamState_UPSTREAM_STATE_DRAINING
 	case !a.health.up:
 		return rpc.UpstreamState_UPSTREAM_STATE_UNHEALTHY
--- a/control/agent/attach.go
+++ b/control/agent/attach.go
@@ -140,6 +140,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.version = max(a.version, update.GetConfigVersion())
+	if update.GetDrain() && !a.drainOrdered {
+		a.drainOrdered = true
+		a.notifyEntries()
+	}
 	queued := 0
 	for _, d := range update.GetDemand() {
 		if ident.Service(d.GetService()) == a.upstream.Service {
--- a/control/entry/attach.go
+++ b/control/entry/attach.go
@@ -41,7 +41,14 @@
 
 // entryUpdate answers a report with the demand for the agent's service.
 func (e *Entry) entryUpdate(report *rpc.AgentReport) *rpc.EntryUpdate {
-	update := &rpc.EntryUpdate{Entry: string(e.settings.ID)}
+	update := &rpc.EntryUpdate{
+		Entry:         string(e.settings.ID),
+		ConfigVersion: uint64(e.state.config.Current().Version),
+		ConfigAgeMs:   e.state.config.Age().Milliseconds(),
+		EchoSequence:  report.GetSequence(),
+		Entries:       e.group.RegionAddresses(),
+		Drain:         e.services.drained(ident.Upstream(report.GetUpstream())),
+	}
 	if s, err := e.services.find(ident.Service(report.GetService())); err == nil {
 		update.Demand = []*rpc.ServiceDemand{{Service: report.GetService(), Queued: int32(s.queued())}}
 	}
@@ -51,6 +58,15 @@
 // Upstreams returns the last report of each attached agent.
 func (e *Entry) Upstreams() []*rpc.AgentReport { return e.services.snapshot() }
 
+// drainUpstream tells an upstream's agent to take no new work until it is
+// restarted.
+func (e *Entry) drainUpstream(id ident.Upstream) error {
+	if !e.services.drain(id) {
+		return errkind.New(errkind.NotFound, "upstream %s is not attached to this entry; ask an entry of its region", id)
+	}
+	return nil
+}
+
 // ReadyUpstreams returns the number of upstreams of this region that may be
 // sent work now.
 func (e *Entry) ReadyUpstreams() int {
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/adminapi"
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/membership"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/telemetry"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -37,6 +41,9 @@
 
 	settings Settings
 	state    *state
+	group    *membership.Group
+	auth     *adminapi.Authenticator
+	metrics  *telemetry.Metrics
 	network  transport.Network
 	logger   *log.Logger
 	services *serviceRegistry
@@ -64,33 +71,27 @@
 }
 
 // New returns an entry with valid settings on the given network.
-func New(s Settings, network transport.Network, p Platform, logger *log.Logger) *Entry {
+func New(s Settings, network transport.Network, p Platform, logger *log.Logger) (*Entry, error) {
 	e := &Entry{
-		objects:   p.Objects,
 		settings:  s,
 		network:   network,
 		logger:    logger,
+		objects:   p.Objects,
 		services:  newServiceRegistry(network, pick.DefaultConfig(s.Zone, s.Region)),
 		observed:  newObservedClaims(),
-		stats:     newStats(tally.NoopScope),
 		running:   newRunningSet(),
 		forwarded: newForwardMemory(),
-		scope:     tally.NoopScope,
+		metrics: telemetry.NewMetrics(telemetry.Identity{
+			Process: "entry", ID: string(s.ID), Zone: string(s.Zone), Region: string(s.Region),
+		}),
 	}
-	e.state = newState(s, network, p, e.countEvent)
+	e.SetScope(e.metrics.Scope)
+	e.state = newState(e, p)
 	e.table = e.state.table.At(tableclient.ClassClaim)
-	return e
-}
-
-// SetScope sets where the counters are kept. It is called before Run.
-func (e *Entry) SetScope(scope tally.Scope) {
-	e.scope = scope
-	e.stats = newStats(scope)
-}
-
-// countEvent counts an event of one part of the control side.
-func (e *Entry) countEvent(part, event string) {
-	e.scope.SubScope("control").Tagged(map[string]string{"part": part, "event": event}).Counter("events").Inc(1)
+	e.group = e.newGroup()
+	var err error
+	e.auth, err = adminapi.NewAuthenticator(s.Admin, func() *sheet.Sheet { return e.state.config.Current().Sheet })
+	return e, err
 }
 
 // followWeights gives each accepted sheet's weights to the request queues.
@@ -112,6 +113,10 @@
 
 // Run serves until ctx ends, then drains and returns.
 func (e *Entry) Run(ctx context.Context) error {
+	encryption, err := e.settings.Admin.TLS()
+	if err != nil {
+		return err
+	}
 	grpcListener, err := e.network.Listen(e.settings.GRPCAddr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at grpc_addr")
@@ -121,15 +126,22 @@
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
 	}
+	if encryption != nil {
+		httpListener = tls.NewListener(httpListener, encryption)
+	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	e.tasks.Go(func() { e.probeLoop(background) })
 	e.tasks.Go(func() { e.followWeights(background) })
 	e.tasks.Go(func() { e.state.run(background) })
+	e.tasks.Go(func() { e.group.Run(background) })
+	e.tasks.Go(func() { e.followPeers(background) })
 	e.serve(grpcListener, httpListener)
 	<-ctx.Done()
 	e.drain()
 	stopBackground()
 	e.tasks.Wait()
+	// The last report of the counters can only be late, not lost.
+	_ = e.metrics.Close()
 	return nil
 }
 
@@ -145,32 +157,10 @@
 	e.tasks.Go(func() { _ = e.http.Serve(httpListener) })
 }
 
-func (e *Entry) routes() http.Handler {
-	router := httprouter.New()
-	router.HandleMethodNotAllowed = false
-	// A redirect would be an answer without an outcome.
-	router.RedirectTrailingSlash = false
-	router.RedirectFixedPath = false
-	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
-	for _, method := range methods {
-		router.Handle(method, "/v1/services/:service/*path", e.handleRequest)
-	}
-	router.GET("/readyz", e.handleReady)
-	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeFailure(w, "", errkind.New(errkind.NotFound, "no operation at %s %s", r.Method, r.URL.Path))
-	})
-	return router
-}
-
-func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if e.draining.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // drain stops accepting callers and waits for running requests.
 func (e *Entry) drain() {
 	e.draining.Store(true)
+	e.group.SetDraining()
 	e.logger.Info().Str("entry", string(e.settings.ID)).Msg("entry drains")
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.Std())
 	defer cancel()
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -27,6 +27,8 @@
 	Incarnation ident.Incarnation
 	// Capacity is the peer's answer to Capacity.
 	Capacity []*rpc.ServiceCapacity
+	// Reported is when the peer sent this.
+	Reported time.Time
 }
 
 // UpdatePeer takes in what membership learned of an entry of another region.
@@ -38,7 +40,7 @@
 	for _, c := range p.Capacity {
 		candidate := pick.Candidate{
 			ID: peerID(p.ID), Zone: p.Zone, Region: p.Region,
-			Slots: peerSlots, Credits: int(c.GetFreeSlots()), Reported: time.Now(),
+			Slots: peerSlots, Credits: int(c.GetFreeSlots()), Reported: p.Reported,
 		}
 		s := e.services.ensure(ident.Service(c.GetService()))
 		if err := s.enlist(e.network, candidate, p.GRPCAddr, string(p.Incarnation), true); err != nil {
--- /dev/null
+++ b/control/entry/http.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lacewingpier/lacewingpier/control/adminapi"
+	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/telemetry"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/platform/tableclient"
+)
+
+// routes serves callers, operators and the platform's health checks.
+func (e *Entry) routes() http.Handler {
+	router := httprouter.New()
+	router.HandleMethodNotAllowed = false
+	methods := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+	for _, method := range methods {
+		router.Handle(method, "/v1/services/:service/*path", e.handleRequest)
+	}
+	e.adminAPI().Register(router)
+	e.registerTelemetry(router)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeFailure(w, "", errkind.New(errkind.NotFound, "no operation at %s %s", r.Method, r.URL.Path))
+	})
+	return router
+}
+
+func (e *Entry) adminAPI() *adminapi.API {
+	table := e.state.table.At(tableclient.ClassReport)
+	return adminapi.New(adminapi.Options{
+		Backend:  backend{e},
+		Store:    e.state.store,
+		Follower: e.state.config,
+		Auth:     e.auth,
+		Auditor:  adminapi.NewAuditor(table),
+		Logger:   e.logger,
+		SetLogLevel: func(level string) error {
+			return telemetry.SetLevel(e.logger, level)
+		},
+		Observe: func(route, kind string, took time.Duration) {
+			tagged := e.scope.Tagged(map[string]string{"route": route, "kind": kind})
+			tagged.Counter("api_calls").Inc(1)
+			tagged.Timer("api_call_seconds").Record(took)
+		},
+	})
+}
+
+// registerTelemetry adds health, readiness, metrics and, for operators, pprof.
+func (e *Entry) registerTelemetry(router *httprouter.Router) {
+	health := &telemetry.Health{}
+	health.Require("accepting", func() error {
+		if e.draining.Load() {
+			return errkind.New(errkind.Draining, "the entry is shutting down")
+		}
+		return nil
+	})
+	health.Require("configuration", func() error {
+		if !e.state.config.Ready() {
+			return errkind.New(errkind.NotReady, "no configuration was loaded from the table or a peer")
+		}
+		return nil
+	})
+	telemetry.Register(router, health, e.metrics, e.operatorOnly)
+}
+
+// operatorOnly lets only operators pass.
+func (e *Entry) operatorOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		actor, err := e.auth.Authenticate(r)
+		if err == nil && actor.Role != sheet.RoleOperator {
+			err = errkind.New(errkind.PermissionDenied, "only operators may use %s", r.URL.Path)
+		}
+		if err != nil {
+			writeFailure(w, "", err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// identify fills in who sends a request. With a bearer key the key decides;
+// without one the headers do, where the settings allow that.
+func (e *Entry) identify(req *request, r *http.Request) error {
+	if r.Header.Get("Authorization") == "" {
+		if e.settings.AnonymousRequests {
+			return nil
+		}
+		return errkind.New(errkind.Unauthenticated, "a header \"Authorization: Bearer <key>\" is required")
+	}
+	actor, err := e.auth.Authenticate(r)
+	if err != nil {
+		return err
+	}
+	if actor.Role == sheet.RoleOperator {
+		return nil
+	}
+	if named := r.Header.Get(headerWorkspace); named != "" && named != string(actor.Workspace) {
+		return errkind.New(errkind.PermissionDenied, "the key belongs to another workspace than %q", named)
+	}
+	req.workspace = actor.Workspace
+	req.caller = actor.Caller
+	return nil
+}
+
+// SetScope sets the scope of the counters. It is called before Run.
+func (e *Entry) SetScope(scope tally.Scope) {
+	e.scope = scope
+	e.stats = newStats(scope)
+}
+
+// countEvent counts an event of one part of the control side.
+func (e *Entry) countEvent(part, event string) {
+	e.scope.SubScope("control").Tagged(map[string]string{"part": part, "event": event}).Counter("events").Inc(1)
+}
--- a/control/entry/registry.go
+++ b/control/entry/registry.go
@@ -38,6 +38,9 @@
 	byName  map[ident.Service]*service
 	reports map[ident.Upstream]*rpc.AgentReport
 	weights map[ident.Workspace]int
+	// drains lists the upstreams that an operator drains, by the incarnation of
+	// the agent that was told to.
+	drains map[ident.Upstream]string
 }
 
 func newServiceRegistry(network transport.Network, place pick.Config) *serviceRegistry {
@@ -47,9 +50,30 @@
 		byName:  make(map[ident.Service]*service),
 		reports: make(map[ident.Upstream]*rpc.AgentReport),
 		weights: make(map[ident.Workspace]int),
+		drains:  make(map[ident.Upstream]string),
 	}
 }
 
+// drain marks a reported upstream as drained and says whether it is known.
+func (r *serviceRegistry) drain(id ident.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := r.reports[id]
+	if report == nil {
+		return false
+	}
+	r.drains[id] = report.GetIncarnation()
+	return true
+}
+
+// drained reports whether the agent that reported last must drain.
+func (r *serviceRegistry) drained(id ident.Upstream) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	incarnation, ok := r.drains[id]
+	return ok && incarnation == r.reports[id].GetIncarnation()
+}
+
 func (r *serviceRegistry) find(name ident.Service) (*service, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/control/entry/requests.go
+++ b/control/entry/requests.go
@@ -141,6 +141,9 @@
 	if strings.ContainsRune(string(req.workspace), '/') {
 		return nil, errkind.New(errkind.InvalidArgument, "%s must not contain a slash", headerWorkspace)
 	}
+	if err := e.identify(req, r); err != nil {
+		return nil, err
+	}
 	timeout, err := e.timeout(r)
 	if err != nil {
 		return nil, err
@@ -194,9 +197,11 @@
 	return path
 }
 
-// hopHeaders concern one connection and are not passed on.
+// hopHeaders concern one connection, or carry the caller's key to lacewingpier,
+// and are not passed on.
 var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Authorization": true,
+	"Connection":    true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Expect": true,
 }
--- a/control/entry/settings.go
+++ b/control/entry/settings.go
@@ -7,11 +7,19 @@
 	"strings"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/adminapi"
 	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/settings"
 )
 
+// Default shares of the table. Ten entries with these stay inside several
+// hundred writes and 2,000 reads a second.
+const (
+	defaultTableWrites = 30
+	defaultTableReads  = 150
+)
+
 // Settings is the JSON settings file of an entry.
 type Settings struct {
 	// ID names the entry; it must be unique.
@@ -28,6 +36,18 @@
 	// Partitions lists the scheduling partitions of the installation; it must be
 	// the same at every entry.
 	Partitions []partition.Spec `json:"partitions"`
+	// Seeds lists gRPC addresses of other entries, for a start while the table
+	// is down.
+	Seeds []string `json:"seeds,omitempty"`
+	// Admin holds the operators' keys and the TLS files of the HTTP interface.
+	Admin adminapi.Settings `json:"admin"`
+	// AnonymousRequests lets callers without a key name their workspace in a
+	// header. Jobs and administration always need a key.
+	AnonymousRequests bool `json:"anonymous_requests"`
+	// TableWritesPerSecond and TableReadsPerSecond are this entry's share of
+	// what the platform's table accepts.
+	TableWritesPerSecond float64 `json:"table_writes_per_second"`
+	TableReadsPerSecond  float64 `json:"table_reads_per_second"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout settings.Duration `json:"default_timeout"`
 	// DrainNotice is how long a draining entry still takes new requests.
@@ -38,6 +58,12 @@
 
 // Default fills the settings that have a default.
 func (s *Settings) Default() {
+	if s.TableWritesPerSecond == 0 {
+		s.TableWritesPerSecond = defaultTableWrites
+	}
+	if s.TableReadsPerSecond == 0 {
+		s.TableReadsPerSecond = defaultTableReads
+	}
 	if s.DefaultTimeout == 0 {
 		s.DefaultTimeout = settings.Duration(30 * time.Second)
 	}
@@ -59,6 +85,16 @@
 	p.RequireAddr("http_addr", s.HTTPAddr)
 	p.RequireAddr("grpc_addr", s.GRPCAddr)
 	p.RequireAddr("platform_addr", s.PlatformAddr)
+	for _, seed := range s.Seeds {
+		p.RequireAddr("seeds", seed)
+	}
+	if s.TableWritesPerSecond < 1 {
+		p.Add("table_writes_per_second", "must be at least 1")
+	}
+	if s.TableReadsPerSecond < 1 {
+		p.Add("table_reads_per_second", "must be at least 1")
+	}
+	s.Admin.Check(&p, "admin")
 	checkPartitions(&p, s.Partitions)
 	p.RequirePositive("default_timeout", s.DefaultTimeout)
 	p.RequirePositive("drain_notice", s.DrainNotice)
--- a/control/entry/state.go
+++ b/control/entry/state.go
@@ -10,7 +10,6 @@
 	"github.com/lacewingpier/lacewingpier/control/ownership"
 	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
-	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform/tableclient"
 )
@@ -23,13 +22,18 @@
 	jobs   *partition.Service
 }
 
-func newState(s Settings, network transport.Network, p Platform, count func(part, event string)) *state {
+func newState(e *Entry, p Platform) *state {
+	s, count := e.settings, e.countEvent
 	st := &state{table: tableclient.New(p.Table, tableclient.Options{
-		Count: func(e tableclient.Event, class tableclient.Class) { count("table_"+class.String(), string(e)) },
+		WritesPerSecond: s.TableWritesPerSecond,
+		ReadsPerSecond:  s.TableReadsPerSecond,
+		Count:           func(e tableclient.Event, class tableclient.Class) { count("table_"+class.String(), string(e)) },
 	})}
 	st.store = config.NewStore(st.table.At(tableclient.ClassJob), p.Objects)
 	st.config = config.NewFollower(config.Options{
 		Source:  st.store,
+		Fetch:   e.fetchConfig,
+		Peers:   e.knownPeers,
 		OnEvent: func(e config.Event, _ error) { count("config", string(e)) },
 	})
 	st.jobs = partition.New(partition.Options{
@@ -43,7 +47,7 @@
 		Table:      st.table,
 		Objects:    p.Objects,
 		Workers:    p.Workers,
-		Network:    network,
+		Network:    e.network,
 		Config:     st.config,
 		Ownership:  ownership.DefaultTiming(),
 		Executor:   executor.DefaultTiming(),
--- a/control/internal/rig/network.go
+++ b/control/internal/rig/network.go
@@ -54,6 +54,14 @@
 	if !n.track(c) {
 		return nil, errKilled()
 	}
+	// The path may have been cut while the connection was being made.
+	n.mu.Lock()
+	denied = n.denied[addr]
+	n.mu.Unlock()
+	if denied {
+		_ = c.Close()
+		return nil, errors.New("the path is cut")
+	}
 	return &conn{Conn: c, network: n}, nil
 }
 
--- a/control/internal/rig/system.go
+++ b/control/internal/rig/system.go
@@ -185,7 +185,7 @@
 	zone, region := place(i, s.size.Entries)
 	e := &Entry{Settings: entry.Settings{
 		ID: ident.Entry(fmt.Sprintf("entry-%d", i)), Zone: zone, Region: region,
-		HTTPAddr: at[0], GRPCAddr: at[1], PlatformAddr: at[2],
+		HTTPAddr: at[0], GRPCAddr: at[1], PlatformAddr: at[2], AnonymousRequests: true,
 		DrainNotice: settings.Duration(drainNotice), DrainTimeout: settings.Duration(drainTimeout),
 	}}
 	s.entries = append(s.entries, e)
@@ -197,13 +197,16 @@
 	if err := e.Settings.Validate(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	network, done := NewNetwork(), make(chan struct{})
 	g := &gate{table: s.Store.Table(string(e.Settings.ID)), objects: s.Store.Objects(string(e.Settings.ID))}
 	services := entry.Platform{Table: g, Objects: gateObjects{g}, Workers: standin.NewFleet().Client(string(e.Settings.ID))}
-	process := entry.New(e.Settings, network, services, s.logger)
+	process, err := entry.New(e.Settings, network, services, s.logger)
+	if err != nil {
+		return err
+	}
 	scope := tally.NewTestScope("", nil)
 	process.SetScope(scope)
+	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	e.Entry, e.Scope, e.network, e.gate, e.cancel, e.done = process, scope, network, g, cancel, done
 	s.mu.Unlock()
--- a/control/membership/link.go
+++ b/control/membership/link.go
@@ -47,6 +47,8 @@
 	// Capacity is sent to other regions only.
 	Capacity   map[ident.Service]Capacity
 	Partitions map[ident.Partition]ident.Epoch
+	// ForwardIncarnation is what forwarded requests must name.
+	ForwardIncarnation ident.Incarnation
 }
 
 // link is one stream with a peer.
@@ -66,6 +68,8 @@
 	toldService map[ident.Service]serviceTelling
 	partitions  map[ident.Partition]ident.Epoch
 	sinceOwners int
+	// toldForward is the forward incarnation that the peer knows.
+	toldForward ident.Incarnation
 }
 
 // telling is what the peer knows about a member, as far as this side can tell.
@@ -114,6 +118,10 @@
 		msg.Self = self.proto()
 		l.sentSelf, l.opened = self, true
 	}
+	if l.toldForward != local.ForwardIncarnation {
+		msg.ForwardIncarnation = string(local.ForwardIncarnation)
+		l.toldForward = local.ForwardIncarnation
+	}
 	l.addPartitions(msg, local)
 	room := budget - proto.Size(msg)
 	if l.peer.Region != "" && l.peer.Region != self.Region {
@@ -270,6 +278,9 @@
 	p.HeardAt, p.failures, p.retryAt = now, 0, time.Time{}
 	p.ConfigAge = time.Duration(msg.GetConfigAgeMs()) * time.Millisecond
 	p.TableReachable = msg.GetTableReachable()
+	if msg.GetForwardIncarnation() != "" {
+		p.ForwardIncarnation = ident.Incarnation(msg.GetForwardIncarnation())
+	}
 	if len(msg.GetPartitions()) > 0 {
 		p.Partitions = make(map[ident.Partition]ident.Epoch, len(msg.GetPartitions()))
 	}
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -70,6 +70,8 @@
 	TableReachable bool
 	Capacity       map[ident.Service]Capacity
 	Partitions     map[ident.Partition]ident.Epoch
+	// ForwardIncarnation is what requests forwarded to the member must name.
+	ForwardIncarnation ident.Incarnation
 
 	knownSince time.Time
 	rowVersion uint64
@@ -140,7 +142,7 @@
 func (p *Peer) reset() {
 	p.HeardAt, p.retryAt, p.failures = time.Time{}, time.Time{}, 0
 	p.Capacity, p.Partitions = nil, nil
-	p.TableReachable, p.ConfigAge = false, 0
+	p.TableReachable, p.ConfigAge, p.ForwardIncarnation = false, 0, ""
 }
 
 // Session is a session row of the table.
--- a/control/partition/local.go
+++ b/control/partition/local.go
@@ -93,6 +93,28 @@
 	return out, nil
 }
 
+// setQuarantine closes or opens a worker. Its running tasks go on.
+func (l *local) setQuarantine(ctx context.Context, id ident.Partition, worker ident.Worker, on bool) error {
+	x, err := l.executor(id)
+	if err != nil {
+		return err
+	}
+	known := false
+	err = x.Inspect(ctx, func(s executor.Scheduler) {
+		inner := s.(*scheduler)
+		if on {
+			inner.health.Quarantine(time.Now(), worker)
+		} else {
+			inner.health.Release(time.Now(), worker)
+		}
+		known = inner.Reassess(time.Now(), worker)
+	})
+	if err == nil && !known {
+		return errkind.New(errkind.NotFound, "partition %s has no worker %s", id, worker)
+	}
+	return err
+}
+
 func (l *local) view(ctx context.Context, id ident.Partition) (*rpc.PartitionView, error) {
 	x, err := l.executor(id)
 	if err != nil {
--- a/control/partition/route.go
+++ b/control/partition/route.go
@@ -1,7 +1,6 @@
 package partition
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/lacewingpier/lacewingpier/platform"
 	"github.com/lacewingpier/lacewingpier/platform/tableclient"
 	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/sched"
 )
 
 // viewTTL is how long a partition's view serves to choose a partition.
@@ -38,63 +38,65 @@
 	return ident.Partition(name), nil
 }
 
-// keyRow maps a caller's key to the job that it created.
+// keyRow maps a caller's job id to the job that it created.
 type keyRow struct {
 	Job       ident.Job       `json:"job"`
 	Partition ident.Partition `json:"partition"`
+	Workspace ident.Workspace `json:"workspace"`
 }
 
-// Submit records a job in the partition that can start it soonest. A caller
-// that repeats a submission with the same key gets the same job.
-func (s *Service) Submit(ctx context.Context, job model.Job, key string) (*rpc.JobStatus, error) {
-	candidates, err := s.candidates(ctx, job)
+func keyOf(id ident.Job) string { return "jobkey/" + string(id) }
+
+// Submit records a job in the partition that can start it soonest. The id that
+// the caller gave is a key: a caller that repeats a submission gets the same
+// job. The job's own id names the partition before it.
+func (s *Service) Submit(ctx context.Context, job model.Job) (*rpc.JobStatus, error) {
+	home, err := s.home(ctx, job)
 	if err != nil {
 		return nil, err
 	}
-	if key != "" {
-		return s.submitKeyed(ctx, job, key, candidates)
+	if job.ID == "" {
+		job.ID = jobID(home, ident.Job(ident.NewID("")))
+		return s.submitTo(ctx, home, job)
 	}
-	var last error
-	for _, id := range candidates {
-		job.ID = newJobID(id)
-		status, err := s.submitTo(ctx, id, job)
-		if err == nil || !errkind.Is(err, errkind.Unschedulable) {
-			return status, err
-		}
-		last = err
+	row, err := s.claimKey(ctx, job, home)
+	if err != nil {
+		return nil, err
 	}
-	return nil, last
+	job.ID = row.Job
+	return s.submitTo(ctx, row.Partition, job)
 }
 
-func newJobID(id ident.Partition) ident.Job {
-	return ident.Job(string(id) + jobSeparator + ident.NewID(""))
+func jobID(id ident.Partition, key ident.Job) ident.Job {
+	return ident.Job(string(id) + jobSeparator + string(key))
 }
 
-// submitKeyed fixes the job id and partition of a key in one row before the
-// job is submitted, so that a repeat through another entry cannot create a
-// second job.
-func (s *Service) submitKeyed(ctx context.Context, job model.Job, key string, candidates []ident.Partition) (*rpc.JobStatus, error) {
-	rowKey := "jobkey/" + string(job.Workspace) + "/" + key
-	row := keyRow{Job: newJobID(candidates[0]), Partition: candidates[0]}
+// claimKey fixes the partition of a key in one row before the job is
+// submitted, so that a repeat through another entry cannot create a second
+// job. A row without a job is harmless: the repeat submits that job.
+func (s *Service) claimKey(ctx context.Context, job model.Job, home ident.Partition) (keyRow, error) {
+	row := keyRow{Job: jobID(home, job.ID), Partition: home, Workspace: job.Workspace}
 	value, err := json.Marshal(row)
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "encode job key")
+		return row, errkind.Wrap(errkind.Internal, err, "encode job key")
 	}
-	op := platform.Op{Kind: platform.OpPut, Key: rowKey, Value: value}
+	op := platform.Op{Kind: platform.OpPut, Key: keyOf(job.ID), Value: value}
 	_, err = s.opts.Table.Commit(ctx, tableclient.ClassJob, op)
 	if errkind.Is(err, errkind.Conflict) {
-		row, err = s.readKey(ctx, rowKey)
+		row, err = s.readKey(ctx, job.ID)
 	}
 	if err != nil {
-		// A key row without a job is harmless: the repeat submits that job.
-		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
+		// The job itself has not been submitted, whatever became of the row.
+		return row, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
 	}
-	job.ID = row.Job
-	return s.submitTo(ctx, row.Partition, job)
+	if row.Workspace != job.Workspace {
+		return row, errkind.New(errkind.KeyReused, "job id %s is in use", job.ID)
+	}
+	return row, nil
 }
 
-func (s *Service) readKey(ctx context.Context, rowKey string) (keyRow, error) {
-	stored, err := s.opts.Table.Get(ctx, tableclient.ClassJob, rowKey)
+func (s *Service) readKey(ctx context.Context, id ident.Job) (keyRow, error) {
+	stored, err := s.opts.Table.Get(ctx, tableclient.ClassJob, keyOf(id))
 	if err != nil {
 		return keyRow{}, err
 	}
@@ -105,51 +107,77 @@
 	return row, nil
 }
 
-// candidates orders the partitions for a job: the home of its shape, or those
-// of the entry's region before others, the one with the most free accelerators
-// and the shortest queue first.
-func (s *Service) candidates(ctx context.Context, job model.Job) ([]ident.Partition, error) {
+// resolve returns a job's full id and partition for either form of its id.
+func (s *Service) resolve(ctx context.Context, job ident.Job) (ident.Job, ident.Partition, error) {
+	if id, err := s.partitionOf(job); err == nil {
+		return job, id, nil
+	}
+	row, err := s.readKey(ctx, job)
+	if errkind.Is(err, errkind.NotFound) {
+		return job, "", errkind.New(errkind.NotFound, "job %s does not exist", job)
+	}
+	return row.Job, row.Partition, err
+}
+
+// home chooses the partition of a new job: the home of its shape, or one whose
+// workers could hold it, those of the entry's region before others, then the
+// one with the most free accelerators for its queue.
+func (s *Service) home(ctx context.Context, job model.Job) (ident.Partition, error) {
 	if job.Shape != "" {
 		shape, ok := s.opts.Config.Current().Sheet.Shape(job.Workspace, job.Shape)
 		if !ok {
-			return nil, errkind.New(errkind.InvalidArgument, "workspace %s has no shape %q", job.Workspace, job.Shape)
+			return "", errkind.New(errkind.InvalidArgument, "workspace %s has no shape %q", job.Workspace, job.Shape)
 		}
-		return []ident.Partition{shape.Partition}, nil
+		return shape.Partition, nil
 	}
-	if len(s.opts.Partitions) == 0 {
-		return nil, errkind.New(errkind.NotReady, "the settings name no partitions")
-	}
-	specs := slices.Clone(s.opts.Partitions)
-	room := make(map[ident.Partition]int, len(specs))
-	for _, p := range specs {
-		room[p.ID] = s.room(ctx, p.ID)
+	var best ident.Partition
+	var bestScore homeScore
+	unknown := 0
+	for _, p := range s.opts.Partitions {
+		view, err := s.cachedView(ctx, p.ID)
+		if err != nil {
+			unknown++
+			continue
+		}
+		score := homeScore{holds: canHold(view, job), inRegion: p.Region == s.opts.Self.Region, room: room(view)}
+		if best == "" || score.better(bestScore) {
+			best, bestScore = p.ID, score
+		}
 	}
-	slices.SortStableFunc(specs, func(a, b Spec) int {
-		return cmp.Or(
-			cmp.Compare(s.distance(a), s.distance(b)),
-			cmp.Compare(room[b.ID], room[a.ID]))
-	})
-	ids := make([]ident.Partition, 0, len(specs))
-	for _, p := range specs {
-		ids = append(ids, p.ID)
+	switch {
+	case best == "":
+		return "", errkind.WithRetryAfter(errkind.NotReady, time.Second, "no partition has an owner at the moment")
+	case !bestScore.holds && unknown > 0:
+		return "", errkind.WithRetryAfter(errkind.NotReady, time.Second, "%d partitions that might hold the job have no owner at the moment", unknown)
+	default:
+		return best, nil
 	}
-	return ids, nil
 }
 
-func (s *Service) distance(p Spec) int {
-	if p.Region == s.opts.Self.Region {
-		return 0
-	}
-	return 1
+// homeScore ranks a partition for a new job.
+type homeScore struct {
+	holds    bool
+	inRegion bool
+	// room is free accelerators less waiting jobs.
+	room int
 }
 
-// room scores a partition: free accelerators less what waits. Unknown
-// partitions come last.
-func (s *Service) room(ctx context.Context, id ident.Partition) int {
-	view, err := s.cachedView(ctx, id)
-	if err != nil {
-		return -1 << 20
+func (a homeScore) better(b homeScore) bool {
+	if a.holds != b.holds {
+		return a.holds
+	}
+	if a.inRegion != b.inRegion {
+		return a.inRegion
 	}
+	return a.room > b.room
+}
+
+// canHold reports whether the empty partition could run the job.
+func canHold(view *rpc.PartitionView, job model.Job) bool {
+	return sched.CanHold(viewWorkers(view), job)
+}
+
+func room(view *rpc.PartitionView) int {
 	free := 0
 	for _, w := range view.GetWorkers() {
 		free += int(w.GetFree().GetAccelerators())
@@ -184,7 +212,7 @@
 
 // Cancel cancels a job.
 func (s *Service) Cancel(ctx context.Context, job ident.Job) (*rpc.JobStatus, error) {
-	id, err := s.partitionOf(job)
+	job, id, err := s.resolve(ctx, job)
 	if err != nil {
 		return nil, err
 	}
@@ -197,7 +225,7 @@
 
 // Explain says what a job does and what it waits for.
 func (s *Service) Explain(ctx context.Context, job ident.Job) (*rpc.JobExplanation, error) {
-	id, err := s.partitionOf(job)
+	job, id, err := s.resolve(ctx, job)
 	if err != nil {
 		return nil, err
 	}
@@ -234,6 +262,27 @@
 	return all, nil
 }
 
+// SetWorkerQuarantine closes or opens a worker in whichever partition has it.
+func (s *Service) SetWorkerQuarantine(ctx context.Context, worker ident.Worker, on bool) error {
+	last := errkind.New(errkind.NotFound, "worker %s does not exist", worker)
+	for _, p := range s.opts.Partitions {
+		_, err := forward(s, p.ID,
+			func() (*rpc.QuarantineResult, error) {
+				return nil, s.local.setQuarantine(ctx, p.ID, worker, on)
+			},
+			func(c rpc.EntryClient) (*rpc.QuarantineResult, error) {
+				return c.SetQuarantine(ctx, &rpc.QuarantineRequest{Partition: string(p.ID), Worker: string(worker), On: on})
+			})
+		if err == nil {
+			return nil
+		}
+		if !errkind.Is(err, errkind.NotFound) {
+			last = err
+		}
+	}
+	return last
+}
+
 // View returns the owner's view of a partition.
 func (s *Service) View(ctx context.Context, id ident.Partition) (*rpc.PartitionView, error) {
 	return forward(s, id,
--- a/control/partition/server.go
+++ b/control/partition/server.go
@@ -35,6 +35,12 @@
 	return &rpc.JobList{Jobs: jobs}, rpc.StatusFromError(err)
 }
 
+// SetQuarantine serves the RPC of the same name for an owned partition.
+func (s *Service) SetQuarantine(ctx context.Context, req *rpc.QuarantineRequest) (*rpc.QuarantineResult, error) {
+	err := s.local.setQuarantine(ctx, ident.Partition(req.GetPartition()), ident.Worker(req.GetWorker()), req.GetOn())
+	return &rpc.QuarantineResult{}, rpc.StatusFromError(err)
+}
+
 // PartitionStatus serves the RPC of the same name for an owned partition.
 func (s *Service) PartitionStatus(ctx context.Context, req *rpc.PartitionRef) (*rpc.PartitionView, error) {
 	view, err := s.local.view(ctx, ident.Partition(req.GetPartition()))
--- a/control/partition/service.go
+++ b/control/partition/service.go
@@ -145,6 +145,21 @@
 // Live lists the sessions that were live at the last observation.
 func (s *Service) Live() []ownership.Session { return s.manager.Live() }
 
+// Epochs returns the epochs of the partitions that the entry owns.
+func (s *Service) Epochs() map[ident.Partition]ident.Epoch {
+	epochs := make(map[ident.Partition]ident.Epoch)
+	for _, id := range s.manager.Held() {
+		epochs[id] = s.epoch(id)
+	}
+	return epochs
+}
+
+// Observed lists the entries' session rows as of the last observation.
+func (s *Service) Observed() []ownership.Observed { return s.manager.Observed() }
+
+// TableReachable reports whether the entry's session is being renewed.
+func (s *Service) TableReachable() bool { return s.manager.TableReachable() }
+
 // Partitions lists the partitions of the installation.
 func (s *Service) Partitions() []Spec { return s.opts.Partitions }
 
