Allow for clock drift over the whole outage extension

The margin of 200 ms fits a lease of seconds. Over two hours a difference of 100 ppm is 0.7 s, so a successor now adds a thousandth of the extension before it restarts work of a worker that never answered. The model test also delays commits past their first read-back. Failure tests log virtual times.

--- a/control/executor/stop.go
+++ b/control/executor/stop.go
@@ -153,6 +153,11 @@
 	}
 }
 
+// driftShare bounds the difference between two clocks over the outage
+// extension: one part in a thousand, ten times the error of common oscillators.
+// The margin of a lease covers seconds and is too small for hours.
+const driftShare = 1000
+
 // endOfLease is when the member has certainly stopped without an answer of its
 // worker. A worker that has accepted this epoch runs the task only on leases
 // that this owner gave. Another may still be renewed by an earlier owner
@@ -162,7 +167,8 @@
 	if m.worker.fenced {
 		return m.extended.Add(tail)
 	}
-	return x.startedAt.Add(x.opts.Lease.Extension() + tail)
+	extension := x.opts.Lease.Extension()
+	return x.startedAt.Add(extension + extension/driftShare + tail)
 }
 
 func (x *Executor) checkStopped(j *job) {
--- a/control/recovery/failure_test.go
+++ b/control/recovery/failure_test.go
@@ -24,6 +24,7 @@
 		Convey(name, t, func() {
 			c := newCluster(workers)
 			defer c.close()
+			c.measured = func(what string, since time.Time) { t.Logf("measured: %s after %v", what, time.Since(since)) }
 			a := c.startNode("a", "z1")
 			b := c.startNode("b", "z1")
 			So(await(10*time.Second, func() bool { return c.owner() != nil }), ShouldBeTrue)
@@ -70,6 +71,7 @@
 		started := time.Now()
 		owner.kill()
 		So(await(time.Minute, func() bool { return c.owner() == other }), ShouldBeTrue)
+		c.measured("partition rebuilt after the owner died", started)
 		So(time.Since(started), ShouldBeLessThan, 5*time.Second)
 		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
 		So(c.attempts("j1"), ShouldEqual, 1)
@@ -83,7 +85,9 @@
 		So(await(5*time.Second, owner.runs("j1")), ShouldBeTrue)
 		lease, _ := owner.manager.Lease(thePartition)
 		owner.gate.set(true)
+		pausedAt := time.Now()
 		So(await(6*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		c.measured("partition rebuilt after the owner was paused", pausedAt)
 		So(lease.Valid(), ShouldBeFalse)
 		owner.gate.set(false)
 		time.Sleep(20 * time.Second)
@@ -140,7 +144,9 @@
 		time.Sleep(time.Hour)
 		So(owner.status("long").Running, ShouldBeTrue)
 		c.store.SetTableFaults(standin.AnyClient, standin.Faults{})
+		returned := time.Now()
 		So(await(10*time.Second, succeeded(c, "short")), ShouldBeTrue)
+		c.measured("end of a job recorded after the table returned", returned)
 		time.Sleep(time.Minute)
 		So(c.owner(), ShouldEqual, owner)
 		So(other.counted("ownership.takeover"), ShouldEqual, 0)
@@ -154,9 +160,11 @@
 		So(owner.submit(gang("long", 2, 5*time.Hour)), ShouldBeNil)
 		So(await(5*time.Second, owner.runs("long")), ShouldBeTrue)
 		c.store.SetTableFaults(standin.AnyClient, standin.Faults{Down: true})
+		downSince := time.Now()
 		time.Sleep(2*time.Hour + time.Minute)
 		for _, r := range c.fleet.Runs() {
 			So(r.State, ShouldEqual, platform.TaskExpired)
+			t.Logf("measured: task ended %v after the start of the outage", r.End.Sub(downSince))
 		}
 	})
 }
@@ -170,7 +178,9 @@
 		time.Sleep(time.Minute)
 		lost := owner.status("j1").Row.Members[0].Worker
 		c.fleet.Kill(lost)
+		died := time.Now()
 		So(await(40*time.Second, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		c.measured("gang started elsewhere after a worker died", died)
 		for _, m := range owner.status("j1").Row.Members {
 			So(m.Worker, ShouldNotEqual, lost)
 		}
@@ -184,7 +194,9 @@
 		lost := owner.status("j1").Row.Members[0].Worker
 		c.fleet.Kill(lost)
 		c.fleet.Restart(lost)
+		died := time.Now()
 		So(await(8*time.Second, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		c.measured("gang started again after a worker restarted", died)
 		So(owner.counted("executor.worker_restarted"), ShouldEqual, 1)
 	})
 }
@@ -244,6 +256,7 @@
 		c.fleet.SetCut(owner.name, cutOff, true)
 		cutAt := time.Now()
 		So(await(time.Minute, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		c.measured("gang started elsewhere after a cut", cutAt)
 		So(time.Since(cutAt), ShouldBeLessThanOrEqualTo, 21*time.Second)
 		So(owner.counted("executor.released_by_time"), ShouldEqual, 1)
 		So(await(15*time.Minute, succeeded(c, "j1")), ShouldBeTrue)
@@ -274,8 +287,10 @@
 		c.fleet.SetCut(other.name, owner.status("j1").Row.Members[0].Worker, true)
 		owner.kill()
 		So(await(10*time.Second, func() bool { return c.owner() == other }), ShouldBeTrue)
+		ownedSince := time.Now()
 		time.Sleep(2 * time.Hour)
 		So(c.attempts("j1"), ShouldEqual, 1)
 		So(await(time.Minute, func() bool { return c.attempts("j1") == 2 }), ShouldBeTrue)
+		c.measured("work of an unreachable worker restarted by a successor", ownedSince)
 	})
 }
--- a/control/recovery/harness_test.go
+++ b/control/recovery/harness_test.go
@@ -208,6 +208,9 @@
 	mu     sync.Mutex
 	held   chan struct{}
 	closed bool
+	// lateCommits is the number of coming commits that reach the table only
+	// after their caller was told that the outcome is unknown.
+	lateCommits int
 	// beforeStart, if set, runs before each start call.
 	beforeStart func()
 }
@@ -245,6 +248,26 @@
 	g.set(false)
 }
 
+// commitDelay is how late a delayed commit reaches the table: after the first
+// read-backs of its caller.
+const commitDelay = 400 * time.Millisecond
+
+func (g *gate) takeLate() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lateCommits == 0 {
+		return false
+	}
+	g.lateCommits--
+	return true
+}
+
+func (g *gate) delayCommits(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lateCommits = n
+}
+
 type gatedTable struct {
 	platform.Table
 	gate *gate
@@ -268,6 +291,10 @@
 	if err := t.gate.pass(); err != nil {
 		return platform.CommitResult{}, err
 	}
+	if t.gate.takeLate() {
+		time.AfterFunc(commitDelay, func() { _, _ = t.Table.Commit(context.Background(), txn) })
+		return platform.CommitResult{}, errkind.New(errkind.OutcomeUnknown, "no answer in time")
+	}
 	return t.Table.Commit(ctx, txn)
 }
 
@@ -335,6 +362,8 @@
 	store *standin.Store
 	fleet *standin.Fleet
 	nodes []*node
+	// measured prints the virtual time since a fault with `go test -v`.
+	measured func(what string, since time.Time)
 
 	mu   sync.Mutex
 	acts []act
--- a/control/recovery/model_test.go
+++ b/control/recovery/model_test.go
@@ -55,7 +55,7 @@
 var stepKinds = slices.Concat(
 	slices.Repeat([]string{"submit"}, 8),
 	slices.Repeat([]string{"wait", "resume entry", "table up", "heal cuts", "restart worker"}, 3),
-	slices.Repeat([]string{"resubmit", "cancel", "preempt", "cut", "lose table answers", "lose worker answers"}, 2),
+	slices.Repeat([]string{"resubmit", "cancel", "preempt", "cut", "lose table answers", "late commits", "lose worker answers"}, 2),
 	[]string{
 		"kill entry", "pause entry", "table down", "table down for one", "slow table", "objects down",
 		"kill worker", "refuse prepares", "accept prepares", "fail starts", "pass starts",
@@ -159,6 +159,8 @@
 		w.store.SetTableFaults(n.name, standin.Faults{Down: true})
 	case "lose table answers":
 		w.store.SetTableFaults(n.name, standin.Faults{LoseAnswers: 1 + s.arg})
+	case "late commits":
+		n.gate.delayCommits(1 + s.arg)
 	case "slow table":
 		w.store.SetTableFaults(n.name, standin.Faults{Delay: time.Duration(s.arg) * 300 * time.Millisecond})
 	case "objects down":
