Connect the HTTP interface to the partitions

A submission now carries a key instead of a chosen job id, because ids name their partition; load and lacewingctl follow. Lists name the partitions that did not answer instead of failing. Audit records of submissions and cancellations are written by the interface, because the scheduling part has no hook in its transactions.

--- a/cmd/internal/load/jobs.go
+++ b/cmd/internal/load/jobs.go
@@ -19,7 +19,7 @@
 
 func (r *runner) newJob(rng *rand.Rand, n int) adminapi.JobSpec {
 	return adminapi.JobSpec{
-		ID:        ident.Job(fmt.Sprintf("load-%x-%d", rng.Uint64(), n)),
+		Key:       fmt.Sprintf("load-%x-%d", rng.Uint64(), n),
 		Service:   ident.Service(r.opts.Service),
 		Tasks:     1 + rng.IntN(2),
 		PerTask:   adminapi.Resources{Accelerators: 1 << rng.IntN(3)},
@@ -27,30 +27,36 @@
 	}
 }
 
-// submit sends a job twice with the same id: the second one must not make
-// another job.
+// submit sends a job twice with the same key: the second answer must name the
+// same job.
 func (r *runner) submit(ctx context.Context, spec adminapi.JobSpec) {
 	body, err := json.Marshal(spec)
 	if err != nil {
 		return
 	}
-	accepted := false
+	var accepted []ident.Job
 	for range 2 {
 		ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout+answerSlack)
 		resp, err := r.send.Do(ctx, client.Request{Method: http.MethodPost, Path: "/v1/jobs", Body: body})
 		cancel()
-		accepted = accepted || (err == nil && resp.Status == http.StatusOK)
+		var job adminapi.Job
+		if err == nil && resp.Status == http.StatusOK && json.Unmarshal(resp.Body, &job) == nil {
+			accepted = append(accepted, job.ID)
+		}
 		if err == nil && resp.Status != http.StatusOK {
 			r.count(func(res *Result) { res.Kinds["job:"+resp.Header.Get(adminapi.HeaderError)]++ })
 		}
 	}
 	r.count(func(res *Result) {
-		if accepted {
-			res.JobsAccepted++
-			r.jobs[spec.ID] = true
-		} else {
+		if len(accepted) == 0 {
 			res.JobsRefused++
+			return
+		}
+		res.JobsAccepted++
+		if accepted[0] != accepted[len(accepted)-1] {
+			res.JobsDuplicated++
 		}
+		r.jobs[accepted[0]] = true
 	})
 }
 
@@ -65,6 +71,10 @@
 		r.result.Kinds["job:list_"+errkind.Of(err).String()]++
 		return
 	}
+	if list.Incomplete != "" {
+		r.result.Kinds["job:list_incomplete"]++
+		return
+	}
 	seen := make(map[ident.Job]int)
 	for _, j := range list.Jobs {
 		seen[j.ID]++
--- a/cmd/lacewingctl/jobs.go
+++ b/cmd/lacewingctl/jobs.go
@@ -20,7 +20,7 @@
 
 type submitCommand struct {
 	Service        string        `arg:"" help:"Service that the job belongs to."`
-	ID             string        `help:"Job id; a repeat with the same id submits nothing twice."`
+	Key            string        `help:"Key of the submission; a repeat with the same key submits nothing twice."`
 	Workspace      string        `help:"Workspace; only operators give it."`
 	Tasks          int           `help:"Number of tasks of the gang." default:"1"`
 	Accelerators   int           `help:"Accelerators of each task." default:"1"`
@@ -41,7 +41,7 @@
 		"  lacewingctl submit search --accelerators 4 --urgent --wait"
 }
 
-// Run submits the job. The id is chosen here, so that a repeat after a broken
+// Run submits the job. A key is chosen here, so that a repeat after a broken
 // connection names the same job.
 func (cmd submitCommand) Run(s *session) error {
 	c, err := s.client(1)
@@ -49,17 +49,17 @@
 		return err
 	}
 	spec := adminapi.JobSpec{
-		ID: ident.Job(cmd.ID), Workspace: ident.Workspace(cmd.Workspace), Service: ident.Service(cmd.Service), Tasks: cmd.Tasks,
+		Key: cmd.Key, Workspace: ident.Workspace(cmd.Workspace), Service: ident.Service(cmd.Service), Tasks: cmd.Tasks,
 		PerTask:  adminapi.Resources{Accelerators: cmd.Accelerators, Cores: cmd.Cores, MemoryMB: cmd.MemoryMB},
 		Locality: cmd.Locality, Shape: cmd.Shape, Urgent: cmd.Urgent, RunTimeMS: cmd.RunTime.Milliseconds(), Checkpointable: cmd.Checkpointable,
 	}
-	if spec.ID == "" {
-		spec.ID = ident.Job(ident.NewID("job-"))
+	if spec.Key == "" {
+		spec.Key = ident.NewID("ctl-")
 	}
 	var job adminapi.Job
 	if err := c.Post(s.ctx, "/v1/jobs", nil, spec, &job); err != nil {
 		if client.ExitCode(err) == client.ExitUnknown {
-			return errors.Wrapf(err, "the job may be recorded; repeat with --id %s", spec.ID)
+			return errors.Wrapf(err, "the job may be recorded; repeat with --key %s", spec.Key)
 		}
 		return err
 	}
@@ -96,7 +96,7 @@
 	if err := c.Get(s.ctx, "/v1/jobs", query, &list); err != nil {
 		return err
 	}
-	shown := adminapi.JobList{Jobs: []adminapi.Job{}}
+	shown := adminapi.JobList{Jobs: []adminapi.Job{}, Incomplete: list.Incomplete}
 	var rows [][]string
 	for _, j := range list.Jobs {
 		if cmd.State != "" && j.State != cmd.State {
@@ -105,9 +105,17 @@
 		shown.Jobs = append(shown.Jobs, j)
 		rows = append(rows, []string{string(j.ID), string(j.Workspace), string(j.Service), gang(j), string(j.Partition), j.State, strconv.Itoa(j.Attempt), j.Reason})
 	}
+	warnIncomplete(s, list.Incomplete)
 	return s.printer.Rows(shown, []string{"JOB", "WORKSPACE", "SERVICE", "GANG", "PARTITION", "STATE", "ATTEMPT", "REASON"}, rows)
 }
 
+// warnIncomplete says on standard error that a list lacks some partitions.
+func warnIncomplete(s *session, missing string) {
+	if missing != "" {
+		_, _ = fmt.Fprintln(s.stderr, "lacewingctl: the list is incomplete:", missing)
+	}
+}
+
 func gang(j adminapi.Job) string {
 	return fmt.Sprintf("%dx%d/%s", j.Tasks, j.PerTask.Accelerators, j.Locality)
 }
--- a/cmd/lacewingctl/objects.go
+++ b/cmd/lacewingctl/objects.go
@@ -117,6 +117,7 @@
 	var w adminapi.WorkspaceInfo
 	return get(s, "/v1/workspaces/"+url.PathEscape(cmd.Workspace), &w, func() ([]string, [][]string) {
 		var rows [][]string
+		warnIncomplete(s, w.Incomplete)
 		for _, g := range w.Guarantees {
 			rows = append(rows, []string{g.Shape, string(g.Partition), strconv.Itoa(g.Guaranteed), strconv.Itoa(g.Held), strconv.Itoa(g.Lent), strconv.Itoa(g.Short)})
 		}
@@ -137,6 +138,7 @@
 	var list adminapi.WorkerList
 	return get(s, "/v1/workers", &list, func() ([]string, [][]string) {
 		var rows [][]string
+		warnIncomplete(s, list.Incomplete)
 		for _, w := range list.Workers {
 			free := fmt.Sprintf("%d/%d", w.Free.Accelerators, w.Capacity.Accelerators)
 			rows = append(rows, []string{string(w.ID), string(w.Partition), string(w.Rack), w.State, free})
--- a/control/adminapi/audit.go
+++ b/control/adminapi/audit.go
@@ -40,8 +40,7 @@
 	return platform.Op{Kind: platform.OpPut, Key: key, Value: value}, nil
 }
 
-// Auditor writes the records of changes that have no transaction of their own,
-// such as a quarantine. Operators must be able to make these while the table
+// Auditor writes the records of changes other than an apply. Operators must be able to make these while the table
 // is down; the records are then held in memory and written when it returns.
 type Auditor struct {
 	table platform.Table
--- a/control/adminapi/backend.go
+++ b/control/adminapi/backend.go
@@ -21,11 +21,11 @@
 	RequestID ident.Request `json:"request_id"`
 }
 
-// Backend is what the entry does for the interface. Methods that change
-// something write AuditOp in the transaction of the change, where there is one.
+// Backend is what the entry does for the interface. Jobs implements its part
+// about jobs and partitions. A method that returns a list may return an error
+// together with what it found, when some partitions do not answer.
 type Backend interface {
-	// SubmitJob records a job. A repeat with the same id and content returns
-	// the recorded job.
+	// SubmitJob records a job. A repeat with the same key returns the same job.
 	SubmitJob(ctx context.Context, by Actor, spec JobSpec) (Job, error)
 	// Jobs lists the jobs of a workspace, or of all when it is empty.
 	Jobs(ctx context.Context, workspace ident.Workspace) ([]Job, error)
@@ -62,8 +62,9 @@
 
 // JobSpec describes a job that is submitted.
 type JobSpec struct {
-	// ID makes a repeated submission harmless; it is generated when empty.
-	ID ident.Job `json:"id,omitempty"`
+	// Key makes a repeated submission harmless: the same key of the same
+	// workspace names the same job.
+	Key string `json:"key,omitempty"`
 	// Workspace is taken from the key; only operators must give it.
 	Workspace ident.Workspace `json:"workspace,omitempty"`
 	Caller    ident.Caller    `json:"caller,omitempty"`
@@ -89,6 +90,8 @@
 
 // Job is a recorded job.
 type Job struct {
+	// ID names the job; its first part is the partition.
+	ID ident.Job `json:"id"`
 	JobSpec
 	Partition  ident.Partition `json:"partition"`
 	State      string          `json:"state"`
--- a/control/adminapi/jobspec.go
+++ b/control/adminapi/jobspec.go
@@ -10,7 +10,6 @@
 
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
-	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 func unmarshalStrict(raw []byte, target any) error {
@@ -25,7 +24,8 @@
 	return errkind.Wrap(errkind.InvalidArgument, err, "decode the request body")
 }
 
-const maxJobID = 63
+// maxKey bounds the length of a key.
+const maxKey = 63
 
 // complete fills a submitted job from the key of its sender and checks it.
 func (s *JobSpec) complete(by Actor, known *sheet.Sheet) error {
@@ -38,9 +38,6 @@
 	if s.Caller == "" {
 		s.Caller = by.Caller
 	}
-	if s.ID == "" {
-		s.ID = ident.Job(ident.NewID("job-"))
-	}
 	if s.Locality == "" {
 		s.Locality = "partition"
 	}
@@ -56,7 +53,7 @@
 	}
 	_, localityOK := sheet.ParseLocality(s.Locality)
 	_, workspaceOK := known.Workspace(s.Workspace)
-	require(validID(string(s.ID)), "id: must have 1 to 63 characters of a-z, A-Z, 0-9, - and _")
+	require(s.Key == "" || validKey(s.Key), "key: must have at most 63 characters of a-z, A-Z, 0-9, - and _")
 	require(workspaceOK, "workspace: is unknown")
 	require(s.Service != "", "service: is missing")
 	require(s.Tasks >= 1 && s.Tasks <= sheet.MaxTasks, "tasks: must be between 1 and 64")
@@ -74,11 +71,11 @@
 	return nil
 }
 
-func validID(id string) bool {
-	if id == "" || len(id) > maxJobID {
+func validKey(key string) bool {
+	if len(key) > maxKey {
 		return false
 	}
-	for _, c := range []byte(id) {
+	for _, c := range []byte(key) {
 		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' {
 			return false
 		}
--- a/control/adminapi/objects.go
+++ b/control/adminapi/objects.go
@@ -17,6 +17,8 @@
 	MaxQueue   int             `json:"max_queue"`
 	Guarantees []Guarantee     `json:"guarantees,omitempty"`
 	Callers    []CallerInfo    `json:"callers,omitempty"`
+	// Incomplete says which partitions did not answer, or is empty.
+	Incomplete string `json:"incomplete,omitempty"`
 }
 
 // CallerInfo is a caller without its key.
@@ -43,6 +45,7 @@
 	// GuaranteeList answers GET /v1/guarantees.
 	GuaranteeList struct {
 		Guarantees []Guarantee `json:"guarantees"`
+		Incomplete string      `json:"incomplete,omitempty"`
 	}
 	// ServiceList answers GET /v1/services.
 	ServiceList struct {
@@ -51,10 +54,13 @@
 	// JobList answers GET /v1/jobs.
 	JobList struct {
 		Jobs []Job `json:"jobs"`
+		// Incomplete says which partitions did not answer, or is empty.
+		Incomplete string `json:"incomplete,omitempty"`
 	}
 	// WorkerList answers GET /v1/workers.
 	WorkerList struct {
-		Workers []Worker `json:"workers"`
+		Workers    []Worker `json:"workers"`
+		Incomplete string   `json:"incomplete,omitempty"`
 	}
 	// UpstreamList answers GET /v1/upstreams.
 	UpstreamList struct {
@@ -90,10 +96,11 @@
 		return nil, errkind.New(errkind.NotFound, "workspace %q does not exist", name)
 	}
 	all, err := a.opts.Backend.Guarantees(c.Context())
+	missing, err := partial(len(all), err)
 	if err != nil {
 		return nil, err
 	}
-	info := WorkspaceInfo{Name: w.Name, Weight: w.Weight, Priority: w.Priority, MaxQueue: w.MaxQueue}
+	info := WorkspaceInfo{Name: w.Name, Weight: w.Weight, Priority: w.Priority, MaxQueue: w.MaxQueue, Incomplete: missing}
 	for _, g := range all {
 		if g.Workspace == name {
 			info.Guarantees = append(info.Guarantees, g)
@@ -109,11 +116,12 @@
 
 func (a *API) listGuarantees(c call) (any, error) {
 	all, err := a.opts.Backend.Guarantees(c.Context())
+	missing, err := partial(len(all), err)
 	if err != nil {
 		return nil, err
 	}
 	mine := slices.DeleteFunc(slices.Clone(all), func(g Guarantee) bool { return !c.actor.sees(g.Workspace) })
-	return GuaranteeList{Guarantees: notNil(mine)}, nil
+	return GuaranteeList{Guarantees: notNil(mine), Incomplete: missing}, nil
 }
 
 func (a *API) listServices(c call) (any, error) {
@@ -137,7 +145,12 @@
 	if err := spec.complete(c.actor, a.sheet()); err != nil {
 		return nil, err
 	}
-	return a.opts.Backend.SubmitJob(c.Context(), c.actor, spec)
+	job, err := a.opts.Backend.SubmitJob(c.Context(), c.actor, spec)
+	if err != nil {
+		return nil, err
+	}
+	a.audit(c, "job.submit", string(job.ID))
+	return job, nil
 }
 
 func (a *API) listJobs(c call) (any, error) {
@@ -149,11 +162,21 @@
 		workspace = c.actor.Workspace
 	}
 	jobs, err := a.opts.Backend.Jobs(c.Context(), workspace)
+	missing, err := partial(len(jobs), err)
 	if err != nil {
 		return nil, err
 	}
 	mine := slices.DeleteFunc(slices.Clone(jobs), func(j Job) bool { return !c.actor.sees(j.Workspace) })
-	return JobList{Jobs: notNil(mine)}, nil
+	return JobList{Jobs: notNil(mine), Incomplete: missing}, nil
+}
+
+// partial turns the error of a list that has some entries into a remark, so
+// that a partition that changes its owner does not hide the others.
+func partial(found int, err error) (missing string, failed error) {
+	if err == nil || found == 0 {
+		return "", err
+	}
+	return err.Error(), nil
 }
 
 // job returns the job that the path names. One of another workspace is
@@ -188,12 +211,18 @@
 	if !c.actor.mayChange(job) {
 		return nil, errkind.New(errkind.PermissionDenied, "only the job's caller and the workspace's owner may cancel it")
 	}
-	return a.opts.Backend.CancelJob(c.Context(), c.actor, job.ID)
+	canceled, err := a.opts.Backend.CancelJob(c.Context(), c.actor, job.ID)
+	if err != nil {
+		return nil, err
+	}
+	a.audit(c, "job.cancel", string(job.ID))
+	return canceled, nil
 }
 
 func (a *API) listWorkers(c call) (any, error) {
 	workers, err := a.opts.Backend.Workers(c.Context())
-	return WorkerList{Workers: notNil(workers)}, err
+	missing, err := partial(len(workers), err)
+	return WorkerList{Workers: notNil(workers), Incomplete: missing}, err
 }
 
 func (a *API) quarantine(c call) (any, error) { return a.setQuarantine(c, true, "worker.quarantine") }
@@ -223,8 +252,8 @@
 	return Done{"upstream.drain"}, nil
 }
 
-// audit records a change that has no transaction of its own. When the table is
-// down, the record is held and the change stands.
+// audit records a change other than an apply, whose record is part of its
+// transaction. When the table is down, the record is held and the change stands.
 func (a *API) audit(c call, action, target string) {
 	err := a.opts.Auditor.Record(c.Context(), NewAuditRecord(c.actor, action, target))
 	if err != nil && a.opts.Logger != nil {
