Check that a shape which does not fit is listed once

The test had one gang without a place, so that a shape with several was listed once for each gang unnoticed by the test. It now has two.

--- a/control/adminapi/scheduling_test.go
+++ b/control/adminapi/scheduling_test.go
@@ -87,7 +87,7 @@
 		placed, err := sheet.Check([]byte(head+"shape,alpha,big,1,2,8,rack,,,,,\nshape,alpha,small,2,1,8,worker,,,,,\n"), nil, limits)
 		So(err, ShouldBeNil)
 		So(placed.Partitions(), ShouldResemble, []ident.Partition{"p1", "p2"})
-		_, err = sheet.Check([]byte(head+"shape,alpha,big,2,2,8,rack,,,,,\nshape,alpha,small,2,1,8,worker,,,,,\n"), placed, limits)
+		_, err = sheet.Check([]byte(head+"shape,alpha,big,3,2,8,rack,,,,,\nshape,alpha,small,2,1,8,worker,,,,,\n"), placed, limits)
 		So(errkind.Is(err, errkind.DoesNotFit), ShouldBeTrue)
 		So(len(sheet.ProblemsOf(err)), ShouldEqual, 1)
 		_, err = sheet.Check([]byte(head), placed, limits)
