Use one adapter between the administration API and partitions

Cause: the entry and adminapi each had an adapter from jobs and partitions to the API; job keys were global, so two workspaces could block each other's key. Conclusion: one conversion stands in one place.

--- a/cmd/internal/demo/jobs.go
+++ b/cmd/internal/demo/jobs.go
@@ -96,7 +96,7 @@
 func submitWhenReady(ctx context.Context, node *entryNode, job model.Job) error {
 	var last error
 	err := poll(ctx, func() bool {
-		_, last = node.entry.Jobs().Submit(ctx, job)
+		_, last = node.entry.Jobs().Submit(ctx, job, "")
 		return last == nil
 	})
 	if err != nil {
@@ -108,16 +108,16 @@
 // reclaimShape submits the gang of a guaranteed shape and waits for its start.
 func reclaimShape(ctx context.Context, node *entryNode, acc *account) error {
 	job := model.Job{
-		ID: "demo-reclaim", Workspace: "matching", Caller: "night-run", Service: "search", Shape: "rack-of-16",
+		Workspace: "matching", Caller: "night-run", Service: "search", Shape: "rack-of-16",
 		Tasks: 2, PerTask: model.Resources{Accelerators: 8}, Locality: model.LocalityRack,
 		RunTime: time.Hour, Checkpointable: true, Urgent: true, Submitted: time.Now(),
 	}
 	began := time.Now()
-	status, err := node.entry.Jobs().Submit(ctx, job)
+	status, err := node.entry.Jobs().Submit(ctx, job, "demo-reclaim")
 	if err != nil {
 		return err
 	}
-	again, err := node.entry.Jobs().Submit(ctx, job)
+	again, err := node.entry.Jobs().Submit(ctx, job, "demo-reclaim")
 	acc.check(err == nil && again.GetSpec().GetId() == status.GetSpec().GetId(), "a repeated submission with the same key is the same job")
 	var running *rpc.JobStatus
 	err = poll(ctx, func() bool {
@@ -141,7 +141,7 @@
 		Workspace: "intake", Caller: "bulk", Service: "search", Tasks: 1,
 		PerTask: model.Resources{Accelerators: 9}, Locality: model.LocalityWorker, Submitted: time.Now(),
 	}
-	_, err := node.entry.Jobs().Submit(ctx, job)
+	_, err := node.entry.Jobs().Submit(ctx, job, "")
 	acc.check(err != nil, "a job that can never run is refused: %v", err)
 }
 
--- a/control/entry/http.go
+++ b/control/entry/http.go
@@ -33,7 +33,7 @@
 func (e *Entry) adminAPI() *adminapi.API {
 	table := e.state.table.At(tableclient.ClassReport)
 	return adminapi.New(adminapi.Options{
-		Backend:  backend{e},
+		Backend:  newBackend(e),
 		Store:    e.state.store,
 		Follower: e.state.config,
 		Auth:     e.auth,
--- a/control/partition/route.go
+++ b/control/partition/route.go
@@ -38,87 +38,59 @@
 	return ident.Partition(name), nil
 }
 
-// keyRow maps a caller's job id to the job that it created.
+// keyRow maps a caller's key to the job that it created.
 type keyRow struct {
 	Job       ident.Job       `json:"job"`
 	Partition ident.Partition `json:"partition"`
-	Workspace ident.Workspace `json:"workspace"`
 }
 
-func keyOf(id ident.Job) string { return "jobkey/" + string(id) }
+func keyOf(workspace ident.Workspace, key string) string {
+	return "jobkey/" + string(workspace) + "/" + key
+}
 
-// Submit records a job in the partition that can start it soonest. The id that
-// the caller gave is a key: a caller that repeats a submission gets the same
-// job. The job's own id names the partition before it.
-func (s *Service) Submit(ctx context.Context, job model.Job) (*rpc.JobStatus, error) {
+// Submit records a job in the partition that can start it soonest. A caller
+// that repeats a submission with the same key gets the same job.
+func (s *Service) Submit(ctx context.Context, job model.Job, key string) (*rpc.JobStatus, error) {
 	home, err := s.home(ctx, job)
 	if err != nil {
 		return nil, err
 	}
-	if job.ID == "" {
-		job.ID = jobID(home, ident.Job(ident.NewID("")))
+	job.ID = ident.Job(string(home) + jobSeparator + ident.NewID(""))
+	if key == "" {
 		return s.submitTo(ctx, home, job)
 	}
-	row, err := s.claimKey(ctx, job, home)
+	row, err := s.claimKey(ctx, keyOf(job.Workspace, key), keyRow{Job: job.ID, Partition: home})
 	if err != nil {
-		return nil, err
+		// The job itself has not been submitted, whatever became of the row.
+		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
 	}
 	job.ID = row.Job
 	return s.submitTo(ctx, row.Partition, job)
 }
 
-func jobID(id ident.Partition, key ident.Job) ident.Job {
-	return ident.Job(string(id) + jobSeparator + string(key))
-}
-
-// claimKey fixes the partition of a key in one row before the job is
-// submitted, so that a repeat through another entry cannot create a second
+// claimKey fixes the job id and partition of a key in one row before the job
+// is submitted, so that a repeat through another entry cannot create a second
 // job. A row without a job is harmless: the repeat submits that job.
-func (s *Service) claimKey(ctx context.Context, job model.Job, home ident.Partition) (keyRow, error) {
-	row := keyRow{Job: jobID(home, job.ID), Partition: home, Workspace: job.Workspace}
+func (s *Service) claimKey(ctx context.Context, rowKey string, row keyRow) (keyRow, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return row, errkind.Wrap(errkind.Internal, err, "encode job key")
 	}
-	op := platform.Op{Kind: platform.OpPut, Key: keyOf(job.ID), Value: value}
+	op := platform.Op{Kind: platform.OpPut, Key: rowKey, Value: value}
 	_, err = s.opts.Table.Commit(ctx, tableclient.ClassJob, op)
-	if errkind.Is(err, errkind.Conflict) {
-		row, err = s.readKey(ctx, job.ID)
+	if !errkind.Is(err, errkind.Conflict) {
+		return row, err
 	}
+	stored, err := s.opts.Table.Get(ctx, tableclient.ClassJob, rowKey)
 	if err != nil {
-		// The job itself has not been submitted, whatever became of the row.
-		return row, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
+		return row, err
 	}
-	if row.Workspace != job.Workspace {
-		return row, errkind.New(errkind.KeyReused, "job id %s is in use", job.ID)
-	}
-	return row, nil
-}
-
-func (s *Service) readKey(ctx context.Context, id ident.Job) (keyRow, error) {
-	stored, err := s.opts.Table.Get(ctx, tableclient.ClassJob, keyOf(id))
-	if err != nil {
-		return keyRow{}, err
-	}
-	var row keyRow
 	if err := json.Unmarshal(stored.Value, &row); err != nil {
-		return keyRow{}, errkind.Wrap(errkind.Corrupt, err, "decode job key")
+		return row, errkind.Wrap(errkind.Corrupt, err, "decode job key")
 	}
 	return row, nil
 }
 
-// resolve returns a job's full id and partition for either form of its id.
-func (s *Service) resolve(ctx context.Context, job ident.Job) (ident.Job, ident.Partition, error) {
-	if id, err := s.partitionOf(job); err == nil {
-		return job, id, nil
-	}
-	row, err := s.readKey(ctx, job)
-	if errkind.Is(err, errkind.NotFound) {
-		return job, "", errkind.New(errkind.NotFound, "job %s does not exist", job)
-	}
-	return row.Job, row.Partition, err
-}
-
 // home chooses the partition of a new job: the home of its shape, or one whose
 // workers could hold it, those of the entry's region before others, then the
 // one with the most free accelerators for its queue.
@@ -177,6 +149,18 @@
 	return sched.CanHold(viewWorkers(view), job)
 }
 
+func viewWorkers(view *rpc.PartitionView) []model.Worker {
+	workers := make([]model.Worker, 0, len(view.GetWorkers()))
+	for _, w := range view.GetWorkers() {
+		workers = append(workers, model.Worker{
+			ID:       ident.Worker(w.GetWorker()),
+			Rack:     ident.Rack(w.GetRack()),
+			Capacity: resourcesFromRPC(w.GetCapacity()),
+		})
+	}
+	return workers
+}
+
 func room(view *rpc.PartitionView) int {
 	free := 0
 	for _, w := range view.GetWorkers() {
@@ -212,7 +196,7 @@
 
 // Cancel cancels a job.
 func (s *Service) Cancel(ctx context.Context, job ident.Job) (*rpc.JobStatus, error) {
-	job, id, err := s.resolve(ctx, job)
+	id, err := s.partitionOf(job)
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +209,7 @@
 
 // Explain says what a job does and what it waits for.
 func (s *Service) Explain(ctx context.Context, job ident.Job) (*rpc.JobExplanation, error) {
-	job, id, err := s.resolve(ctx, job)
+	id, err := s.partitionOf(job)
 	if err != nil {
 		return nil, err
 	}
--- a/control/session/jobs_test.go
+++ b/control/session/jobs_test.go
@@ -24,11 +24,11 @@
 // submit submits a job and returns its id, or "" when it was refused.
 func (c *cluster) submit(n *node, workspace, shape string, tasks, accelerators int, locality model.Locality, key string) ident.Job {
 	job := model.Job{
-		ID: ident.Job(key), Workspace: ident.Workspace(workspace), Caller: "planning", Service: "coverage", Shape: shape,
+		Workspace: ident.Workspace(workspace), Caller: "planning", Service: "coverage", Shape: shape,
 		Tasks: tasks, PerTask: model.Resources{Accelerators: accelerators}, Locality: locality,
 		RunTime: time.Hour, Checkpointable: true, Submitted: time.Now(),
 	}
-	status, err := n.entry.Jobs().Submit(context.Background(), job)
+	status, err := n.entry.Jobs().Submit(context.Background(), job, key)
 	c.printf("submit  workspace=%s shape=%q tasks=%d accelerators=%d key=%q: %s %v", workspace, shape, tasks, accelerators, key, status.GetSpec().GetId(), err)
 	return ident.Job(status.GetSpec().GetId())
 }
