Bound the memory of bodies that are read before they are queued

A body is read before its request is queued, so the queue's bound in bytes did not cover it: 10,000 slow callers could hold 64 KiB each. A budget of 256 MiB for all bodies refuses further ones as queue_full.

--- a/control/entry/body.go
+++ b/control/entry/body.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +19,34 @@
 	keyedBody = 1 << 20
 )
 
+// heldBodies bounds the sum of the bodies that all requests hold in memory,
+// those included that are still being read and are not yet in a queue.
+const heldBodies = 256 << 20
+
+// bodyBudget hands out memory for bodies.
+type bodyBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take reserves n bytes and returns what gives them back, or an error of kind
+// QueueFull.
+func (b *bodyBudget) take(n int64) (func(), error) {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return nil, errkind.WithRetryAfter(errkind.QueueFull, time.Second, "the entry holds %d bytes of bodies", b.limit)
+	}
+	return func() { b.used.Add(-n) }, nil
+}
+
+// heldSize is how much of a body of the given length is held.
+func heldSize(length int64, limit int) int64 {
+	if length >= 0 && length < int64(limit) {
+		return length
+	}
+	return int64(limit)
+}
+
 // body is a request body of which the first part is held in memory.
 type body struct {
 	kept []byte
@@ -39,10 +69,7 @@
 	if r == nil || length == 0 {
 		return &body{}, nil
 	}
-	size := limit
-	if length > 0 && length < int64(limit) {
-		size = int(length)
-	}
+	size := int(heldSize(length, limit))
 	kept, err := readFirst(r, size, length > 0)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Canceled, err, "read the caller's body")
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -53,6 +53,7 @@
 	scope    tally.Scope
 	stats    *stats
 	running  *runningSet
+	bodies   bodyBudget
 	draining atomic.Bool
 
 	forwardMu sync.Mutex
@@ -80,6 +81,7 @@
 		services:  newServiceRegistry(network, pick.DefaultConfig(s.Zone, s.Region)),
 		observed:  newObservedClaims(),
 		running:   newRunningSet(),
+		bodies:    bodyBudget{limit: heldBodies},
 		forwarded: newForwardMemory(),
 		metrics: telemetry.NewMetrics(telemetry.Identity{
 			Process: "entry", ID: string(s.ID), Zone: string(s.Zone), Region: string(s.Region),
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -108,7 +108,11 @@
 	}
 	req := forwardedRequest(first.GetRequestId(), head, time.Now())
 	defer e.running.begin(req.id)()
-	var err error
+	release, err := e.bodies.take(heldSize(head.GetContentLength(), keptBody))
+	if err != nil {
+		return err
+	}
+	defer release()
 	if req.body, err = forwardedBody(head, out.stream); err != nil {
 		return err
 	}
--- a/control/entry/front_test.go
+++ b/control/entry/front_test.go
@@ -68,6 +68,27 @@
 	})
 }
 
+// Guards against bodies that are read without bound before they are queued, and
+// against a budget that is not given back.
+func TestBodyBudget(t *testing.T) {
+	e := frontEntry(t)
+	e.bodies.limit = 100
+	handler := e.routes()
+	kind := func(size int) string {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/services/echo/run", bytes.NewReader(make([]byte, size))))
+		return w.Header().Get(headerKind)
+	}
+	for range 3 {
+		if got := kind(101); got != errkind.QueueFull.String() {
+			t.Fatalf("a body above the budget got %q", got)
+		}
+		if got := kind(100); got != errkind.NoUpstream.String() {
+			t.Fatalf("a body inside the budget got %q", got)
+		}
+	}
+}
+
 // Guards against headers of one connection, or of this system, that reach an
 // upstream, and a path that changes on the way.
 func TestForwardedRequest(t *testing.T) {
--- a/control/entry/requests.go
+++ b/control/entry/requests.go
@@ -91,7 +91,11 @@
 	if req.keyed() {
 		limit = keyedBody
 	}
-	var err error
+	release, err := e.bodies.take(heldSize(r.ContentLength, limit))
+	if err != nil {
+		return err
+	}
+	defer release()
 	if req.body, err = readBody(r.Body, r.ContentLength, limit); err != nil {
 		return err
 	}
