Finish forwarded requests before an entry stops

A draining entry waited for its own callers only and cut the requests of other regions. It now refuses further ones, waits for the last and lets its frames go out; it offers no slots to other regions while it drains.

--- a/control/entry/dispatch.go
+++ b/control/entry/dispatch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -139,6 +141,10 @@
 			if ctx.Err() != nil {
 				return contextError(ctx, true)
 			}
+			if status.Code(err) == codes.DeadlineExceeded {
+				// The other process may notice the deadline first.
+				return errkind.Wrap(errkind.DeadlineExceeded, err, "the deadline passed after the dispatch")
+			}
 			return errkind.Wrap(errkind.UpstreamFailed, err, "the connection broke before the end of the answer")
 		}
 		if frame.GetDispatchId() != dispatch {
--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -31,6 +31,8 @@
 const (
 	// headerTimeout bounds the wait for a caller's request head.
 	headerTimeout = 10 * time.Second
+	// lastFrames is how long the last frames to other processes may take.
+	lastFrames = 200 * time.Millisecond
 	// headerBytes bounds a caller's request head.
 	headerBytes = 64 << 10
 )
@@ -58,6 +60,8 @@
 
 	forwardMu sync.Mutex
 	forwarded *claim.Memory
+	// servedForward says that this entry has served another region.
+	servedForward atomic.Bool
 
 	grpc  *grpc.Server
 	http  *http.Server
@@ -175,11 +179,36 @@
 		_ = e.http.Close()
 	}
 	leaving.Wait()
-	// Agents report until the server stops, and a report opens a connection.
-	e.grpc.Stop()
+	e.finishForwarded(ctx)
+	e.stopGRPC()
 	e.services.closeAll()
 }
 
+// finishForwarded waits for the requests of entries of other regions.
+func (e *Entry) finishForwarded(ctx context.Context) {
+	idle := e.running.drain()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	if cut := e.running.list(); len(cut) > 0 {
+		e.logger.Warn().Strs("requests", cut).Msg("forwarded requests were cut by the drain timeout")
+	}
+}
+
+// stopGRPC lets the last frames of answers go out before it closes connections.
+// Agents report until the server stops, so their streams never end by themselves.
+func (e *Entry) stopGRPC() {
+	var graceful conc.WaitGroup
+	graceful.Go(e.grpc.GracefulStop)
+	if e.servedForward.Load() {
+		flush := time.NewTimer(lastFrames)
+		<-flush.C
+	}
+	e.grpc.Stop()
+	graceful.Wait()
+}
+
 // noticeDrain keeps serving while the load balancer and the other entries learn
 // from the readiness check and the exchange that this entry leaves.
 func (e *Entry) noticeDrain(ctx context.Context) {
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -59,7 +59,11 @@
 	now := time.Now()
 	var list []*rpc.ServiceCapacity
 	for _, s := range e.services.all() {
-		list = append(list, s.capacity(now))
+		c := s.capacity(now)
+		if e.draining.Load() {
+			c.FreeSlots = 0
+		}
+		list = append(list, c)
 	}
 	return list
 }
@@ -107,7 +111,12 @@
 		return err
 	}
 	req := forwardedRequest(first.GetRequestId(), head, time.Now())
-	defer e.running.begin(req.id)()
+	end, err := e.running.beginForwarded(req.id)
+	if err != nil {
+		return err
+	}
+	defer end()
+	e.servedForward.Store(true)
 	release, err := e.bodies.take(heldSize(head.GetContentLength(), keptBody))
 	if err != nil {
 		return err
--- a/control/entry/stats.go
+++ b/control/entry/stats.go
@@ -39,6 +39,8 @@
 type runningSet struct {
 	mu  sync.Mutex
 	ids map[ident.Request]struct{}
+	// idle is set while a drain waits, and closed when no request is left.
+	idle chan struct{}
 }
 
 func newRunningSet() *runningSet { return &runningSet{ids: make(map[ident.Request]struct{})} }
@@ -48,11 +50,48 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ids[id] = struct{}{}
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.ids, id)
+	return func() { r.end(id) }
+}
+
+// beginForwarded does the same unless a drain waits for the last request. The
+// HTTP server refuses callers by itself then.
+func (r *runningSet) beginForwarded(id ident.Request) (func(), error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.idle != nil {
+		return nil, errkind.New(errkind.Draining, "the entry leaves")
 	}
+	r.ids[id] = struct{}{}
+	return func() { r.end(id) }, nil
+}
+
+func (r *runningSet) end(id ident.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.ids, id)
+	r.checkIdle()
+}
+
+// checkIdle tells a drain that no request is left; the caller holds the lock.
+func (r *runningSet) checkIdle() {
+	if r.idle == nil || len(r.ids) > 0 {
+		return
+	}
+	select {
+	case <-r.idle:
+	default:
+		close(r.idle)
+	}
+}
+
+// drain refuses forwarded requests from now on and returns a channel that is
+// closed when none of any kind is left.
+func (r *runningSet) drain() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.idle = make(chan struct{})
+	r.checkIdle()
+	return r.idle
 }
 
 func (r *runningSet) list() []string {
