Apply a change although the body in force is lost

Apply read the parent's body to count changes and compute the delta, so a lost object would have blocked every later change. An entry now passes the sheet that it holds in memory, which also saves a read of the body for each apply. The digest is compared; without the parent the error stays.

--- a/control/adminapi/configuration.go
+++ b/control/adminapi/configuration.go
@@ -83,33 +83,41 @@
 
 // compare reads a sheet from the body, checks it and compares it with the one
 // in force.
-func (a *API) compare(c call) (next *sheet.Sheet, result CheckResult, err error) {
+func (a *API) compare(c call) (before, next *sheet.Sheet, result CheckResult, err error) {
 	text, err := readSheet(c.Body)
 	if err != nil {
-		return nil, result, err
+		return nil, nil, result, err
 	}
 	current, err := a.opts.Store.Current(c.Context())
 	if err != nil {
-		return nil, result, err
+		return nil, nil, result, err
 	}
-	before, err := a.opts.Store.Sheet(c.Context(), current.Digest)
+	before, err = a.sheetOf(c, current)
 	if err != nil {
-		return nil, result, err
+		return nil, nil, result, err
 	}
 	limits, err := a.opts.Backend.Limits(c.Context())
 	if err != nil {
-		return nil, result, err
+		return nil, nil, result, err
 	}
 	next, err = sheet.Check(text, before, limits)
 	if err != nil {
-		return nil, result, err
+		return nil, nil, result, err
 	}
 	result = CheckResult{Version: current.Version, Digest: sheet.Digest(next.Encode()), Diff: notNil(sheet.Diff(before, next))}
-	return next, result, nil
+	return before, next, result, nil
+}
+
+// sheetOf returns the sheet of a record, from memory when this entry holds it.
+func (a *API) sheetOf(c call, record config.Record) (*sheet.Sheet, error) {
+	if held := a.opts.Follower.Current(); held.Digest == record.Digest {
+		return held.Sheet, nil
+	}
+	return a.opts.Store.Sheet(c.Context(), record.Digest)
 }
 
 func (a *API) checkConfig(c call) (any, error) {
-	_, result, err := a.compare(c)
+	_, _, result, err := a.compare(c)
 	return result, err
 }
 
@@ -127,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	before, err := a.opts.Store.Sheet(c.Context(), record.Digest)
+	before, err := a.sheetOf(c, record)
 	if err != nil {
 		return nil, err
 	}
@@ -147,12 +155,12 @@
 	if err := a.opts.Store.CheckSeen(c.Context(), ident.ConfigVersion(seen)); err != nil {
 		return nil, err
 	}
-	next, result, err := a.compare(c)
+	before, next, result, err := a.compare(c)
 	if err != nil {
 		return nil, err
 	}
 	record, err := a.opts.Store.Apply(c.Context(), config.ApplyRequest{
-		Seen: ident.ConfigVersion(seen), Sheet: next, Operator: string(c.actor.Caller), Now: time.Now(),
+		Seen: ident.ConfigVersion(seen), Sheet: next, Parent: before, Operator: string(c.actor.Caller), Now: time.Now(),
 	})
 	if err != nil {
 		return nil, err
--- a/control/config/store.go
+++ b/control/config/store.go
@@ -143,8 +143,11 @@
 // ApplyRequest asks for a new version.
 type ApplyRequest struct {
 	// Seen is the version that the operator's change is based on.
-	Seen     ident.ConfigVersion
-	Sheet    *sheet.Sheet
+	Seen  ident.ConfigVersion
+	Sheet *sheet.Sheet
+	// Parent is the sheet of the version seen, when the caller holds it. The
+	// object store is then not read, and a lost body cannot block a change.
+	Parent   *sheet.Sheet
 	Operator string
 	Now      time.Time
 }
@@ -159,7 +162,7 @@
 	if current.Version != req.Seen {
 		return Record{}, conflict(current, req.Seen)
 	}
-	parent, err := s.Sheet(ctx, current.Digest)
+	parent, err := s.parent(ctx, current, req.Parent)
 	if err != nil {
 		return Record{}, err
 	}
@@ -179,6 +182,15 @@
 	return s.commit(ctx, next, delta, row.Version)
 }
 
+// parent returns the sheet in force: the given one when it has the right
+// digest, or the one in the object store.
+func (s *Store) parent(ctx context.Context, current Record, given *sheet.Sheet) (*sheet.Sheet, error) {
+	if given != nil && sheet.Digest(given.Encode()) == current.Digest {
+		return given, nil
+	}
+	return s.Sheet(ctx, current.Digest)
+}
+
 // CheckSeen returns an error of kind Conflict when another version is in force.
 func (s *Store) CheckSeen(ctx context.Context, seen ident.ConfigVersion) error {
 	current, err := s.Current(ctx)
--- a/control/config/store_test.go
+++ b/control/config/store_test.go
@@ -77,9 +77,9 @@
 func TestApplySettlesLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := t.Context()
-		st := standin.NewStore()
-		s := NewStore(st.Table("op"), st.Objects("op"))
 		Convey("Given answers that are lost", t, func() {
+			st := standin.NewStore()
+			s := NewStore(st.Table("op"), st.Objects("op"))
 			st.SetTableFaults("op", standin.Faults{LoseAnswers: 1})
 			st.SetObjectFaults("op", standin.Faults{LoseAnswers: 2})
 			first, err := apply(ctx, s, 0, sheetOf(t, 2), "op")
@@ -101,6 +101,16 @@
 				So(err, ShouldBeNil)
 				So(got, ShouldResemble, first)
 			})
+			Convey("a lost body blocks a change only for an operator without the parent", func() {
+				So(st.Objects("op").Delete(ctx, "config/"+first.Digest), ShouldBeNil)
+				_, err := apply(ctx, s, 1, sheetOf(t, 3), "op")
+				So(errkind.Is(err, errkind.NotFound), ShouldBeTrue)
+				_, err = s.Apply(ctx, ApplyRequest{Seen: 1, Sheet: sheetOf(t, 3), Parent: sheetOf(t, 9), Now: time.Now()})
+				So(errkind.Is(err, errkind.NotFound), ShouldBeTrue)
+				next, err := s.Apply(ctx, ApplyRequest{Seen: 1, Sheet: sheetOf(t, 3), Parent: sheetOf(t, 2), Now: time.Now()})
+				So(err, ShouldBeNil)
+				So(next.Changes, ShouldEqual, 1)
+			})
 		})
 	})
 }
