--- a/control/agent/announce.go
+++ b/control/agent/announce.go
@@ -63,6 +63,7 @@
 		a.limiter = limit.New(got.Slots, got.Connections)
 	}
 	if old.Addr != got.Addr || old.Connections != got.Connections {
+		a.http.CloseIdleConnections()
 		a.http = upstreamClient(a.network, got.Connections)
 	}
 	if old.Upstream != got.Upstream || old.Addr != got.Addr {
@@ -103,7 +104,7 @@
 	switch {
 	case a.upstream.Upstream == "" || now.Sub(a.announcedAt) > announcementTTL:
 		return rpc.UpstreamState_UPSTREAM_STATE_UNHEALTHY
-	case a.draining || a.upstream.Draining:
+	case a.draining || a.drainOrdered || a.upstream.Draining:
 		return rpc.UpstreamState_UPSTREAM_STATE_DRAINING
 	case !a.health.up:
 		return rpc.UpstreamState_UPSTREAM_STATE_UNHEALTHY
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -27,6 +27,8 @@
 	Incarnation ident.Incarnation
 	// Capacity is the peer's answer to Capacity.
 	Capacity []*rpc.ServiceCapacity
+	// Reported is when the peer sent this.
+	Reported time.Time
 }
 
 // UpdatePeer takes in what membership learned of an entry of another region.
@@ -38,7 +40,7 @@
 	for _, c := range p.Capacity {
 		candidate := pick.Candidate{
 			ID: peerID(p.ID), Zone: p.Zone, Region: p.Region,
-			Slots: peerSlots, Credits: int(c.GetFreeSlots()), Reported: time.Now(),
+			Slots: peerSlots, Credits: int(c.GetFreeSlots()), Reported: p.Reported,
 		}
 		s := e.services.ensure(ident.Service(c.GetService()))
 		if err := s.enlist(e.network, candidate, p.GRPCAddr, string(p.Incarnation), true); err != nil {
@@ -106,17 +108,20 @@
 	}
 	req := forwardedRequest(first.GetRequestId(), head, time.Now())
 	defer e.running.begin(req.id)()
-	reader := io.Reader(&frameReader{recv: out.stream.Recv})
-	if head.GetContentLength() == 0 {
-		reader = nil
-	}
 	var err error
-	if req.body, err = readBody(reader, head.GetContentLength(), keptBody); err != nil {
+	if req.body, err = forwardedBody(head, out.stream); err != nil {
 		return err
 	}
 	return e.route(out.stream.Context(), req, out)
 }
 
+func forwardedBody(head *rpc.RequestHead, stream rpc.Entry_ForwardServer) (*body, error) {
+	if head.GetWhole() {
+		return &body{kept: head.GetBody()}, nil
+	}
+	return readBody(&frameReader{recv: stream.Recv}, head.GetContentLength(), keptBody)
+}
+
 // admitForward refuses a copy of a non-idempotent request.
 func (e *Entry) admitForward(dispatch string, head *rpc.RequestHead) error {
 	if head.GetIdempotent() {
