Run the command line against a live entry in a test

Interface, command line and entry were tested apart. A test now runs one morning of an operator and a caller in virtual time on in-memory connections: check, apply and a conflicting apply of a sheet, status, a request, a repeated submission, a wait, quarantine, 300 requests and 5 jobs of load, a report and a drain.

--- a/cmd/internal/client/client.go
+++ b/cmd/internal/client/client.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -34,8 +35,13 @@
 	CACert string
 	// Connections bounds the idle connections that are kept.
 	Connections int
+	// Dial opens connections; nil uses the operating system's network.
+	Dial DialFunc
 }
 
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client calls one entry.
 type Client struct {
 	settings Settings
@@ -44,7 +50,7 @@
 
 // New returns a client.
 func New(s Settings) (*Client, error) {
-	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: max(s.Connections, 2)}
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: max(s.Connections, 2), DialContext: s.Dial}
 	if s.CACert != "" {
 		pem, err := os.ReadFile(s.CACert)
 		if err != nil {
@@ -60,6 +66,9 @@
 	return &Client{settings: s, http: &http.Client{Transport: transport}}, nil
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // RemoteError is an error that the server answered.
 type RemoteError struct {
 	adminapi.ErrorInfo
--- a/cmd/lacewingctl/main.go
+++ b/cmd/lacewingctl/main.go
@@ -47,6 +47,15 @@
 	printer output.Printer
 	stderr  io.Writer
 	model   *kong.Application
+	dial    client.DialFunc
+	opened  []*client.Client
+}
+
+// close ends the connections of the command.
+func (s *session) close() {
+	for _, c := range s.opened {
+		c.Close()
+	}
 }
 
 // client returns a client with the key that the flags and environment name.
@@ -59,17 +68,22 @@
 		}
 		key = strings.TrimSpace(string(raw))
 	}
-	return client.New(client.Settings{Server: s.global.Server, Key: key, CACert: s.global.CACert, Connections: connections})
+	c, err := client.New(client.Settings{Server: s.global.Server, Key: key, CACert: s.global.CACert, Connections: connections, Dial: s.dial})
+	if err == nil {
+		s.opened = append(s.opened, c)
+	}
+	return c, err
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr, nil))
 }
 
-// run parses the arguments, runs the command and returns the exit code.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+// run parses the arguments, runs the command and returns the exit code. Dial
+// opens the connections to the server; nil uses the operating system's network.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer, dial client.DialFunc) int {
 	var c commands
 	exited := -1
 	parser, err := kong.New(&c, kong.Name("lacewingctl"), kong.Description("Command line of lacewingpier."),
@@ -86,7 +100,8 @@
 		printError(stderr, err)
 		return client.ExitUsage
 	}
-	s := &session{ctx: ctx, global: &c, printer: output.Printer{Out: stdout, Format: c.Output}, stderr: stderr, model: parser.Model}
+	s := &session{ctx: ctx, global: &c, printer: output.Printer{Out: stdout, Format: c.Output}, stderr: stderr, model: parser.Model, dial: dial}
+	defer s.close()
 	if err := parsed.Run(s); err != nil {
 		printError(stderr, err)
 		return client.ExitCode(err)
--- a/control/entry/http.go
+++ b/control/entry/http.go
@@ -65,9 +65,21 @@
 		}
 		return nil
 	})
+	e.publishConfig()
 	telemetry.Register(router, health, e.metrics, e.operatorOnly)
 }
 
+// publishConfig lets operators see the version held and the age of its last
+// confirmation. The names are used once, so the registration cannot fail.
+func (e *Entry) publishConfig() {
+	_ = e.metrics.GaugeFunc("config_version", "Configuration version held.", func() float64 {
+		return float64(e.state.config.Current().Version)
+	})
+	_ = e.metrics.GaugeFunc("config_age_seconds", "Time since the configuration was confirmed.", func() float64 {
+		return e.state.config.Age().Seconds()
+	})
+}
+
 // operatorOnly lets only operators pass.
 func (e *Entry) operatorOnly(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
