Stop work above its share and move work for reserved gangs

Cause: a flood that had filled the partition kept other workspaces waiting for ends, and a reserved gang waited though the free total was large enough. Claims skip jobs that do not match the shape any more.

--- a/sched/sched/claim.go
+++ b/sched/sched/claim.go
@@ -27,15 +27,25 @@
 	if q == nil {
 		return
 	}
-	for j := q.best(); j != nil; j = q.best() {
-		slot := s.idleSlot(j)
-		if slot == nil {
+	for {
+		// A job submitted under an earlier plan may not match the shape any more.
+		j := q.bestWhere(s.hasIdleSlot)
+		if j == nil {
 			return
 		}
-		s.claim(j, slot)
+		s.claim(j, s.idleSlot(j))
 	}
 }
 
+func (s *Scheduler) hasIdleSlot(j *job) bool {
+	return slices.ContainsFunc(s.book.Of(j.ws.id, j.spec.Shape), func(slot *witness.Slot) bool { return s.claimable(slot, j) })
+}
+
+// claimable reports whether a job can claim a slot now.
+func (s *Scheduler) claimable(slot *witness.Slot, j *job) bool {
+	return slot.Holder == "" && !slot.Short() && accepts(slot.Shape, j.spec) && !s.onClosed(slot)
+}
+
 // idleSlot returns the idle slot that costs the least lost work to take. A slot
 // that is not vacant is moved to vacant capacity that no slot owns, if there is
 // such a place.
@@ -43,7 +53,7 @@
 	var best *witness.Slot
 	lowest := math.Inf(1)
 	for _, slot := range s.book.Of(j.ws.id, j.spec.Shape) {
-		if slot.Holder != "" || slot.Short() || !accepts(slot.Shape, j.spec) || s.onClosed(slot) {
+		if !s.claimable(slot, j) {
 			continue
 		}
 		cost := s.reclaimCost(slot)
@@ -245,6 +255,7 @@
 	j.places = nil
 	s.ready = without(s.ready, j)
 	s.detach(j)
+	s.uncharge(j)
 	s.generation++
 	s.enqueue(j)
 }
--- a/sched/sched/evict.go
+++ b/sched/sched/evict.go
@@ -214,6 +214,7 @@
 // carryOut stops the victims and keeps the place for the gang.
 func (s *Scheduler) carryOut(j *job, e *eviction, reason model.Reason) {
 	s.dequeue(j)
+	s.chargeOnce(j)
 	for _, v := range e.victims {
 		s.preempt(v, j, reason)
 	}
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -62,6 +62,10 @@
 	charged bool
 	// lost says that a member's worker was lost.
 	lost bool
+	// reserved says that the attempt waited for a reservation.
+	reserved bool
+	// tried is when the job was last tried by share.
+	tried time.Time
 	// target is the place that a migrating job moves to.
 	target []witness.Place
 	// impossible says that the owner was told that the job cannot run now.
@@ -160,6 +164,14 @@
 	j.caller.share = dominant(j.caller.usage, s.capacity)
 }
 
+// chargeOnce charges a gang outside guarantees, from placement to its end.
+func (s *Scheduler) chargeOnce(j *job) {
+	if !j.charged {
+		j.charged = true
+		s.charge(j, 1)
+	}
+}
+
 func (s *Scheduler) shareOf(ws *workspace, usage model.Resources) float64 {
 	return dominant(usage, s.capacity) / float64(max(ws.weight, 1))
 }
--- a/sched/sched/queue.go
+++ b/sched/sched/queue.go
@@ -102,6 +102,18 @@
 	return best
 }
 
+// bestWhere returns the job that is served next among those that match, or nil.
+func (q *jobQueue) bestWhere(match func(*job) bool) *job {
+	var best *job
+	for _, c := range q.callers {
+		i := slices.IndexFunc(c.jobs, match)
+		if i >= 0 && (best == nil || before(c.jobs[i], best)) {
+			best = c.jobs[i]
+		}
+	}
+	return best
+}
+
 func (c *class) query() topology.Query {
 	return topology.Query{Tasks: c.key.tasks, PerTask: c.key.perTask, Locality: c.key.locality}
 }
--- a/sched/sched/reserve.go
+++ b/sched/sched/reserve.go
@@ -14,6 +14,8 @@
 	racks []int
 	// at is when the gang is expected to start there.
 	at time.Time
+	// tried is when a consolidation was last tried.
+	tried time.Time
 }
 
 // reservationRacks bounds how many racks are compared for a reservation.
@@ -168,11 +170,13 @@
 		return
 	}
 	heads := s.blockedHeads()
+	s.takeShare(heads)
 	if s.reservation == nil {
 		if j := s.largest(heads); j != nil {
 			s.reserve(j)
 		}
 	}
+	s.consolidate()
 }
 
 // A gang needs a reservation at once when it is this many times larger than the
@@ -203,7 +207,7 @@
 func (s *Scheduler) largest(heads []*job) *job {
 	var best *job
 	for _, j := range heads {
-		if !s.needsReservation(j) {
+		if j.state != StateQueued || !s.needsReservation(j) {
 			continue
 		}
 		if best == nil || s.ranksAbove(j, best) {
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -21,6 +21,7 @@
 	s.keepReservation()
 	s.fill()
 	s.serveBlocked()
+	s.startReady()
 	// A started gang may have moved idle slots to workers that are open.
 	s.claimShapes()
 	out := s.outbox
@@ -49,10 +50,10 @@
 	j.started = s.now
 	j.checkpoint = time.Time{}
 	j.stopping = model.ReasonNone
+	j.reserved = s.reservation != nil && s.reservation.job == j
 	j.estimate = s.remaining(j)
 	if j.slot == nil {
-		j.charged = true
-		s.charge(j, 1)
+		s.chargeOnce(j)
 		j.ws.borrowed = append(j.ws.borrowed, j)
 		if float64(j.accelerators()) > reservationRatio*s.meanGang() {
 			s.book.Yield(j.places, j.spec.PerTask)
