--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -32,20 +32,24 @@
 
 // InFlight is implemented by daemons that can say what a forced exit cuts.
 type InFlight interface {
-	// InFlight returns the number of requests under way.
-	InFlight() int
+	// RequestsInFlight returns the ids of the requests under way.
+	RequestsInFlight() []string
 }
 
 // Main loads the settings at path into target, builds the daemon and runs it
 // until SIGTERM or SIGINT. It returns the exit code.
-func Main(path string, target settings.Validator, logger *log.Logger, build func() Runner) int {
+func Main(path string, target settings.Validator, logger *log.Logger, build func() (Runner, error)) int {
 	if err := settings.Load(path, target); err != nil {
 		logger.Error().Err(err).Str("settings", path).Msg("settings are not valid")
 		return ExitSettings
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	runner := build()
+	runner, err := build()
+	if err != nil {
+		logger.Error().Err(err).Msg("daemon can not be set up")
+		return ExitSettings
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	result := make(chan error, 1)
@@ -75,9 +79,9 @@
 }
 
 func logForced(runner Runner, logger *log.Logger) {
-	cut := -1
-	if counter, ok := runner.(InFlight); ok {
-		cut = counter.InFlight()
+	var cut []string
+	if lister, ok := runner.(InFlight); ok {
+		cut = lister.RequestsInFlight()
 	}
-	logger.Warn().Int("requests_cut", cut).Msg("second signal; exiting at once")
+	logger.Warn().Int("requests_cut", len(cut)).Strs("requests", cut).Msg("second signal; exiting at once")
 }
--- a/control/partition/route.go
+++ b/control/partition/route.go
@@ -1,7 +1,6 @@
 package partition
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/lacewingpier/lacewingpier/platform"
 	"github.com/lacewingpier/lacewingpier/platform/tableclient"
 	"github.com/lacewingpier/lacewingpier/sched/model"
+	"github.com/lacewingpier/lacewingpier/sched/sched"
 )
 
 // viewTTL is how long a partition's view serves to choose a partition.
@@ -44,112 +44,124 @@
 	Partition ident.Partition `json:"partition"`
 }
 
+func keyOf(workspace ident.Workspace, key string) string {
+	return "jobkey/" + string(workspace) + "/" + key
+}
+
 // Submit records a job in the partition that can start it soonest. A caller
 // that repeats a submission with the same key gets the same job.
 func (s *Service) Submit(ctx context.Context, job model.Job, key string) (*rpc.JobStatus, error) {
-	candidates, err := s.candidates(ctx, job)
+	home, err := s.home(ctx, job)
 	if err != nil {
 		return nil, err
 	}
-	if key != "" {
-		return s.submitKeyed(ctx, job, key, candidates)
+	job.ID = ident.Job(string(home) + jobSeparator + ident.NewID(""))
+	if key == "" {
+		return s.submitTo(ctx, home, job)
 	}
-	var last error
-	for _, id := range candidates {
-		job.ID = newJobID(id)
-		status, err := s.submitTo(ctx, id, job)
-		if err == nil || !errkind.Is(err, errkind.Unschedulable) {
-			return status, err
-		}
-		last = err
+	row, err := s.claimKey(ctx, keyOf(job.Workspace, key), keyRow{Job: job.ID, Partition: home})
+	if err != nil {
+		// The job itself has not been submitted, whatever became of the row.
+		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
 	}
-	return nil, last
-}
-
-func newJobID(id ident.Partition) ident.Job {
-	return ident.Job(string(id) + jobSeparator + ident.NewID(""))
+	job.ID = row.Job
+	return s.submitTo(ctx, row.Partition, job)
 }
 
-// submitKeyed fixes the job id and partition of a key in one row before the
-// job is submitted, so that a repeat through another entry cannot create a
-// second job.
-func (s *Service) submitKeyed(ctx context.Context, job model.Job, key string, candidates []ident.Partition) (*rpc.JobStatus, error) {
-	rowKey := "jobkey/" + string(job.Workspace) + "/" + key
-	row := keyRow{Job: newJobID(candidates[0]), Partition: candidates[0]}
+// claimKey fixes the job id and partition of a key in one row before the job
+// is submitted, so that a repeat through another entry cannot create a second
+// job. A row without a job is harmless: the repeat submits that job.
+func (s *Service) claimKey(ctx context.Context, rowKey string, row keyRow) (keyRow, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "encode job key")
+		return row, errkind.Wrap(errkind.Internal, err, "encode job key")
 	}
 	op := platform.Op{Kind: platform.OpPut, Key: rowKey, Value: value}
 	_, err = s.opts.Table.Commit(ctx, tableclient.ClassJob, op)
-	if errkind.Is(err, errkind.Conflict) {
-		row, err = s.readKey(ctx, rowKey)
-	}
-	if err != nil {
-		// A key row without a job is harmless: the repeat submits that job.
-		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "record job key")
+	if !errkind.Is(err, errkind.Conflict) {
+		return row, err
 	}
-	job.ID = row.Job
-	return s.submitTo(ctx, row.Partition, job)
-}
-
-func (s *Service) readKey(ctx context.Context, rowKey string) (keyRow, error) {
 	stored, err := s.opts.Table.Get(ctx, tableclient.ClassJob, rowKey)
 	if err != nil {
-		return keyRow{}, err
+		return row, err
 	}
-	var row keyRow
 	if err := json.Unmarshal(stored.Value, &row); err != nil {
-		return keyRow{}, errkind.Wrap(errkind.Corrupt, err, "decode job key")
+		return row, errkind.Wrap(errkind.Corrupt, err, "decode job key")
 	}
 	return row, nil
 }
 
-// candidates orders the partitions for a job: the home of its shape, or those
-// of the entry's region before others, the one with the most free accelerators
-// and the shortest queue first.
-func (s *Service) candidates(ctx context.Context, job model.Job) ([]ident.Partition, error) {
+// home chooses the partition of a new job: the home of its shape, or one whose
+// workers could hold it, those of the entry's region before others, then the
+// one with the most free accelerators for its queue.
+func (s *Service) home(ctx context.Context, job model.Job) (ident.Partition, error) {
 	if job.Shape != "" {
 		shape, ok := s.opts.Config.Current().Sheet.Shape(job.Workspace, job.Shape)
 		if !ok {
-			return nil, errkind.New(errkind.InvalidArgument, "workspace %s has no shape %q", job.Workspace, job.Shape)
+			return "", errkind.New(errkind.InvalidArgument, "workspace %s has no shape %q", job.Workspace, job.Shape)
 		}
-		return []ident.Partition{shape.Partition}, nil
-	}
-	if len(s.opts.Partitions) == 0 {
-		return nil, errkind.New(errkind.NotReady, "the settings name no partitions")
+		return shape.Partition, nil
 	}
-	specs := slices.Clone(s.opts.Partitions)
-	room := make(map[ident.Partition]int, len(specs))
-	for _, p := range specs {
-		room[p.ID] = s.room(ctx, p.ID)
+	var best ident.Partition
+	var bestScore homeScore
+	unknown := 0
+	for _, p := range s.opts.Partitions {
+		view, err := s.cachedView(ctx, p.ID)
+		if err != nil {
+			unknown++
+			continue
+		}
+		score := homeScore{holds: canHold(view, job), inRegion: p.Region == s.opts.Self.Region, room: room(view)}
+		if best == "" || score.better(bestScore) {
+			best, bestScore = p.ID, score
+		}
 	}
-	slices.SortStableFunc(specs, func(a, b Spec) int {
-		return cmp.Or(
-			cmp.Compare(s.distance(a), s.distance(b)),
-			cmp.Compare(room[b.ID], room[a.ID]))
-	})
-	ids := make([]ident.Partition, 0, len(specs))
-	for _, p := range specs {
-		ids = append(ids, p.ID)
+	switch {
+	case best == "":
+		return "", errkind.WithRetryAfter(errkind.NotReady, time.Second, "no partition has an owner at the moment")
+	case !bestScore.holds && unknown > 0:
+		return "", errkind.WithRetryAfter(errkind.NotReady, time.Second, "%d partitions that might hold the job have no owner at the moment", unknown)
+	default:
+		return best, nil
 	}
-	return ids, nil
 }
 
-func (s *Service) distance(p Spec) int {
-	if p.Region == s.opts.Self.Region {
-		return 0
+// homeScore ranks a partition for a new job.
+type homeScore struct {
+	holds    bool
+	inRegion bool
+	// room is free accelerators less waiting jobs.
+	room int
+}
+
+func (a homeScore) better(b homeScore) bool {
+	if a.holds != b.holds {
+		return a.holds
+	}
+	if a.inRegion != b.inRegion {
+		return a.inRegion
 	}
-	return 1
+	return a.room > b.room
 }
 
-// room scores a partition: free accelerators less what waits. Unknown
-// partitions come last.
-func (s *Service) room(ctx context.Context, id ident.Partition) int {
-	view, err := s.cachedView(ctx, id)
-	if err != nil {
-		return -1 << 20
+// canHold reports whether the empty partition could run the job.
+func canHold(view *rpc.PartitionView, job model.Job) bool {
+	return sched.CanHold(viewWorkers(view), job)
+}
+
+func viewWorkers(view *rpc.PartitionView) []model.Worker {
+	workers := make([]model.Worker, 0, len(view.GetWorkers()))
+	for _, w := range view.GetWorkers() {
+		workers = append(workers, model.Worker{
+			ID:       ident.Worker(w.GetWorker()),
+			Rack:     ident.Rack(w.GetRack()),
+			Capacity: resourcesFromRPC(w.GetCapacity()),
+		})
 	}
+	return workers
+}
+
+func room(view *rpc.PartitionView) int {
 	free := 0
 	for _, w := range view.GetWorkers() {
 		free += int(w.GetFree().GetAccelerators())
@@ -175,7 +187,7 @@
 }
 
 func (s *Service) submitTo(ctx context.Context, id ident.Partition, job model.Job) (*rpc.JobStatus, error) {
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobStatus, error) { return s.local.submit(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobStatus, error) {
 			return c.SubmitJob(ctx, &rpc.SubmitJobRequest{Spec: SpecToRPC(job), Partition: string(id)})
@@ -188,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobStatus, error) { return s.local.cancel(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobStatus, error) {
 			return c.CancelJob(ctx, &rpc.JobRef{Partition: string(id), Job: string(job)})
@@ -201,7 +213,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.JobExplanation, error) { return s.local.explain(ctx, id, job) },
 		func(c rpc.EntryClient) (*rpc.JobExplanation, error) {
 			return c.ExplainJob(ctx, &rpc.JobRef{Partition: string(id), Job: string(job)})
@@ -214,7 +226,7 @@
 	var all []*rpc.JobStatus
 	var missing []string
 	for _, p := range s.opts.Partitions {
-		list, err := forward(ctx, s, p.ID,
+		list, err := forward(s, p.ID,
 			func() (*rpc.JobList, error) {
 				jobs, err := s.local.list(ctx, p.ID, workspace)
 				return &rpc.JobList{Jobs: jobs}, err
@@ -234,9 +246,30 @@
 	return all, nil
 }
 
+// SetWorkerQuarantine closes or opens a worker in whichever partition has it.
+func (s *Service) SetWorkerQuarantine(ctx context.Context, worker ident.Worker, on bool) error {
+	last := errkind.New(errkind.NotFound, "worker %s does not exist", worker)
+	for _, p := range s.opts.Partitions {
+		_, err := forward(s, p.ID,
+			func() (*rpc.QuarantineResult, error) {
+				return nil, s.local.setQuarantine(ctx, p.ID, worker, on)
+			},
+			func(c rpc.EntryClient) (*rpc.QuarantineResult, error) {
+				return c.SetQuarantine(ctx, &rpc.QuarantineRequest{Partition: string(p.ID), Worker: string(worker), On: on})
+			})
+		if err == nil {
+			return nil
+		}
+		if !errkind.Is(err, errkind.NotFound) {
+			last = err
+		}
+	}
+	return last
+}
+
 // View returns the owner's view of a partition.
 func (s *Service) View(ctx context.Context, id ident.Partition) (*rpc.PartitionView, error) {
-	return forward(ctx, s, id,
+	return forward(s, id,
 		func() (*rpc.PartitionView, error) { return s.local.view(ctx, id) },
 		func(c rpc.EntryClient) (*rpc.PartitionView, error) {
 			return c.PartitionStatus(ctx, &rpc.PartitionRef{Partition: string(id)})
@@ -245,7 +278,7 @@
 
 // forward runs the operation here when this entry owns the partition, and at
 // the owner otherwise.
-func forward[T any](ctx context.Context, s *Service, id ident.Partition, here func() (T, error), there func(rpc.EntryClient) (T, error)) (T, error) {
+func forward[T any](s *Service, id ident.Partition, here func() (T, error), there func(rpc.EntryClient) (T, error)) (T, error) {
 	var zero T
 	holder, ok := s.manager.Lookup(id)
 	if !ok {
--- a/route/pick/pick.go
+++ b/route/pick/pick.go
@@ -39,8 +39,9 @@
 
 const (
 	// ReportLife is the age at which a report is no longer trusted and its
-	// upstream gets no new work.
-	ReportLife = 3 * time.Second
+	// upstream gets no new work. It lies inside the bound of 3 s on work for an
+	// upstream that is leaving.
+	ReportLife = 2 * time.Second
 	// loadHalfLife is the age at which a reported load counts half.
 	loadHalfLife = time.Second
 	// estimateHalfLife is the age at which an observed service time counts
@@ -115,6 +116,13 @@
 	load  float64
 }
 
+// The errors are built once, because a stack trace for each request that finds
+// no free slot would cost more than the choice.
+var (
+	errSlotsFull  = errkind.New(errkind.SlotsFull, "no upstream has a free slot")
+	errNoUpstream = errkind.New(errkind.NoUpstream, "no upstream is known that was not tried")
+)
+
 // Pick returns the candidate that the request is sent to, and counts it as
 // started. The error has kind NoUpstream when no candidate may be used at all,
 // and SlotsFull when the usable ones have no credits left.
@@ -130,9 +138,9 @@
 		return c, nil
 	}
 	if usable {
-		return Candidate{}, errkind.New(errkind.SlotsFull, "no upstream has a free slot")
+		return Candidate{}, errSlotsFull
 	}
-	return Candidate{}, errkind.New(errkind.NoUpstream, "no upstream is known that was not tried")
+	return Candidate{}, errNoUpstream
 }
 
 func (p *Picker) choose(now time.Time, candidates []Candidate, req Request, among sample) (choice, bool) {
@@ -182,7 +190,7 @@
 func (p *Picker) weighRank(now time.Time, c *Candidate, s *state, usual float64, req Request) (rank, float64) {
 	place := p.place(c)
 	estimate := s.estimate(now, c, usual)
-	slow := estimate > slowFloor.Seconds() && estimate > slowFactor*usual
+	slow := isSlow(estimate, usual) || s.trying(usual)
 	if place == rankRemote && p.tooFar(req, estimate) {
 		return rankExcluded, 0
 	}
@@ -199,6 +207,10 @@
 	return place, p.load(now, c, s) * max(estimate, slowFloor.Seconds())
 }
 
+func isSlow(estimate, usual float64) bool {
+	return estimate > slowFloor.Seconds() && estimate > slowFactor*usual
+}
+
 // tooFar reports whether the way to another region uses up the deadline.
 func (p *Picker) tooFar(req Request, estimate float64) bool {
 	return req.TimeLeft > 0 && p.config.RegionCost.Seconds()+estimate > req.TimeLeft.Seconds()
@@ -215,9 +227,22 @@
 	}
 }
 
-// credits are the reported ones less those used since the report.
+// credits are the reported ones less those used since the report. Requests that
+// were on their way to the agent when it reported are not in the report, so the
+// slots that this process fills itself are a second bound.
 func (p *Picker) credits(c *Candidate, s *state) int {
-	return c.Credits - s.sinceReport(c)
+	return min(c.Credits-s.sinceReport(c), c.Slots-s.inFlight)
+}
+
+// Available reports whether any candidate has a credit left.
+func (p *Picker) Available(now time.Time, candidates []Candidate) bool {
+	for i := range candidates {
+		c := &candidates[i]
+		if now.Sub(c.Reported) < ReportLife && p.credits(c, p.state(now, c.ID)) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *Picker) inFlight(c *Candidate, s *state) int {
@@ -233,7 +258,8 @@
 	return (reported + float64(s.sinceReport(c)) + 1) / slots
 }
 
-// usual is the service time of the fastest candidate.
+// usual is the service time of the fastest candidate. The past of each counts as
+// well, since one upstream may do all the work and be the only one known.
 func (p *Picker) usual(now time.Time, candidates []Candidate) float64 {
 	lowest := math.Inf(1)
 	for i := range candidates {
@@ -241,9 +267,13 @@
 		if now.Sub(c.Reported) >= ReportLife {
 			continue
 		}
-		if estimate, known := p.state(now, c.ID).known(c); known {
+		s := p.state(now, c.ID)
+		if estimate, known := s.known(c); known {
 			lowest = min(lowest, estimate)
 		}
+		if s.samples > 0 {
+			lowest = min(lowest, s.usual)
+		}
 	}
 	if math.IsInf(lowest, 1) {
 		return 0
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -18,7 +18,11 @@
 	s.wakeDelayed()
 	s.startReady()
 	s.claimShapes()
+	s.keepReservation()
 	s.fill()
+	s.serveBlocked()
+	// A started gang may have moved idle slots to workers that are open.
+	s.claimShapes()
 	out := s.outbox
 	s.outbox = nil
 	return out
@@ -50,6 +54,9 @@
 		j.charged = true
 		s.charge(j, 1)
 		j.ws.borrowed = append(j.ws.borrowed, j)
+		if float64(j.accelerators()) > reservationRatio*s.meanGang() {
+			s.book.Yield(j.places, j.spec.PerTask)
+		}
 	}
 	s.outbox = append(s.outbox, model.Action{
 		Kind: model.ActionStart, Job: j.spec.ID, Attempt: j.attempt,
@@ -59,37 +66,66 @@
 	s.judgeSuspects()
 }
 
+// head is the next job of a class.
+type head struct {
+	class *class
+	job   *job
+}
+
 // fill starts waiting jobs on idle capacity in the order of their shares.
 func (s *Scheduler) fill() {
+	heads := s.unblocked()
 	for {
-		j := s.next()
-		if j == nil {
+		best := first(heads)
+		if best == nil {
 			return
 		}
+		j := best.job
 		if !s.tryStart(j) {
-			j.class.blocked = s.generation
+			best.class.blocked = s.generation
+			best.job = nil
+			continue
 		}
+		refreshHeads(heads, j.ws)
 	}
 }
 
-// next returns the job that is served next among the classes that may start.
-func (s *Scheduler) next() *job {
-	var best *job
+// unblocked returns the heads of the classes that may start.
+func (s *Scheduler) unblocked() []head {
+	var heads []head
 	for _, c := range s.classes {
-		if c.blocked == s.generation {
-			continue
+		if c.blocked != s.generation {
+			heads = append(heads, head{c, c.best()})
 		}
-		if j := c.best(); best == nil || before(j, best) {
-			best = j
+	}
+	return heads
+}
+
+func first(heads []head) *head {
+	var best *head
+	for i := range heads {
+		if h := &heads[i]; h.job != nil && (best == nil || before(h.job, best.job)) {
+			best = h
 		}
 	}
 	return best
 }
 
+// refreshHeads replaces the heads of a workspace whose share has grown. Those of
+// other workspaces still precede its jobs.
+func refreshHeads(heads []head, ws *workspace) {
+	for i := range heads {
+		if h := &heads[i]; h.job != nil && h.job.ws == ws {
+			h.job = h.class.best()
+		}
+	}
+}
+
 // tryStart starts a job where no guarantee is idle, or else on capacity that an
 // idle guarantee lends.
 func (s *Scheduler) tryStart(j *job) bool {
 	q := j.query()
+	q.Avoid = s.avoid(j)
 	spots := s.open.Find(q)
 	if spots == nil {
 		spots = s.free.Find(q)
