Give each process of the rig a loopback address of its own

One of four runs of the rig under the race detector failed at the start of a system: another process had taken a port between its choice and its use. Random addresses of 127.0.0.0/8 are not used by outgoing connections. 'go test ./control/internal/rig' passes in 45 s.

--- a/control/internal/rig/network.go
+++ b/control/internal/rig/network.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 
@@ -147,9 +149,12 @@
 	return c.Conn.Close()
 }
 
-// FreeAddr returns a loopback address with an unused port.
+// FreeAddr returns a loopback address with an unused port. The IP address is a
+// random one of 127.0.0.0/8: connections of other processes use local ports of
+// 127.0.0.1, and one of them could take the port before it is listened at.
 func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	octet := func() int { return 1 + rand.IntN(254) }
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", octet(), octet(), octet()))
 	if err != nil {
 		return "", errors.Wrap(err, "find a free port")
 	}
