Stop gangs that run outside an idle slot of their own shape

Cause: a gang that names a shape and started while the shape was in use keeps running outside the guarantee after the holder has ended. When the witness does not fit around its place, its slot stays idle while the gang's place blocks other shapes, which the checker counts as a violation. Change: after each change that can make a slot idle, such gangs are adopted if possible and otherwise stopped, so that they start again in the slot.

--- a/sched/sched/cluster.go
+++ b/sched/sched/cluster.go
@@ -66,6 +66,7 @@
 	s.ever.Set(n, capacity)
 	s.book.SetCapacity(n, capacity)
 	s.generation++
+	s.unsettleAll()
 	s.recomputeShares()
 	s.book.Repair(s.all.RackOf(n))
 }
@@ -174,6 +175,7 @@
 		ws.known, ws.weight, ws.plan = true, p.Weight, p
 	}
 	s.generation++
+	s.unsettleAll()
 	s.recomputeShares()
 }
 
--- a/sched/sched/finish.go
+++ b/sched/sched/finish.go
@@ -72,6 +72,7 @@
 		return
 	}
 	s.book.Release(slot)
+	s.unsettle(s.workspaces[slot.Key.Workspace])
 	s.adopt(slot)
 	s.book.Repair(-1)
 }
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -130,6 +130,9 @@
 	callers map[ident.Caller]*caller
 	// claims holds the queued jobs of each guaranteed shape.
 	claims map[string]*jobQueue
+	// unsettled says that a slot may be idle while a gang of its shape runs
+	// outside the guarantee.
+	unsettled bool
 	// borrowed lists the running jobs outside the workspace's guarantees in
 	// order of their start.
 	borrowed []*job
--- a/sched/sched/sched.go
+++ b/sched/sched/sched.go
@@ -85,6 +85,8 @@
 	// generation counts the events that may let a blocked class start.
 	generation uint64
 	counts     map[model.Reason]int
+	// unsettled lists the workspaces whose gangs may run outside an idle slot.
+	unsettled []*workspace
 }
 
 var _ trace.Policy = (*Scheduler)(nil)
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -24,6 +24,7 @@
 	s.startReady()
 	// A started gang may have moved idle slots to workers that are open.
 	s.claimShapes()
+	s.settleShapes()
 	out := s.outbox
 	s.outbox = nil
 	return out
@@ -177,6 +178,7 @@
 	s.open.SetClosed(n, closed)
 	s.book.SetClosed(n, closed)
 	if !closed {
+		s.unsettleAll()
 		s.generation++
 		s.book.Repair(s.free.RackOf(n))
 	}
