Spare small callers from draining racks and move misplaced gangs

Cause: short jobs waited behind a draining rack; a gang that could not be adopted blocked another shape; migrations and estimates were asked for too often (the estimator took most of the time of a flood).

--- a/sched/sched/consolidate.go
+++ b/sched/sched/consolidate.go
@@ -10,6 +10,8 @@
 const (
 	// consolidateRetry is the time between two attempts for one reservation.
 	consolidateRetry = 10 * time.Second
+	// consolidateEnd spares work that is expected to end this soon by itself.
+	consolidateEnd = 5 * time.Minute
 	// consolidateGain is how many times the gain must exceed the lost work.
 	consolidateGain = 2
 )
@@ -22,7 +24,10 @@
 		return
 	}
 	r.tried = s.now
-	e := s.evict(r.job, s.candidateRacks(r.job), func(v *job) bool { return v.spec.Checkpointable })
+	e := s.evict(r.job, s.candidateRacks(r.job), func(v *job) bool {
+		soon := s.expectedEnd(v).Sub(s.now) < consolidateEnd
+		return !soon && v.spec.Checkpointable && v.weight() < r.job.weight() && (!v.reserved || s.overran(v))
+	})
 	if e == nil || len(e.victims) == 0 {
 		return
 	}
@@ -34,32 +39,32 @@
 		return
 	}
 	if s.retarget(r.job, e) {
-		s.dequeue(r.job)
-		for _, v := range e.victims {
-			s.migrate(v, r.job)
-		}
-		s.takePlace(r.job, e.places, model.ReasonPreemptConsolidate)
+		s.moveAway(r.job, e)
+		return
+	}
+	for _, v := range e.victims {
+		s.dropTarget(v)
 	}
 }
 
-// retarget keeps a new place for every victim, outside of the gang's place, or
-// changes nothing.
+// moveAway migrates the victims to their targets and keeps the place for the gang.
+func (s *Scheduler) moveAway(j *job, e *eviction) {
+	for _, v := range e.victims {
+		s.migrate(v, j)
+	}
+	s.carryOut(j, e, model.ReasonPreemptConsolidate)
+}
+
+// retarget keeps a new place outside of the gang's place for each victim that
+// fits somewhere, and reports whether all do.
 func (s *Scheduler) retarget(j *job, e *eviction) bool {
 	s.want(j, e.places)
-	done := true
+	all := true
 	for _, v := range e.victims {
-		if done = s.target(v); !done {
-			break
-		}
+		all = s.target(v) && all
 	}
 	s.unwant(j, e.places)
-	if done {
-		return true
-	}
-	for _, v := range e.victims {
-		s.dropTarget(v)
-	}
-	return false
+	return all
 }
 
 func (s *Scheduler) target(v *job) bool {
--- a/sched/sched/evict.go
+++ b/sched/sched/evict.go
@@ -215,6 +215,7 @@
 func (s *Scheduler) carryOut(j *job, e *eviction, reason model.Reason) {
 	s.dequeue(j)
 	s.chargeOnce(j)
+	j.reserved = s.reservation != nil && s.reservation.job == j
 	for _, v := range e.victims {
 		s.preempt(v, j, reason)
 	}
--- a/sched/sched/finish.go
+++ b/sched/sched/finish.go
@@ -78,6 +78,8 @@
 
 // adopt gives an idle slot to the gang of the same shape that has run longest
 // outside the guarantee, if the witness can be rearranged around its place.
+// Otherwise the gang is asked to move into the slot, because its workspace counts
+// it as the holder and its place may block another shape.
 func (s *Scheduler) adopt(slot *witness.Slot) {
 	ws := s.workspaces[slot.Key.Workspace]
 	for _, j := range ws.borrowed {
@@ -89,9 +91,21 @@
 			j.slot = slot
 			return
 		}
+		s.misplaced = append(s.misplaced, j)
 	}
 }
 
+// moveMisplaced stops the gangs that have to move into the slot of their shape.
+// They keep their place in the queue and claim the slot when they have stopped.
+func (s *Scheduler) moveMisplaced() {
+	for _, j := range s.misplaced {
+		if s.jobs[j.spec.ID] == j && j.state == StateRunning && j.slot == nil && s.hasIdleSlot(j) {
+			s.preempt(j, j, model.ReasonPreemptReclaim)
+		}
+	}
+	s.misplaced = nil
+}
+
 func (s *Scheduler) succeeded(j *job, places []witness.Place) {
 	s.estimator.Observe(j.spec.Service, j.spec.Tasks, j.spec.RunTime, j.saved+s.now.Sub(j.started))
 	eachWorker(places, func(n int, _ uint64, _ int) {
--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -64,6 +64,9 @@
 	lost bool
 	// reserved says that the attempt waited for a reservation.
 	reserved bool
+	// expected is the estimated run time as of expectedAt.
+	expected   time.Duration
+	expectedAt time.Time
 	// tried is when the job was last tried by share.
 	tried time.Time
 	// target is the place that a migrating job moves to.
--- a/sched/sched/queue.go
+++ b/sched/sched/queue.go
@@ -142,17 +142,25 @@
 	return c
 }
 
-// remaining returns the expected run time that is left for a queued job.
+// remaining returns the expected run time that is left for a queued job. The
+// estimate is kept for a while, because a decision asks for it many times.
 func (s *Scheduler) remaining(j *job) time.Duration {
-	expected := s.estimator.RunTime(j.spec.Service, j.spec.Tasks, j.spec.RunTime)
-	return max(expected-j.saved, minRemaining)
+	if j.expected == 0 || s.now.Sub(j.expectedAt) >= estimateAge {
+		j.expected = s.estimator.RunTime(j.spec.Service, j.spec.Tasks, j.spec.RunTime)
+		j.expectedAt = s.now
+	}
+	return max(j.expected-j.saved, minRemaining)
 }
 
+// estimateAge is how long the estimate of a queued job is used.
+const estimateAge = time.Minute
+
 // minRemaining is the shortest run time that a reservation counts with.
 const minRemaining = time.Second
 
 func (s *Scheduler) enqueue(j *job) {
 	j.state = StateQueued
+	j.reserved = false
 	c := s.classFor(j)
 	j.class = c
 	c.count++
--- a/sched/sched/reserve.go
+++ b/sched/sched/reserve.go
@@ -25,6 +25,10 @@
 // preempted with a checkpoint, because its overrun delays the reserved gang.
 const hazard = 2
 
+// briefRunTime is the expected run time of jobs that start in reserved racks in
+// any case: short work of small callers must not wait for a draining rack.
+const briefRunTime = 10 * time.Minute
+
 // avoid returns the racks in which a job must not start because it would delay
 // the reserved gang.
 func (s *Scheduler) avoid(j *job) []int {
@@ -33,6 +37,9 @@
 		return nil
 	}
 	estimate := s.remaining(j)
+	if estimate <= briefRunTime {
+		return nil
+	}
 	if !j.spec.Checkpointable {
 		estimate *= hazard
 	}
--- a/sched/sched/sched.go
+++ b/sched/sched/sched.go
@@ -73,6 +73,8 @@
 	delayed    []*job
 	ready      []*job
 	outbox     []model.Action
+	// misplaced lists gangs that an idle slot of their shape could not adopt.
+	misplaced []*job
 	// restored lists the attempts of a snapshot until the first decision.
 	restored []*job
 	suspects []int
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -17,6 +17,7 @@
 	s.judgeSuspects()
 	s.wakeDelayed()
 	s.startReady()
+	s.moveMisplaced()
 	s.claimShapes()
 	s.keepReservation()
 	s.fill()
@@ -50,7 +51,7 @@
 	j.started = s.now
 	j.checkpoint = time.Time{}
 	j.stopping = model.ReasonNone
-	j.reserved = s.reservation != nil && s.reservation.job == j
+	j.reserved = j.reserved || s.reservation != nil && s.reservation.job == j
 	j.estimate = s.remaining(j)
 	if j.slot == nil {
 		s.chargeOnce(j)
--- a/sched/sched/share.go
+++ b/sched/sched/share.go
@@ -14,11 +14,11 @@
 	shareTries = 3
 	// shareRetry is the time before the same job is tried again.
 	shareRetry = 5 * time.Second
-	// shareGain is how many times the work of a job must exceed what it stops.
-	shareGain = 4
 	// shareVictim is how many times larger than the job a victim may be, so that
-	// small jobs do not stop large gangs, which take long to gather again.
-	shareVictim = 2
+	// small jobs do not stop large gangs, which take long to gather again. Inside
+	// a workspace callerVictim applies, because its small callers come first.
+	shareVictim  = 2
+	callerVictim = 8
 	// shareRacks bounds the racks that are searched for one job.
 	shareRacks = 8
 )
@@ -47,8 +47,8 @@
 	if e == nil {
 		return
 	}
-	// Other than urgent work, a job must do several times the work it destroys.
-	gain := s.remaining(j).Seconds() * j.weight() / shareGain
+	// Other than urgent work, a job must do more work than it destroys.
+	gain := s.remaining(j).Seconds() * j.weight()
 	if j.spec.Urgent || e.loss <= gain {
 		s.carryOut(j, e, model.ReasonPreemptShare)
 	}
@@ -56,9 +56,15 @@
 
 // mayPreempt reports whether a job stays below the share of the victim's account
 // after the exchange. A gang that waited for a reservation is spared until it
-// overruns, because it would have to wait for its place again. Inside a workspace urgency precedes the callers' shares.
+// overruns, because it would have to wait for its place again. Inside a workspace
+// urgency precedes the callers' shares, and work that ends sooner than the job
+// itself is not worth stopping.
 func (s *Scheduler) mayPreempt(j, v *job) bool {
-	if v.weight() > shareVictim*j.weight() || v.reserved && !s.overran(v) {
+	largest := float64(shareVictim)
+	if j.ws == v.ws {
+		largest = callerVictim
+	}
+	if v.weight() > largest*j.weight() || v.reserved && !s.overran(v) {
 		return false
 	}
 	more := topology.Scale(j.spec.PerTask, j.spec.Tasks)
@@ -69,6 +75,9 @@
 	if j.spec.Urgent != v.spec.Urgent {
 		return j.spec.Urgent
 	}
+	if !j.spec.Urgent && s.expectedEnd(v).Sub(s.now) < s.remaining(j) {
+		return false
+	}
 	return dominant(topology.Add(j.caller.usage, more), s.capacity) < dominant(topology.Add(v.caller.usage, less), s.capacity)
 }
 
