End a quarantine whose only evidence was a job that fails elsewhere too

Change: when such a job fails on another worker, the quarantine ends and its failures count against the job.

--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -155,6 +155,7 @@
 	if w.quarantined {
 		t.probeFailed(now, w, job)
 	}
+	t.exonerate(worker, job)
 	t.quarantineFaulty(now, job)
 }
 
--- a/sched/health/health_test.go
+++ b/sched/health/health_test.go
@@ -102,6 +102,9 @@
 			tr.Failed(start, "w0", "j")
 		}
 		So(tr.Quarantined(start, "w0"), ShouldBeTrue)
+		tr.Failed(start, "w1", "j")
+		So(tr.Quarantined(start, "w0"), ShouldBeFalse)
+		So(tr.Charged("j"), ShouldEqual, 4)
 		for range 3 {
 			tr.Failed(start, "w1", "j")
 			tr.Failed(start, "w2", "j")
--- a/sched/health/score.go
+++ b/sched/health/score.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// exonerate ends the quarantine of other workers whose only evidence was this
+// job, since it has now failed here too. Its failures there count against it.
+func (t *Tracker) exonerate(worker ident.Worker, job ident.Job) {
+	failures := t.jobs[job].failures
+	for i := range failures {
+		w, ok := t.workers[failures[i].worker]
+		if !ok || w.id == worker || !w.quarantined || t.bad(w) {
+			continue
+		}
+		t.endQuarantine(w)
+		for k := range failures {
+			if failures[k].worker == w.id {
+				failures[k].excused = false
+			}
+		}
+	}
+}
+
 // excuseWorker stops the failures on a worker from counting against its jobs.
 func (t *Tracker) excuseWorker(w *workerState) {
 	for _, r := range w.recent {
