--- a/sched/sched/job.go
+++ b/sched/sched/job.go
@@ -64,6 +64,9 @@
 	lost bool
 	// reserved says that the attempt waited for a reservation.
 	reserved bool
+	// expected is the estimated run time as of expectedAt.
+	expected   time.Duration
+	expectedAt time.Time
 	// tried is when the job was last tried by share.
 	tried time.Time
 	// target is the place that a migrating job moves to.
@@ -130,6 +133,9 @@
 	callers map[ident.Caller]*caller
 	// claims holds the queued jobs of each guaranteed shape.
 	claims map[string]*jobQueue
+	// unsettled says that a slot may be idle while a gang of its shape runs
+	// outside the guarantee.
+	unsettled bool
 	// borrowed lists the running jobs outside the workspace's guarantees in
 	// order of their start.
 	borrowed []*job
--- a/sched/sched/sched.go
+++ b/sched/sched/sched.go
@@ -73,6 +73,8 @@
 	delayed    []*job
 	ready      []*job
 	outbox     []model.Action
+	// misplaced lists gangs that an idle slot of their shape could not adopt.
+	misplaced []*job
 	// restored lists the attempts of a snapshot until the first decision.
 	restored []*job
 	suspects []int
@@ -85,6 +87,8 @@
 	// generation counts the events that may let a blocked class start.
 	generation uint64
 	counts     map[model.Reason]int
+	// unsettled lists the workspaces whose gangs may run outside an idle slot.
+	unsettled []*workspace
 }
 
 var _ trace.Policy = (*Scheduler)(nil)
--- a/sched/sched/schedule.go
+++ b/sched/sched/schedule.go
@@ -17,6 +17,7 @@
 	s.judgeSuspects()
 	s.wakeDelayed()
 	s.startReady()
+	s.moveMisplaced()
 	s.claimShapes()
 	s.keepReservation()
 	s.fill()
@@ -24,6 +25,7 @@
 	s.startReady()
 	// A started gang may have moved idle slots to workers that are open.
 	s.claimShapes()
+	s.settleShapes()
 	out := s.outbox
 	s.outbox = nil
 	return out
@@ -50,7 +52,7 @@
 	j.started = s.now
 	j.checkpoint = time.Time{}
 	j.stopping = model.ReasonNone
-	j.reserved = s.reservation != nil && s.reservation.job == j
+	j.reserved = j.reserved || s.reservation != nil && s.reservation.job == j
 	j.estimate = s.remaining(j)
 	if j.slot == nil {
 		s.chargeOnce(j)
@@ -177,6 +179,7 @@
 	s.open.SetClosed(n, closed)
 	s.book.SetClosed(n, closed)
 	if !closed {
+		s.unsettleAll()
 		s.generation++
 		s.book.Repair(s.free.RackOf(n))
 	}
