Judge small callers in reserved racks by what they run

Cause: the exemption of short jobs from reservations let a flood of short jobs starve the reserved gang, and sparing work that ends sooner made floods worse. Change: only callers that run at most one such job are exempt.

--- a/sched/sched/reserve.go
+++ b/sched/sched/reserve.go
@@ -25,8 +25,9 @@
 // preempted with a checkpoint, because its overrun delays the reserved gang.
 const hazard = 2
 
-// briefRunTime is the expected run time of jobs that start in reserved racks in
-// any case: short work of small callers must not wait for a draining rack.
+// briefRunTime is the expected run time up to which jobs of callers that run at
+// most one other such job start in reserved racks in any case: short work of small
+// callers must not wait for a draining rack, but a flood of it must not fill it.
 const briefRunTime = 10 * time.Minute
 
 // avoid returns the racks in which a job must not start because it would delay
@@ -37,7 +38,7 @@
 		return nil
 	}
 	estimate := s.remaining(j)
-	if estimate <= briefRunTime {
+	if estimate <= briefRunTime && j.caller.usage.Accelerators <= j.accelerators() {
 		return nil
 	}
 	if !j.spec.Checkpointable {
--- a/sched/sched/share.go
+++ b/sched/sched/share.go
@@ -57,8 +57,7 @@
 // mayPreempt reports whether a job stays below the share of the victim's account
 // after the exchange. A gang that waited for a reservation is spared until it
 // overruns, because it would have to wait for its place again. Inside a workspace
-// urgency precedes the callers' shares, and work that ends sooner than the job
-// itself is not worth stopping.
+// urgency precedes the callers' shares.
 func (s *Scheduler) mayPreempt(j, v *job) bool {
 	largest := float64(shareVictim)
 	if j.ws == v.ws {
@@ -75,9 +74,6 @@
 	if j.spec.Urgent != v.spec.Urgent {
 		return j.spec.Urgent
 	}
-	if !j.spec.Urgent && s.expectedEnd(v).Sub(s.now) < s.remaining(j) {
-		return false
-	}
 	return dominant(topology.Add(j.caller.usage, more), s.capacity) < dominant(topology.Add(v.caller.usage, less), s.capacity)
 }
 
