Bound the searches of one decision

Cause: BenchmarkDecision had p99 of 6.4, 11.5 and 51.6 ms: each large gang lifted every idle slot, and rooms recounted all workers after each removed gang. Change: slots are listed by worker and only those in the way are moved; rooms keep their task count; fewer racks and one share search for each decision; adoption packs all idle slots again only when moving those in the way fails.

--- a/sched/sched/claim.go
+++ b/sched/sched/claim.go
@@ -91,7 +91,7 @@
 }
 
 // claimRacks bounds how many racks are searched for a cheaper place of a slot.
-const claimRacks = 8
+const claimRacks = 4
 
 // moveToCheaper moves an idle slot to where stopping the occupants costs less
 // than lowest, outside of all other slots.
@@ -99,11 +99,10 @@
 	racks := s.book.Unowned().Roomiest(slot.Shape.PerTask, claimRacks)
 	r := s.newRoom(shaped(slot), racks)
 	r.banned = make(map[int]uint64, len(r.list))
-	for _, n := range r.list {
+	for i, n := range r.list {
 		r.banned[n] = s.book.Owned(n) &^ maskOn(slot.Places, n)
-		r.mask[n] &^= r.banned[n]
 		others := topology.Sub(s.book.IdleReserve(n), topology.Scale(slot.Shape.PerTask, tasksOn(slot.Places, n)))
-		r.free[n] = topology.Sub(r.free[n], others)
+		r.set(i, topology.Sub(r.cells[i].free, others), r.cells[i].mask&^r.banned[n])
 	}
 	var best *eviction
 	for _, part := range r.scopes() {
--- a/sched/sched/evict.go
+++ b/sched/sched/evict.go
@@ -10,72 +10,100 @@
 	"github.com/lacewingpier/lacewingpier/sched/witness"
 )
 
-// room is the capacity that some racks would have without certain gangs.
+// room is the capacity that some workers would have without certain gangs.
 type room struct {
 	s    *Scheduler
 	j    *job
 	list []int
-	free map[int]model.Resources
-	mask map[int]uint64
+	// at maps a worker to its position in cells; small rooms have no map.
+	at    map[int]int
+	cells []cell
+	// total is the number of tasks that fit; it is kept up to date.
+	total int
 	// banned are accelerators that must not be used.
 	banned map[int]uint64
 }
 
+// cell is the capacity of one worker of a room.
+type cell struct {
+	free  model.Resources
+	mask  uint64
+	tasks int
+}
+
 // newRoom returns what is free on the open workers of the racks. Capacity that
 // idle guarantees own is included, because other work may borrow it.
 func (s *Scheduler) newRoom(j *job, racks []int) *room {
-	r := &room{s: s, j: j, free: make(map[int]model.Resources), mask: make(map[int]uint64)}
+	r := &room{s: s, j: j}
+	if j.spec.Locality == model.LocalityPartition && j.spec.Tasks > 1 {
+		r.at = make(map[int]int)
+	}
 	for _, rack := range racks {
 		for _, w := range s.free.Rack(rack) {
 			n := int(w)
-			if s.free.Closed(n) || !s.workers[n].alive {
-				continue
+			if !s.free.Closed(n) && s.workers[n].alive {
+				r.add(n, s.workers[n].available(), s.workers[n].freeMask())
 			}
-			r.list = append(r.list, n)
-			r.free[n] = s.workers[n].available()
-			r.mask[n] = s.workers[n].freeMask()
 		}
 	}
 	return r
 }
 
+func (r *room) add(n int, free model.Resources, mask uint64) {
+	if r.at != nil {
+		r.at[n] = len(r.list)
+	}
+	r.list = append(r.list, n)
+	r.cells = append(r.cells, cell{})
+	r.set(len(r.cells)-1, free, mask)
+}
+
+// index returns the position of a worker, or -1.
+func (r *room) index(n int) int {
+	if r.at == nil {
+		return slices.Index(r.list, n)
+	}
+	if i, ok := r.at[n]; ok {
+		return i
+	}
+	return -1
+}
+
+func (r *room) set(i int, free model.Resources, mask uint64) {
+	c := &r.cells[i]
+	c.free, c.mask = free, mask
+	free.Accelerators = onesCount(mask)
+	tasks := min(topology.Fits(free, r.j.spec.PerTask), r.j.spec.Tasks)
+	r.total += tasks - c.tasks
+	c.tasks = tasks
+}
+
 // remove adds or takes back (sign -1) the capacity of a gang.
 func (r *room) remove(g *job, sign int) {
 	for _, p := range g.places {
-		free, ok := r.free[p.Worker]
-		if !ok {
+		i := r.index(p.Worker)
+		if i < 0 {
 			continue
 		}
-		r.free[p.Worker] = topology.Add(free, topology.Scale(g.spec.PerTask, sign))
+		c := r.cells[i]
+		free := topology.Add(c.free, topology.Scale(g.spec.PerTask, sign))
 		if sign > 0 {
-			r.mask[p.Worker] |= p.Mask &^ r.banned[p.Worker]
+			r.set(i, free, c.mask|p.Mask&^r.banned[p.Worker])
 		} else {
-			r.mask[p.Worker] &^= p.Mask
+			r.set(i, free, c.mask&^p.Mask)
 		}
 	}
 }
 
-// tasksAt returns how many tasks of the gang fit on a worker.
-func (r *room) tasksAt(n int) int {
-	free := r.free[n]
-	free.Accelerators = onesCount(r.mask[n])
-	return topology.Fits(free, r.j.spec.PerTask)
-}
-
 // spots returns a place for the gang, on the roomiest workers first, or nil.
 func (r *room) spots() []topology.Spot {
 	left := r.j.spec.Tasks
 	order := slices.Clone(r.list)
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(r.tasksAt(b), r.tasksAt(a)) })
-	if r.j.spec.Locality == model.LocalityWorker {
-		if len(order) == 0 || r.tasksAt(order[0]) < left {
-			return nil
-		}
-		return []topology.Spot{{Worker: order[0], Tasks: left}}
-	}
+	tasks := func(n int) int { return r.cells[r.index(n)].tasks }
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(tasks(b), tasks(a)) })
 	var spots []topology.Spot
 	for _, n := range order {
-		if k := min(r.tasksAt(n), left); k > 0 {
+		if k := min(tasks(n), left); k > 0 {
 			spots = append(spots, topology.Spot{Worker: n, Tasks: k})
 			left -= k
 		}
@@ -86,18 +114,9 @@
 	return spots
 }
 
-func (r *room) fits() bool {
-	total := 0
-	for _, n := range r.list {
-		k := r.tasksAt(n)
-		if r.j.spec.Locality == model.LocalityWorker {
-			total = max(total, k)
-		} else {
-			total = min(total+k, r.j.spec.Tasks)
-		}
-	}
-	return total >= r.j.spec.Tasks
-}
+// fits reports whether the gang fits. Only a room of one worker answers for a
+// gang that must not leave its worker; see scopes.
+func (r *room) fits() bool { return r.total >= r.j.spec.Tasks }
 
 // eviction is a place for a gang and the gangs that have to stop for it.
 type eviction struct {
@@ -126,31 +145,23 @@
 	if r.j.spec.Locality == model.LocalityPartition && r.j.spec.Tasks > 1 {
 		return []*room{r}
 	}
+	byRack := r.j.spec.Locality == model.LocalityRack && r.j.spec.Tasks > 1
 	var parts []*room
-	for _, n := range r.list {
+	last := -1
+	for i, n := range r.list {
 		rack := r.s.all.RackOf(n)
-		last := len(parts) - 1
-		if r.j.spec.Locality == model.LocalityRack && r.j.spec.Tasks > 1 && last >= 0 && r.s.all.RackOf(parts[last].list[0]) == rack {
-			parts[last].list = append(parts[last].list, n)
-			continue
+		if !byRack || rack != last {
+			parts = append(parts, &room{s: r.s, j: r.j, banned: r.banned})
+			last = rack
 		}
-		parts = append(parts, &room{s: r.s, j: r.j, list: []int{n}, free: r.free, mask: r.mask, banned: r.banned})
+		parts[len(parts)-1].add(n, r.cells[i].free, r.cells[i].mask)
 	}
 	return parts
 }
 
-// own returns a copy of the part whose capacity can be changed.
-func (r *room) own() *room {
-	c := *r
-	c.free, c.mask = make(map[int]model.Resources, len(r.list)), make(map[int]uint64, len(r.list))
-	for _, n := range r.list {
-		c.free[n], c.mask[n] = r.free[n], r.mask[n]
-	}
-	return &c
-}
-
-func (s *Scheduler) evictFrom(shared *room, eligible func(*job) bool) *eviction {
-	r := shared.own()
+// evictFrom removes the cheapest eligible gangs from a room until the gang fits,
+// and then puts those back that need not stop, the most expensive first.
+func (s *Scheduler) evictFrom(r *room, eligible func(*job) bool) *eviction {
 	candidates := s.candidates(r.list, eligible)
 	var victims []*job
 	for !r.fits() {
@@ -198,7 +209,7 @@
 func (r *room) choose() []witness.Place {
 	var places []witness.Place
 	for _, spot := range r.spots() {
-		mask := r.mask[spot.Worker]
+		mask := r.cells[r.index(spot.Worker)].mask
 		vacant := r.s.workers[spot.Worker].freeMask()
 		for range spot.Tasks {
 			n := r.j.spec.PerTask.Accelerators
--- a/sched/sched/reserve.go
+++ b/sched/sched/reserve.go
@@ -19,7 +19,7 @@
 }
 
 // reservationRacks bounds how many racks are compared for a reservation.
-const reservationRacks = 32
+const reservationRacks = 8
 
 // hazard is the factor on the estimate of backfilled work that cannot be
 // preempted with a checkpoint, because its overrun delays the reserved gang.
@@ -117,7 +117,16 @@
 // earliest returns when the gang fits into the racks if every running gang ends
 // as expected.
 func (s *Scheduler) earliest(j *job, racks []int) (time.Time, bool) {
-	r := s.newRoom(j, racks)
+	best, found := time.Time{}, false
+	for _, r := range s.newRoom(j, racks).scopes() {
+		if at, ok := s.earliestIn(r); ok && (!found || at.Before(best)) {
+			best, found = at, true
+		}
+	}
+	return best, found
+}
+
+func (s *Scheduler) earliestIn(r *room) (time.Time, bool) {
 	ends := s.endings(r.list)
 	at := s.now
 	for !r.fits() {
--- a/sched/sched/share.go
+++ b/sched/sched/share.go
@@ -11,7 +11,7 @@
 const (
 	// shareTries bounds the waiting jobs for which one decision looks for work
 	// above its share.
-	shareTries = 3
+	shareTries = 1
 	// shareRetry is the time before the same job is tried again.
 	shareRetry = 5 * time.Second
 	// shareVictim is how many times larger than the job a victim may be, so that
@@ -20,7 +20,7 @@
 	shareVictim  = 2
 	callerVictim = 8
 	// shareRacks bounds the racks that are searched for one job.
-	shareRacks = 8
+	shareRacks = 4
 )
 
 // takeShare stops work above its share for waiting jobs below theirs.
--- a/sched/witness/book.go
+++ b/sched/witness/book.go
@@ -48,10 +48,6 @@
 	return spots
 }
 
-func (s *Slot) on(worker int) bool {
-	return slices.ContainsFunc(s.Places, func(p Place) bool { return p.Worker == worker })
-}
-
 func (s *Slot) query() topology.Query {
 	return topology.Query{Tasks: s.Shape.Tasks, PerTask: s.Shape.PerTask, Locality: s.Shape.Locality}
 }
@@ -80,6 +76,8 @@
 	capacity []model.Resources
 	// reserve is what idle slots own of each worker's cores and memory.
 	reserve []model.Resources
+	// byWorker lists the slots with a part on each worker.
+	byWorker [][]*Slot
 	// slots is ordered by descending priority.
 	slots   []*Slot
 	byShape map[shapeKey][]*Slot
@@ -123,6 +121,7 @@
 func (b *Book) AddWorker(rack int) int {
 	b.owned = append(b.owned, 0)
 	b.capacity = append(b.capacity, model.Resources{})
+	b.byWorker = append(b.byWorker, nil)
 	b.reserve = append(b.reserve, model.Resources{})
 	return b.index.AddWorker(rack)
 }
@@ -169,7 +168,10 @@
 		b.short--
 	}
 	s.Places = places
-	for _, p := range places {
+	for i, p := range places {
+		if i == 0 || places[i-1].Worker != p.Worker {
+			b.byWorker[p.Worker] = append(b.byWorker[p.Worker], s)
+		}
 		b.owned[p.Worker] |= p.Mask
 		b.index.Set(p.Worker, topology.Sub(b.index.Free(p.Worker), s.Shape.PerTask))
 	}
@@ -183,7 +185,11 @@
 	}
 	places := s.Places
 	b.reserveFor(s, -1)
-	for _, p := range places {
+	for i, p := range places {
+		if i == 0 || places[i-1].Worker != p.Worker {
+			at := slices.Index(b.byWorker[p.Worker], s)
+			b.byWorker[p.Worker] = slices.Delete(b.byWorker[p.Worker], at, at+1)
+		}
 		b.owned[p.Worker] &^= p.Mask
 		b.index.Set(p.Worker, topology.Add(b.index.Free(p.Worker), s.Shape.PerTask))
 	}
@@ -243,15 +249,23 @@
 }
 
 // Annex gives an idle slot to a job that runs at the given places. Idle slots in
-// the way move elsewhere. It changes nothing and returns false when they cannot
-// or when a held slot is in the way.
+// the way move elsewhere; if they cannot, all idle slots are packed again. It
+// changes nothing and returns false when that fails or a held slot is in the way.
 func (b *Book) Annex(s *Slot, places []Place, job ident.Job) bool {
+	if b.annexAround(s, places, job, b.idleOn(s, places)) {
+		return true
+	}
 	var idle []*Slot
 	for _, o := range b.slots {
 		if o.Holder == "" && !o.Short() && o != s {
 			idle = append(idle, o)
 		}
 	}
+	return b.annexAround(s, places, job, idle)
+}
+
+// annexAround is Annex with the given idle slots lifted.
+func (b *Book) annexAround(s *Slot, places []Place, job ident.Job, idle []*Slot) bool {
 	old := append(b.liftAll(idle), saved{s, b.lift(s)})
 	if b.vacant(s, places) {
 		b.putPlaces(s, places)
@@ -266,8 +280,21 @@
 	return false
 }
 
-// Yield moves idle slots away from the places of a gang if all of them have
-// other places, so that a claim is less likely to stop the gang.
+// idleOn returns the idle slots other than s with a part on the places' workers.
+func (b *Book) idleOn(s *Slot, places []Place) []*Slot {
+	var idle []*Slot
+	for _, p := range places {
+		for _, o := range b.byWorker[p.Worker] {
+			if o.Holder == "" && o != s && !slices.Contains(idle, o) {
+				idle = append(idle, o)
+			}
+		}
+	}
+	return idle
+}
+
+// Yield moves idle slots away from the places of a gang if there are other places
+// for them, so that a claim is less likely to stop the gang.
 func (b *Book) Yield(places []Place, perTask model.Resources) {
 	overlaps := slices.ContainsFunc(places, func(p Place) bool { return b.owned[p.Worker]&p.Mask != 0 })
 	if !overlaps {
@@ -275,7 +302,7 @@
 	}
 	phantom := &Slot{Shape: model.Shape{Tasks: len(places), PerTask: perTask}}
 	b.short++
-	if b.Annex(phantom, places, "phantom") {
+	if b.annexAround(phantom, places, "phantom", b.idleOn(phantom, places)) {
 		b.lift(phantom)
 	}
 	b.short--
@@ -321,12 +348,10 @@
 // Lose takes a worker away. Slots on it lose their places and their holders,
 // whose gangs cannot go on. Repair gives the slots new places.
 func (b *Book) Lose(worker int) {
-	for _, s := range b.slots {
-		if s.on(worker) {
-			b.lift(s)
-			s.Holder = ""
-			s.Shape.PerTask = s.base
-		}
+	for _, s := range slices.Clone(b.byWorker[worker]) {
+		b.lift(s)
+		s.Holder = ""
+		s.Shape.PerTask = s.base
 	}
 	b.SetCapacity(worker, model.Resources{})
 }
@@ -338,8 +363,8 @@
 	if !closed {
 		return
 	}
-	for _, s := range b.slots {
-		if s.Holder == "" && s.on(worker) {
+	for _, s := range slices.Clone(b.byWorker[worker]) {
+		if s.Holder == "" {
 			b.evacuate(s)
 		}
 	}
