--- a/sched/sched/reserve.go
+++ b/sched/sched/reserve.go
@@ -19,14 +19,15 @@
 }
 
 // reservationRacks bounds how many racks are compared for a reservation.
-const reservationRacks = 32
+const reservationRacks = 8
 
 // hazard is the factor on the estimate of backfilled work that cannot be
 // preempted with a checkpoint, because its overrun delays the reserved gang.
 const hazard = 2
 
-// briefRunTime is the expected run time of jobs that start in reserved racks in
-// any case: short work of small callers must not wait for a draining rack.
+// briefRunTime is the expected run time up to which jobs of callers that run at
+// most one other such job start in reserved racks in any case: short work of small
+// callers must not wait for a draining rack, but a flood of it must not fill it.
 const briefRunTime = 10 * time.Minute
 
 // avoid returns the racks in which a job must not start because it would delay
@@ -37,7 +38,7 @@
 		return nil
 	}
 	estimate := s.remaining(j)
-	if estimate <= briefRunTime {
+	if estimate <= briefRunTime && j.caller.usage.Accelerators <= j.accelerators() {
 		return nil
 	}
 	if !j.spec.Checkpointable {
@@ -116,7 +117,16 @@
 // earliest returns when the gang fits into the racks if every running gang ends
 // as expected.
 func (s *Scheduler) earliest(j *job, racks []int) (time.Time, bool) {
-	r := s.newRoom(j, racks)
+	best, found := time.Time{}, false
+	for _, r := range s.newRoom(j, racks).scopes() {
+		if at, ok := s.earliestIn(r); ok && (!found || at.Before(best)) {
+			best, found = at, true
+		}
+	}
+	return best, found
+}
+
+func (s *Scheduler) earliestIn(r *room) (time.Time, bool) {
 	ends := s.endings(r.list)
 	at := s.now
 	for !r.fits() {
--- a/sched/sched/share.go
+++ b/sched/sched/share.go
@@ -11,7 +11,7 @@
 const (
 	// shareTries bounds the waiting jobs for which one decision looks for work
 	// above its share.
-	shareTries = 3
+	shareTries = 1
 	// shareRetry is the time before the same job is tried again.
 	shareRetry = 5 * time.Second
 	// shareVictim is how many times larger than the job a victim may be, so that
@@ -20,7 +20,7 @@
 	shareVictim  = 2
 	callerVictim = 8
 	// shareRacks bounds the racks that are searched for one job.
-	shareRacks = 8
+	shareRacks = 4
 )
 
 // takeShare stops work above its share for waiting jobs below theirs.
@@ -57,8 +57,7 @@
 // mayPreempt reports whether a job stays below the share of the victim's account
 // after the exchange. A gang that waited for a reservation is spared until it
 // overruns, because it would have to wait for its place again. Inside a workspace
-// urgency precedes the callers' shares, and work that ends sooner than the job
-// itself is not worth stopping.
+// urgency precedes the callers' shares.
 func (s *Scheduler) mayPreempt(j, v *job) bool {
 	largest := float64(shareVictim)
 	if j.ws == v.ws {
@@ -75,9 +74,6 @@
 	if j.spec.Urgent != v.spec.Urgent {
 		return j.spec.Urgent
 	}
-	if !j.spec.Urgent && s.expectedEnd(v).Sub(s.now) < s.remaining(j) {
-		return false
-	}
 	return dominant(topology.Add(j.caller.usage, more), s.capacity) < dominant(topology.Add(v.caller.usage, less), s.capacity)
 }
 
