Answer keyed requests with one text and a wait while the table is down

TestRequestSession failed in 2 of 60 runs: the caller's text named the inner cause, which depends on whether the table client's jittered breaker lets a probe through, and the wait came with only one of the causes. The cause is logged now, the text is fixed and at least 1 s of wait is advised.

TestJobSession still failed in 3 of 28 runs of the package (an attempt starts at 28.7 s or at 29.0 s); it is not part of the request path.

--- a/control/entry/claims.go
+++ b/control/entry/claims.go
@@ -15,6 +15,8 @@
 const (
 	// claimTimeout bounds each access to the store for a claim.
 	claimTimeout = 2 * time.Second
+	// claimWait is the least wait that is advised while the table is down.
+	claimWait = time.Second
 	// claimTries bounds the rounds of a claim that keeps losing to others.
 	claimTries = 4
 	// seenClaims bounds the claims whose age this entry measures.
@@ -93,7 +95,7 @@
 			return held, nil, nil
 		}
 		if !errkind.Is(err, errkind.Conflict) {
-			return nil, nil, notClaimed(err)
+			return nil, nil, e.notClaimed(req.id, err)
 		}
 		record, err := e.judgeRow(ctx, held, digest)
 		if record != nil || err != nil {
@@ -104,8 +106,11 @@
 }
 
 // notClaimed says that nothing was dispatched because the table did not answer.
-func notClaimed(err error) error {
-	return errkind.Wrap(errkind.StoreUnavailable, err, "claim the idempotency key")
+// The cause is logged; the caller gets the same text for every cause.
+func (e *Entry) notClaimed(id ident.Request, err error) error {
+	e.logger.Info().Str("request", string(id)).Err(err).Msg("idempotency key was not claimed")
+	return errkind.WithRetryAfter(errkind.StoreUnavailable, max(errkind.RetryAfter(err), claimWait),
+		"the table does not answer, so the idempotency key is not claimed")
 }
 
 // judgeRow reads the row that a claim lost to. It returns neither record nor
@@ -119,7 +124,7 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, notClaimed(err)
+		return nil, e.notClaimed(held.claim.Record().Request, err)
 	}
 	record, err := claim.Decode(row.Value)
 	if err != nil {
