Keep the report of impossible jobs in step with the workers

Cause: a job that was reported as impossible kept that mark after the workers had returned, so it was skipped for reservations and not reported again.

--- a/sched/sched/cluster.go
+++ b/sched/sched/cluster.go
@@ -68,6 +68,7 @@
 	s.generation++
 	s.recomputeShares()
 	s.book.Repair(s.all.RackOf(n))
+	s.reportImpossible()
 }
 
 // LoseWorker removes a worker. Gangs with a member there count as stopping
--- a/sched/sched/queue.go
+++ b/sched/sched/queue.go
@@ -161,6 +161,7 @@
 func (s *Scheduler) enqueue(j *job) {
 	j.state = StateQueued
 	j.reserved = false
+	s.markPossible([]*job{j}, s.all.Find(j.query()) != nil)
 	c := s.classFor(j)
 	j.class = c
 	c.count++
--- a/sched/sched/submit.go
+++ b/sched/sched/submit.go
@@ -21,10 +21,6 @@
 	j.caller.jobs++
 	s.jobs[spec.ID] = j
 	s.enqueue(j)
-	if s.all.Find(j.query()) == nil {
-		j.impossible = true
-		s.report(j, model.ReasonCannotRunNow)
-	}
 	return nil
 }
 
