--- a/sched/sched/cluster.go
+++ b/sched/sched/cluster.go
@@ -69,6 +69,7 @@
 	s.unsettleAll()
 	s.recomputeShares()
 	s.book.Repair(s.all.RackOf(n))
+	s.reportImpossible()
 }
 
 // LoseWorker removes a worker. Gangs with a member there count as stopping
