Let the scenarios settle before they pick the owner

At the start the first entry can own the partition and hand it over 10 s later to a better placed one. Under the race detector two scenarios then asked the wrong entry, and assertions that printed a running entry raced with it. The scenarios now wait 25 s, and compare entries without printing them. The outage test counts acquisitions from the start of the outage, which is as strict.

--- a/control/recovery/failure_test.go
+++ b/control/recovery/failure_test.go
@@ -27,6 +27,8 @@
 			c.measured = func(what string, since time.Time) { t.Logf("measured: %s after %v", what, time.Since(since)) }
 			a := c.startNode("a", "z1")
 			b := c.startNode("b", "z1")
+			// The first entry to start may hand over to a better placed one.
+			time.Sleep(25 * time.Second)
 			So(await(10*time.Second, func() bool { return c.owner() != nil }), ShouldBeTrue)
 			owner, other := a, b
 			if c.owner() == b {
@@ -135,6 +137,7 @@
 		So(owner.submit(gang("long", 2, 3*time.Hour)), ShouldBeNil)
 		So(owner.submit(gang("short", 2, 20*time.Minute)), ShouldBeNil)
 		So(await(5*time.Second, owner.runs("short")), ShouldBeTrue)
+		acquired := other.counted("ownership.acquired")
 		c.store.SetTableFaults(standin.AnyClient, standin.Faults{Down: true})
 		time.Sleep(10 * time.Second)
 		So(errkind.Of(owner.submit(gang("refused", 2, time.Minute))), ShouldEqual, errkind.StoreUnavailable)
@@ -148,8 +151,8 @@
 		So(await(10*time.Second, succeeded(c, "short")), ShouldBeTrue)
 		c.measured("end of a job recorded after the table returned", returned)
 		time.Sleep(time.Minute)
-		So(c.owner(), ShouldEqual, owner)
-		So(other.counted("ownership.takeover"), ShouldEqual, 0)
+		So(c.owner() == owner, ShouldBeTrue)
+		So(other.counted("ownership.acquired"), ShouldEqual, acquired)
 		_, found := c.row("refused")
 		So(found, ShouldBeFalse)
 		So(await(3*time.Hour, succeeded(c, "long")), ShouldBeTrue)
@@ -207,7 +210,8 @@
 		c.fleet.SetRefusePrepares("w001", true)
 		So(owner.submit(gang("j1", 2, time.Minute)), ShouldBeNil)
 		So(await(time.Second, func() bool { return owner.counted("executor.prepare_failed") > 0 }), ShouldBeTrue)
-		fence := platform.Fence{Partition: thePartition, Epoch: 1}
+		lease, _ := owner.manager.Lease(thePartition)
+		fence := lease.Fence()
 		report, err := c.fleet.Client("test").Fence(context.Background(), platform.WorkerInfo{ID: "w000"}, fence)
 		So(err, ShouldBeNil)
 		So(report.Tasks, ShouldBeEmpty)
@@ -240,7 +244,7 @@
 				}
 				So(valid, ShouldBeLessThanOrEqualTo, 1)
 			}
-			So(c.owner(), ShouldNotBeNil)
+			So(c.owner() != nil, ShouldBeTrue)
 			So(c.checkEpochs(), ShouldBeNil)
 		})
 	})
