--- a/control/entry/settings.go
+++ b/control/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/adminapi"
+	"github.com/lacewingpier/lacewingpier/control/executor"
 	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/settings"
@@ -48,6 +49,11 @@
 	// what the platform's table accepts.
 	TableWritesPerSecond float64 `json:"table_writes_per_second"`
 	TableReadsPerSecond  float64 `json:"table_reads_per_second"`
+	// TaskLease is how long a task runs without a renewal, and TaskRenewal the
+	// time between renewals. Longer ones cost an owner of many workers less,
+	// and leave a member of a broken gang running alone for longer.
+	TaskLease   settings.Duration `json:"task_lease"`
+	TaskRenewal settings.Duration `json:"task_renewal"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout settings.Duration `json:"default_timeout"`
 	// DrainNotice is how long a draining entry still takes new requests.
@@ -64,6 +70,12 @@
 	if s.TableReadsPerSecond == 0 {
 		s.TableReadsPerSecond = defaultTableReads
 	}
+	if s.TaskLease == 0 {
+		s.TaskLease = settings.Duration(executor.DefaultTiming().Lease)
+	}
+	if s.TaskRenewal == 0 {
+		s.TaskRenewal = settings.Duration(executor.DefaultTiming().Renew)
+	}
 	if s.DefaultTimeout == 0 {
 		s.DefaultTimeout = settings.Duration(30 * time.Second)
 	}
@@ -94,6 +106,9 @@
 	if s.TableReadsPerSecond < 1 {
 		p.Add("table_reads_per_second", "must be at least 1")
 	}
+	if s.TaskRenewal <= 0 || s.TaskLease < 3*s.TaskRenewal {
+		p.Add("task_lease", "must be at least three times task_renewal, so that two lost renewals are tolerated")
+	}
 	s.Admin.Check(&p, "admin")
 	checkPartitions(&p, s.Partitions)
 	p.RequirePositive("default_timeout", s.DefaultTimeout)
--- a/control/entry/state.go
+++ b/control/entry/state.go
@@ -50,12 +50,19 @@
 		Network:    e.network,
 		Config:     st.config,
 		Ownership:  ownership.DefaultTiming(),
-		Executor:   executor.DefaultTiming(),
+		Executor:   executorTiming(s),
 		Count:      count,
 	})
 	return st
 }
 
+func executorTiming(s Settings) executor.Timing {
+	timing := executor.DefaultTiming()
+	timing.Lease = s.TaskLease.Std()
+	timing.Renew = s.TaskRenewal.Std()
+	return timing
+}
+
 // run follows the configuration and owns partitions until ctx ends.
 func (st *state) run(ctx context.Context) {
 	var parts conc.WaitGroup
--- a/sched/sched/consolidate.go
+++ b/sched/sched/consolidate.go
@@ -23,6 +23,10 @@
 	if r == nil || s.now.Sub(r.tried) < consolidateRetry {
 		return
 	}
+	if r.job.state != StateQueued {
+		// Preemption for its share has just given the gang a place.
+		return
+	}
 	r.tried = s.now
 	e := s.evict(r.job, s.candidateRacks(r.job), func(v *job) bool {
 		soon := s.expectedEnd(v).Sub(s.now) < consolidateEnd
