Wait for both gangs before the outage in TestTableDownForAnHour

Cause: the test failed in 6 of 115 runs at "long is running" after the hour. It waited only for the second gang; the table went down at the instant in which the first one was being committed, and a gang without a commit must not start. Change: the test waits until both gangs run, then starts the outage; all checks after that are unchanged. Conclusion: the precondition of the check was missing.

--- a/control/recovery/failure_test.go
+++ b/control/recovery/failure_test.go
@@ -137,6 +137,8 @@
 		So(owner.submit(gang("long", 2, 3*time.Hour)), ShouldBeNil)
 		So(owner.submit(gang("short", 2, 20*time.Minute)), ShouldBeNil)
 		So(await(5*time.Second, owner.runs("short")), ShouldBeTrue)
+		// A gang whose commit is under way when the outage begins does not start.
+		So(await(5*time.Second, owner.runs("long")), ShouldBeTrue)
 		acquired := other.counted("ownership.acquired")
 		c.store.SetTableFaults(standin.AnyClient, standin.Faults{Down: true})
 		time.Sleep(10 * time.Second)
