--- a/control/agent/dispatch.go
+++ b/control/agent/dispatch.go
@@ -164,7 +164,7 @@
 	head := first.GetHead()
 	// A body without a way to rewind it keeps the HTTP client from sending the
 	// request a second time by itself, which it does for some methods.
-	var body io.Reader = &frameReader{stream: stream}
+	var body io.Reader = rpc.NewBodyReader(stream.Recv)
 	if head.GetWhole() {
 		body = struct{ io.Reader }{bytes.NewReader(head.GetBody())}
 	}
@@ -205,37 +205,3 @@
 	}
 	return errkind.Wrap(errkind.Unreachable, err, "connect to upstream")
 }
-
-// frameReader reads a request body from the frames of a stream.
-type frameReader struct {
-	stream rpc.Agent_DispatchServer
-	rest   []byte
-	read   int64
-	ended  bool
-}
-
-// Read implements io.Reader. A stream that ends before its end frame, or with
-// another length, is an unexpected end and never a short body.
-func (f *frameReader) Read(p []byte) (int, error) {
-	for len(f.rest) == 0 {
-		if f.ended {
-			return 0, io.EOF
-		}
-		frame, err := f.stream.Recv()
-		if err != nil {
-			return 0, io.ErrUnexpectedEOF
-		}
-		if end := frame.GetEnd(); end != nil {
-			if end.GetLength() != f.read {
-				return 0, io.ErrUnexpectedEOF
-			}
-			f.ended = true
-			continue
-		}
-		f.rest = frame.GetChunk()
-		f.read += int64(len(f.rest))
-	}
-	n := copy(p, f.rest)
-	f.rest = f.rest[n:]
-	return n, nil
-}
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -132,7 +129,7 @@
 	if head.GetWhole() {
 		return &body{kept: head.GetBody()}, nil
 	}
-	return readBody(&frameReader{recv: stream.Recv}, head.GetContentLength(), keptBody)
+	return readBody(rpc.NewBodyReader(stream.Recv), head.GetContentLength(), keptBody)
 }
 
 // admitForward refuses a copy of a non-idempotent request.
@@ -209,37 +206,3 @@
 	}}
 	return a.send(f)
 }
-
-// frameReader reads a request body from the frames of a stream.
-type frameReader struct {
-	recv  func() (*rpc.DispatchRequest, error)
-	rest  []byte
-	read  int64
-	ended bool
-}
-
-// Read implements io.Reader. A stream that ends before its end frame, or with
-// another length, is an unexpected end and never a short body.
-func (f *frameReader) Read(p []byte) (int, error) {
-	for len(f.rest) == 0 {
-		if f.ended {
-			return 0, io.EOF
-		}
-		frame, err := f.recv()
-		if err != nil {
-			return 0, errors.Wrap(io.ErrUnexpectedEOF, "stream ended inside the body")
-		}
-		if end := frame.GetEnd(); end != nil {
-			if end.GetLength() != f.read {
-				return 0, io.ErrUnexpectedEOF
-			}
-			f.ended = true
-			continue
-		}
-		f.rest = frame.GetChunk()
-		f.read += int64(len(f.rest))
-	}
-	n := copy(p, f.rest)
-	f.rest = f.rest[n:]
-	return n, nil
-}
--- a/control/entry/front_test.go
+++ b/control/entry/front_test.go
@@ -115,13 +115,13 @@
 	f.Fuzz(func(t *testing.T, content []byte, announced int64, split uint8) {
 		frames := frameList(content, announced, int(split)+1)
 		next := 0
-		reader := &frameReader{recv: func() (*rpc.DispatchRequest, error) {
+		reader := rpc.NewBodyReader(func() (*rpc.DispatchRequest, error) {
 			if next == len(frames) {
 				return nil, io.EOF
 			}
 			next++
 			return frames[next-1], nil
-		}}
+		})
 		got, err := io.ReadAll(reader)
 		if (err == nil) != (announced == int64(len(content))) {
 			t.Fatalf("%d of %d bytes: %v", len(got), announced, err)
