Leave room for the legend and the outer groups in report charts

Cause: in the rendered page the legend covered the bars of the last trace, and its group was cut at the right edge. Change: bar charts get room above the highest value and beside the groups.

--- a/cmd/internal/report/plots.go
+++ b/cmd/internal/report/plots.go
@@ -27,6 +27,13 @@
 	values []float64
 }
 
+// Room in a bar chart: the factor of the highest value that leaves space for the
+// legend, and the distance from the outer groups to the edge in groups.
+const (
+	legendRoom = 1.4
+	edgeRoom   = 0.6
+)
+
 // bars draws one group of bars for each name.
 func bars(title string, names []string, all []series) (template.HTML, error) {
 	p := plot.New()
@@ -44,7 +51,12 @@
 	}
 	p.Legend.Top = true
 	p.Y.Min = 0
+	// Without room above and beside the bars, the legend hides the last group
+	// and the group is cut at the edge.
+	p.Y.Max *= legendRoom
 	p.NominalX(names...)
+	p.X.Min = -edgeRoom
+	p.X.Max = float64(len(names)-1) + edgeRoom
 	p.X.Tick.Label.Rotation = 0.4
 	p.X.Tick.Label.XAlign = -1
 	return svg(p)
