Apply a new plan to partitions that are being rebuilt, and share waits and failure frames

Cause: the read-through found that a partition which was being rebuilt when a configuration was accepted could keep the plan read at the start of the rebuild until the next change. Five packages had their own interruptible wait, and agent and entry built the failure frame separately. Conclusion: an accepted configuration reaches partitions in recovery as well.

--- a/control/agent/attach.go
+++ b/control/agent/attach.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -71,16 +72,7 @@
 		if err := a.attach(entryCtx, agentCtx, client, at); err != nil && entryCtx.Err() == nil {
 			a.logger.Debug().Err(err).Str("entry_addr", at.addr).Msg("report stream broke; attaching again")
 		}
-		pause(entryCtx, reattachDelay)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		timing.Sleep(entryCtx, reattachDelay)
 	}
 }
 
@@ -104,7 +96,7 @@
 		if err := stream.Send(a.report(time.Now(), at)); err != nil {
 			return err
 		}
-		pause(ctx, reportSpacing)
+		timing.Sleep(ctx, reportSpacing)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/control/agent/reply.go
+++ b/control/agent/reply.go
@@ -25,11 +25,7 @@
 // fail reports an error as the last frame.
 func (r *replier) fail(err error) error {
 	frame := r.frame()
-	frame.Frame = &rpc.DispatchResponse_Failure{Failure: &rpc.Failure{
-		Kind:         errkind.Of(err).String(),
-		Message:      err.Error(),
-		RetryAfterMs: errkind.RetryAfter(err).Milliseconds(),
-	}}
+	frame.Frame = &rpc.DispatchResponse_Failure{Failure: rpc.NewFailure(err)}
 	return r.stream.Send(frame)
 }
 
--- a/control/config/follower.go
+++ b/control/config/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
@@ -171,7 +172,7 @@
 			f.mu.Unlock()
 			return
 		}
-		if wait(ctx, startRetry) != nil {
+		if !timing.Sleep(ctx, startRetry) {
 			return
 		}
 	}
--- a/control/config/store.go
+++ b/control/config/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform"
@@ -214,7 +215,7 @@
 		if !errkind.Is(err, errkind.OutcomeUnknown) {
 			break
 		}
-		if wait(ctx, settleWait) != nil {
+		if !timing.Sleep(ctx, settleWait) {
 			break
 		}
 	}
@@ -278,20 +279,9 @@
 				return nil
 			}
 		}
-		if wait(ctx, settleWait) != nil {
+		if !timing.Sleep(ctx, settleWait) {
 			break
 		}
 	}
 	return errkind.Wrap(errkind.OutcomeUnknown, err, "apply configuration; read the history before a retry")
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/control/entry/forward.go
+++ b/control/entry/forward.go
@@ -199,10 +199,6 @@
 
 func (a *forwardAnswer) fail(err error) error {
 	f := a.frame()
-	f.Frame = &rpc.DispatchResponse_Failure{Failure: &rpc.Failure{
-		Kind:         errkind.Of(err).String(),
-		Message:      err.Error(),
-		RetryAfterMs: errkind.RetryAfter(err).Milliseconds(),
-	}}
+	f.Frame = &rpc.DispatchResponse_Failure{Failure: rpc.NewFailure(err)}
 	return a.send(f)
 }
--- a/control/entry/route.go
+++ b/control/entry/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/route/pick"
 	"github.com/lacewingpier/lacewingpier/route/retry"
@@ -111,26 +112,12 @@
 	}
 	e.logger.Info().Str("request", string(t.req.id)).Str("service", string(t.req.service)).
 		Str("kind", kind.String()).Str("reason", decision.Reason.String()).Err(err).Msg("attempt failed; trying again")
-	if !sleep(ctx, decision.Wait) {
+	if !timing.Sleep(ctx, decision.Wait) {
 		return false
 	}
 	return svc.requeue(t)
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // finalError is what the caller is told. A refusal after an attempt that may
 // have run does not make the request "not run", and a non-idempotent request
 // that may have run must not look as if it could be sent again.
--- a/control/executor/persist.go
+++ b/control/executor/persist.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/control/ownership"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -59,7 +59,7 @@
 				continue
 			}
 		}
-		pause(ctx, x.opts.Timing.RetryWrite)
+		timing.Sleep(ctx, x.opts.Timing.RetryWrite)
 	}
 	return 0, false
 }
@@ -116,13 +116,3 @@
 		x.superseded()
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/executor/start.go
+++ b/control/executor/start.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/platform"
@@ -145,7 +146,7 @@
 			if !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
 				return err
 			}
-			pause(ctx, x.opts.Timing.Tick)
+			timing.Sleep(ctx, x.opts.Timing.Tick)
 		}
 	})
 }
--- a/control/partition/service.go
+++ b/control/partition/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/config"
 	"github.com/lacewingpier/lacewingpier/control/executor"
+	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/control/ownership"
 	"github.com/lacewingpier/lacewingpier/control/recovery"
 	"github.com/lacewingpier/lacewingpier/control/transport"
@@ -142,9 +143,6 @@
 	return held
 }
 
-// Live lists the sessions that were live at the last observation.
-func (s *Service) Live() []ownership.Session { return s.manager.Live() }
-
 // Epochs returns the epochs of the partitions that the entry owns.
 func (s *Service) Epochs() map[ident.Partition]ident.Epoch {
 	epochs := make(map[ident.Partition]ident.Epoch)
@@ -185,7 +183,7 @@
 			return
 		}
 		for !s.applyPlans(ctx) && ctx.Err() == nil {
-			wait(ctx, planRetry)
+			timing.Sleep(ctx, planRetry)
 		}
 	}
 }
@@ -197,6 +195,8 @@
 	for _, id := range s.Held() {
 		x, ok := s.host.Executor(id)
 		if !ok {
+			// The rebuild may have read the plan before this version came.
+			done = false
 			continue
 		}
 		if err := x.ApplyPlan(ctx, s.plan(id)); err != nil {
@@ -207,15 +207,6 @@
 	return done
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Service) closeConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/control/rpc/status.go
+++ b/control/rpc/status.go
@@ -66,3 +66,12 @@
 	}
 	return errkind.New(errkind.OutcomeUnknown, "call peer: %s", st.Message())
 }
+
+// NewFailure describes an error in the last frame of an answer.
+func NewFailure(err error) *Failure {
+	return &Failure{
+		Kind:         errkind.Of(err).String(),
+		Message:      err.Error(),
+		RetryAfterMs: errkind.RetryAfter(err).Milliseconds(),
+	}
+}
