Repeat orders without an answer before their run is given up

Cause: a worker that leaves an order unanswered cost its whole gang: the owner took the start for lost after a second, stopped the other members and waited until the run was provably gone. A lost answer of the worker's lists delayed the news of an end by up to 2.8 s, longer than an urgent job may take.

Change: the agent sends an order up to four times, 250 ms each, with the same run number, which the worker carries out once. A start that was repeated is noted as one whose first attempt may still arrive; a rejection after an unanswered attempt stays uncertain. After a lost answer the lists are asked for at once. The owner logs what each new job asks for.

The model of workers under faults draws repeated orders and passes 1,500 cases.

--- a/control/batchsession/session_test.go
+++ b/control/batchsession/session_test.go
@@ -79,17 +79,26 @@
 // Guards against a task that runs twice because its first start had no answer
 // and was carried out late.
 func TestLateOrder(t *testing.T) {
-	session(t, "late-order", func(s *system) {
-		a := s.entry("1")
-		w := s.worker("1")
-		s.wait(2 * time.Second)
-		w.upstream.mu.Lock()
-		w.upstream.lateStart = 3 * time.Second
-		w.upstream.mu.Unlock()
-		s.submit(a, "bulk", job1, "2s", 1)
-		s.wait(8 * time.Second)
-		s.state(a, "bulk", job1)
-	})
+	session(t, "late-order", func(s *system) { lateOrder(s, 4) })
+}
+
+// Guards against a start that is given up because one answer was lost.
+func TestRepeatedOrder(t *testing.T) {
+	session(t, "repeated-order", func(s *system) { lateOrder(s, 1) })
+}
+
+// lateOrder submits a job whose first starts get no answer and are carried out
+// three seconds later.
+func lateOrder(s *system, starts int) {
+	a := s.entry("1")
+	w := s.worker("1")
+	s.wait(2 * time.Second)
+	w.upstream.mu.Lock()
+	w.upstream.lateStarts, w.upstream.lateBy = starts, 3*time.Second
+	w.upstream.mu.Unlock()
+	s.submit(a, "bulk", job1, "2s", 1)
+	s.wait(8 * time.Second)
+	s.state(a, "bulk", job1)
 }
 
 // Guards against new work for a worker that is about to leave.
--- a/control/batchsession/worker_test.go
+++ b/control/batchsession/worker_test.go
@@ -29,8 +29,10 @@
 	number   int64
 	stopped  map[batch.TaskID]int
 	changed  chan struct{}
-	// lateStart loses the answer of the next start and carries it out later.
-	lateStart time.Duration
+	// lateStarts is how many of the next starts get no answer and are carried
+	// out after lateBy.
+	lateStarts int
+	lateBy     time.Duration
 }
 
 func newUpstream(id string, log *transcript) *upstream {
@@ -46,13 +48,16 @@
 
 func (u *upstream) clock() int64 { return time.Since(u.born).Milliseconds() + 1 }
 
-func (u *upstream) Start(_ context.Context, _ string, epoch ident.Epoch, o batch.Order) boundary.OrderResult {
+func (u *upstream) Start(ctx context.Context, _ string, epoch ident.Epoch, o batch.Order) boundary.OrderResult {
 	u.mu.Lock()
-	late := u.lateStart
-	u.lateStart = 0
+	late := u.lateStarts > 0
+	if late {
+		u.lateStarts--
+	}
 	u.mu.Unlock()
-	if late > 0 {
-		time.AfterFunc(late, func() { u.start(epoch, o) })
+	if late {
+		time.AfterFunc(u.lateBy, func() { u.start(epoch, o) })
+		<-ctx.Done()
 		return boundary.OrderResult{Kind: batch.AnswerLost, Reason: "no answer"}
 	}
 	return u.start(epoch, o)
@@ -75,6 +80,9 @@
 	}
 	u.fence = epoch
 	u.deadline = max(u.deadline, o.DeadlineMs)
+	if _, there := u.running[o.Run]; there {
+		return boundary.OrderResult{Kind: batch.AnswerOK, ClockMs: u.clock()}
+	}
 	u.running[o.Run] = time.Now()
 	u.log.add("%s starts %s", u.id, name(o.Run))
 	d, err := time.ParseDuration(o.Payload)
--- a/control/decider/leader.go
+++ b/control/decider/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -144,13 +145,29 @@
 		l.engine.Announced(c.Worker.Info, now)
 	case job.Spec != nil:
 		if l.engine.Load(job.Spec, batch.Record{}, job.Cancelled, now) {
-			l.d.opts.Observe("job_heard", now.Sub(time.UnixMilli(job.Spec.AcceptedMs)))
+			l.heard(job.Spec, now)
 		} else if job.Cancelled {
 			l.engine.Cancel(job.Spec.ID, now)
 		}
 	}
 }
 
+// heard logs what a new job asks for, which later decisions depend on.
+func (l *leader) heard(spec *batch.Job, now time.Time) {
+	age := now.Sub(time.UnixMilli(spec.AcceptedMs))
+	l.d.opts.Observe("job_heard", age)
+	line := l.d.opts.Logger.Info().Str("job", string(spec.ID)).Str("queue", spec.Queue).
+		Str("workspace", string(spec.Workspace)).Int("priority", spec.Priority).Int("attempts", spec.Attempts).
+		Float64("slack", spec.Slack).Int64("target_ms", spec.TargetMs).Int("repetitions", spec.Repetitions).
+		Uint64("epoch", uint64(l.epoch)).Int64("age_ms", age.Milliseconds())
+	raw, err := json.Marshal(spec.Steps)
+	if err != nil {
+		line.Err(err).Msg("job heard")
+		return
+	}
+	line.Str("steps", string(raw)).Msg("job heard")
+}
+
 // connect keeps a stream to the agent of a worker.
 func (l *leader) connect(id ident.Worker, w ledger.Worker) {
 	if k := l.links[id]; k != nil {
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -283,24 +283,76 @@
 func (s *session) carryOut(ctx context.Context, m *rpc.TaskOrder) {
 	o := rpc.OrderOf(m)
 	known := s.runner.current()
-	var result boundary.OrderResult
+	var result persisted
 	switch {
 	case known.Life != o.Life:
-		result = boundary.OrderResult{Kind: batch.AnswerRejected, Reason: "another life"}
+		result.OrderResult = boundary.OrderResult{Kind: batch.AnswerRejected, Reason: "another life"}
 	case o.Kind == batch.OrderStop:
-		result = s.runner.opts.Tasks.Stop(ctx, known.Address, s.epoch, o)
+		result = s.persist(ctx, func(ctx context.Context) boundary.OrderResult {
+			return s.runner.opts.Tasks.Stop(ctx, known.Address, s.epoch, o)
+		})
 	case known.Info.Draining:
-		result = boundary.OrderResult{Kind: batch.AnswerRejectedForRoom, Reason: "draining"}
+		result.OrderResult = boundary.OrderResult{Kind: batch.AnswerRejectedForRoom, Reason: "draining"}
 	default:
-		result = s.runner.opts.Tasks.Start(ctx, known.Address, s.epoch, o)
+		result = s.persist(ctx, func(ctx context.Context) boundary.OrderResult {
+			return s.runner.opts.Tasks.Start(ctx, known.Address, s.epoch, o)
+		})
+		result.Kind = startAnswer(result)
 	}
-	s.log(o, result)
+	s.log(o, result.OrderResult)
 	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
 		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
 	}}})
 	wake(s.kick)
 }
 
+const (
+	// orderAttempt is how long an order waits for its answer. The upstream
+	// process is on the same machine and answers within milliseconds.
+	orderAttempt = 250 * time.Millisecond
+	// orderAttempts keeps an order below a third of the shortest time that a
+	// gang waits for its last member, which is 3 s.
+	orderAttempts = 4
+)
+
+// persisted is the result of an order that may have been sent several times.
+type persisted struct {
+	boundary.OrderResult
+	// unanswered counts the attempts that had no answer and may be carried out
+	// later.
+	unanswered int
+}
+
+// persist sends an order until it has an answer. An order that is carried out
+// twice does nothing the second time.
+func (s *session) persist(ctx context.Context, order func(context.Context) boundary.OrderResult) persisted {
+	var out persisted
+	for out.unanswered < orderAttempts {
+		attempt, cancel := context.WithTimeout(ctx, orderAttempt)
+		out.OrderResult = order(attempt)
+		cancel()
+		if out.Kind != batch.AnswerLost || ctx.Err() != nil {
+			return out
+		}
+		out.unanswered++
+		s.runner.opts.Count("order_unanswered")
+	}
+	return out
+}
+
+// startAnswer returns what the answer to the last attempt of a start proves. A
+// rejection says nothing about the attempts before it.
+func startAnswer(r persisted) batch.AnswerKind {
+	switch {
+	case r.unanswered == 0:
+		return r.Kind
+	case r.Kind == batch.AnswerOK:
+		return batch.AnswerOKRepeated
+	default:
+		return batch.AnswerLost
+	}
+}
+
 func (s *session) log(o batch.Order, result boundary.OrderResult) {
 	event := "start ordered"
 	if o.Kind == batch.OrderStop {
@@ -313,21 +365,26 @@
 }
 
 var answerNames = map[batch.AnswerKind]string{
-	batch.AnswerOK: "ok", batch.AnswerRejected: "rejected", batch.AnswerLost: "lost", batch.AnswerRejectedForRoom: "no_room",
+	batch.AnswerOK: "ok", batch.AnswerOKRepeated: "ok_repeated",
+	batch.AnswerRejected: "rejected", batch.AnswerLost: "lost", batch.AnswerRejectedForRoom: "no_room",
 }
 
 const (
 	// holdWait is how long the upstream process waits for an end; it also is
 	// the period of the reports that show the owner a live stream.
 	holdWait = 1500 * time.Millisecond
+	// holdMargin is how much longer than it was asked to wait the process may
+	// take to answer; it is on the same machine.
+	holdMargin = 400 * time.Millisecond
 	// holdRetry is the time between two attempts to reach the process.
-	holdRetry = 300 * time.Millisecond
+	holdRetry = 100 * time.Millisecond
 	// noteWait bounds the wait for the owner to note ends.
 	noteWait = time.Second
 )
 
 // holdLoop extends the lease as granted and reports the lists. The first report
-// does not wait for an end, because a new owner starts nothing before it.
+// does not wait for an end, because a new owner starts nothing before it; nor
+// does one after a lost answer, which may have listed an end.
 func (s *session) holdLoop(ctx context.Context) {
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
@@ -337,10 +394,13 @@
 			continue
 		}
 		hold := s.holdFor(known.Life)
-		report, err := s.runner.opts.Tasks.Hold(ctx, known.Address, boundary.HoldRequest{
+		attempt, cancel := context.WithTimeout(ctx, wait+holdMargin)
+		report, err := s.runner.opts.Tasks.Hold(attempt, known.Address, boundary.HoldRequest{
 			Epoch: s.epoch, Life: known.Life, DeadlineMs: hold.DeadlineMs, Cursor: hold.Cursor, Wait: wait,
 		})
+		cancel()
 		if err != nil {
+			wait = 0
 			s.holdFailed(ctx, err)
 			continue
 		}
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
@@ -86,3 +87,68 @@
 		})
 	})
 }
+
+// lossyTasks gives no answer to the first orders and the listed answers to the
+// next ones.
+type lossyTasks struct {
+	boundary.Tasks
+	silent  int
+	answer  batch.AnswerKind
+	ordered []batch.Order
+}
+
+func (l *lossyTasks) Start(ctx context.Context, _ string, _ ident.Epoch, o batch.Order) boundary.OrderResult {
+	l.ordered = append(l.ordered, o)
+	if len(l.ordered) <= l.silent {
+		<-ctx.Done()
+		return boundary.OrderResult{Kind: batch.AnswerLost, Reason: ctx.Err().Error()}
+	}
+	return boundary.OrderResult{Kind: l.answer, ClockMs: 7}
+}
+
+func (l *lossyTasks) Stop(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) boundary.OrderResult {
+	return l.Start(ctx, address, epoch, o)
+}
+
+// answerTo carries an order out and returns the answer that the owner gets.
+func answerTo(tasks boundary.Tasks, kind batch.OrderKind) batch.AnswerKind {
+	r := newRunner(&rowWriter{}, func(string) {})
+	r.opts.Tasks = tasks
+	r.Announce(announcement(5, 1, false))
+	s := &session{runner: r, cancel: func() {}, out: make(chan *rpc.FromRunner, 1), kick: make(chan struct{}, 1)}
+	order := batch.Order{Kind: kind, Life: batch.Life{Upstream: "u", BornMs: 5}, Run: batch.Run{Task: batch.TaskID{Job: "j"}, Number: 1}}
+	s.carryOut(context.Background(), rpc.OrderMessage(3, order).GetOrder())
+	return batch.AnswerKind((<-s.out).GetAnswer().GetKind())
+}
+
+// Guards against gangs that break up because one of many orders got no answer,
+// and against a rejection of a repeated start that hides that the first one may
+// still be carried out.
+func TestOrdersWithoutAnAnswerAreRepeated(t *testing.T) {
+	cases := []struct {
+		silent      int
+		kind        batch.OrderKind
+		last, given batch.AnswerKind
+		attempts    int
+	}{
+		{0, batch.OrderStart, batch.AnswerOK, batch.AnswerOK, 1},
+		{2, batch.OrderStart, batch.AnswerOK, batch.AnswerOKRepeated, 3},
+		{1, batch.OrderStart, batch.AnswerRejectedForRoom, batch.AnswerLost, 2},
+		{1, batch.OrderStop, batch.AnswerOK, batch.AnswerOK, 2},
+		{9, batch.OrderStart, batch.AnswerOK, batch.AnswerLost, orderAttempts},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("The same run is ordered again until it is answered", t, func() {
+				tasks := &lossyTasks{silent: c.silent, answer: c.last}
+				begun := time.Now()
+				So(answerTo(tasks, c.kind), ShouldEqual, c.given)
+				So(tasks.ordered, ShouldHaveLength, c.attempts)
+				So(time.Since(begun), ShouldEqual, time.Duration(min(c.silent, orderAttempts))*orderAttempt)
+				for _, o := range tasks.ordered {
+					So(o.Run.Number, ShouldEqual, 1)
+				}
+			})
+		})
+	}
+}
--- a/sched/batch/engine.go
+++ b/sched/batch/engine.go
@@ -19,6 +19,9 @@
 	// confirmedMs is the worker's clock then.
 	confirmed   bool
 	confirmedMs int64
+	// doubtful says that an attempt to start the run had no answer, so that it
+	// may still arrive after the run has ended.
+	doubtful bool
 	// recovered says that an earlier owner recorded the run, so that the start
 	// may never have been sent.
 	recovered bool
@@ -28,7 +31,7 @@
 	// percent is the newest progress, changedAt when it last changed.
 	percent   int
 	changedAt time.Time
-	load      int
+	load    int
 	// overSince is when a serving task's tail latency rose over its target.
 	overSince time.Time
 	stop      stopState
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -188,12 +188,29 @@
 		delay := time.Duration(rapid.IntRange(100, 9000).Draw(m.t, "delay")) * time.Millisecond
 		m.late = append(m.late, lateOrder{o, m.epoch, m.now.Add(delay)})
 		m.e.Answered(o, AnswerLost, 0, m.now)
+	case 3:
+		m.repeat(o)
 	default:
 		kind, clock := m.carryOut(o, m.epoch)
 		m.e.Answered(o, kind, clock, m.now)
 	}
 }
 
+// repeat carries out an order whose first attempt had no answer and comes later.
+func (m *model) repeat(o Order) {
+	delay := time.Duration(rapid.IntRange(100, 9000).Draw(m.t, "delay of the first attempt")) * time.Millisecond
+	m.late = append(m.late, lateOrder{o, m.epoch, m.now.Add(delay)})
+	kind, clock := m.carryOut(o, m.epoch)
+	switch {
+	case o.Kind == OrderStop:
+	case kind == AnswerOK:
+		kind = AnswerOKRepeated
+	default:
+		kind = AnswerLost
+	}
+	m.e.Answered(o, kind, clock, m.now)
+}
+
 // carryOut lets a worker act on an order. An order that waits does so inside
 // the upstream process, and is lost with it; agents pass no order to another
 // life than the one it names.
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -39,7 +39,7 @@
 		if t.Life == life {
 			continue
 		}
-		if life.Upstream == old.Upstream && !t.confirmed && !t.recovered {
+		if life.Upstream == old.Upstream && (t.doubtful || !t.confirmed && !t.recovered) {
 			t.Life = life
 			e.dirty[t.id.Job] = true
 			e.wantStop(t, ReasonNoAnswer)
@@ -250,7 +250,7 @@
 	if w := e.workers[t.Worker]; w != nil {
 		delete(w.active, t.id)
 	}
-	t.confirmed, t.recovered = false, false
+	t.confirmed, t.recovered, t.doubtful = false, false, false
 	t.confirmedMs, t.percent = 0, 0
 	t.overSince = time.Time{}
 	t.stop = stopState{}
@@ -269,6 +269,9 @@
 	AnswerLost
 	// AnswerRejectedForRoom is a rejection because the worker is full.
 	AnswerRejectedForRoom
+	// AnswerOKRepeated means that the order was carried out, and that an
+	// earlier attempt without an answer may still arrive.
+	AnswerOKRepeated
 )
 
 // Answered takes over the answer to an order, given at the worker's clock.
@@ -286,7 +289,8 @@
 	}
 	w := e.workers[o.Worker]
 	switch kind {
-	case AnswerOK:
+	case AnswerOK, AnswerOKRepeated:
+		t.doubtful = t.doubtful || kind == AnswerOKRepeated
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
 		}
--- a/sched/boundary/boundary.go
+++ b/sched/boundary/boundary.go
@@ -86,7 +86,8 @@
 	Wait time.Duration
 }
 
-// Tasks calls the upstream process beside an agent.
+// Tasks calls the upstream process beside an agent. Each call ends with its
+// context; an order that then has no answer may be carried out later.
 type Tasks interface {
 	// Start orders a run under the given epoch.
 	Start(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) OrderResult
