Reserve the first room for normal work that waits

Work that was late already went before work that could still be on time, and the stop of resumable work was charged as if it lost 1.5 s.

Change: normal work needs no headroom. A unit that waits reserves the room that will come free first, by the progress that runs report and by durations learned for each queue; later units use it only as far as they end before or fit beside it. Work that can still be on time goes before late work. A stop of resumable work costs the time to resume, as its progress is saved at the stop.

Ruled out in the replay: ordering by size (starves large gangs), by acceptance alone, normal work that displaces all bulk work (bulk falls below half), a third of the headroom for normal work, 2 or 30 reservations instead of 8 (equal).

--- a/sched/batch/engine.go
+++ b/sched/batch/engine.go
@@ -31,6 +31,11 @@
 	// percent is the newest progress, changedAt when it last changed.
 	percent   int
 	changedAt time.Time
+	// firstPercent is the first progress that the run reported, at firstAt.
+	firstPercent int
+	firstAt      time.Time
+	// resumed says that the run began at a checkpoint.
+	resumed bool
 	load    int
 	// overSince is when a serving task's tail latency rose over its target.
 	overSince time.Time
@@ -137,6 +142,8 @@
 	// peak is the fading peak of the accelerators that urgent work used.
 	peak   float64
 	peakAt time.Time
+	// learned holds the durations of each queue's tasks.
+	learned map[string]*durations
 	// recoveredUntil is when every lease of earlier owners has lapsed.
 	recoveredUntil time.Time
 }
@@ -150,6 +157,7 @@
 		plans:          make(map[ident.Workspace]WorkspacePlan),
 		services:       make(map[ident.Service]bool),
 		dirty:          make(map[ident.Job]bool),
+		learned:        make(map[string]*durations),
 		recoveredUntil: now.Add(lapseAfter(timing.MaxLease)),
 	}
 }
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -37,10 +37,18 @@
 
 // roomFor returns how many more tasks of the unit the slot takes.
 func (p *plan) roomFor(u *unit, s *slot, v view) int {
-	if s.held || !p.eligible(u, s) {
+	if !p.eligible(u, s) {
 		return 0
 	}
 	n := count(v(s), u.step.demand())
+	if n == 0 {
+		return 0
+	}
+	for _, r := range s.reserved {
+		if p.e.expected(u.job, u.step) > r.in {
+			n = min(n, count(r.spare, u.step.demand()))
+		}
+	}
 	if u.step.MaxPerWorker > 0 {
 		n = min(n, u.step.MaxPerWorker-s.w.tasksOf(u))
 	}
@@ -200,11 +208,7 @@
 		return false
 	}
 	var best *eviction
-	groups := [][]*slot{p.slots}
-	if u.step.Gang && u.step.SameRack && p.rackCouldHold(u, n) {
-		groups = p.racks()
-	}
-	for _, group := range groups {
+	for _, group := range p.groups(u, n) {
 		ev := p.evict(u, group, n)
 		if ev != nil && (best == nil || ev.cost < best.cost) {
 			best = ev
@@ -267,7 +271,7 @@
 		var bestVictims []*task
 		bestCost := 0.0
 		for _, s := range slots {
-			if s.held || !p.eligible(u, s) || u.step.MaxPerWorker > 0 && s.w.tasksOf(u)+placed[s] >= u.step.MaxPerWorker {
+			if len(s.reserved) > 0 || !p.eligible(u, s) || u.step.MaxPerWorker > 0 && s.w.tasksOf(u)+placed[s] >= u.step.MaxPerWorker {
 				continue
 			}
 			victims, cost, ok := p.victims(u, s, free[s], chosen)
@@ -396,15 +400,12 @@
 // restartCost is what any stop costs in core-seconds beside lost work.
 const restartCost = 4
 
-// checkpointLoss is the unsaved work of a task that saves its progress, with
-// the time to resume.
-const checkpointLoss = 1500 * time.Millisecond
-
 // cost is the work in core-seconds that stopping the run loses.
 func (p *plan) cost(t *task) float64 {
 	lost := p.now.Sub(t.startedAt)
 	if t.step().Checkpoints {
-		lost = min(lost, checkpointLoss)
+		// Its progress is saved at the stop; only the time to resume is lost.
+		lost = min(lost, p.e.timing.Restore)
 	}
 	members := 1
 	if t.step().Gang {
@@ -432,7 +433,7 @@
 		}
 	}
 	for _, s := range ev.rooms {
-		s.take(u.step.demand())
+		p.take(u, s)
 	}
 }
 
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -45,17 +45,19 @@
 	w *worker
 	// now is free; soon also counts the runs that are being stopped.
 	now, soon Resources
-	// held keeps work of later units away, for a larger unit that waits.
-	held bool
+	// reserved keeps room for units that wait.
+	reserved []reservation
+	// endings caches when the runs here probably end.
+	endings []time.Duration
 }
 
 // plan is the state of one planning pass.
 type plan struct {
-	e     *Engine
-	now   time.Time
-	slots []*slot
-	tiers map[*job]tier
-	holds int
+	e            *Engine
+	now          time.Time
+	slots        []*slot
+	tiers        map[*job]tier
+	reservations int
 	// headroom is the accelerators that stay free for urgent work.
 	headroom int
 }
@@ -101,7 +103,7 @@
 // leavesHeadroom reports whether n more tasks of the unit keep the headroom
 // free. Work that resumes from checkpoints may use it, as it gives way cheaply.
 func (p *plan) leavesHeadroom(u *unit, n int) bool {
-	if u.tier <= tierUrgent || u.step.Checkpoints && !u.step.Gang {
+	if u.tier <= tierNormal || u.step.Checkpoints && !u.step.Gang {
 		return true
 	}
 	return freeAccelerators(p.slots, viewNow)-n*u.step.PerTask.Accelerators >= p.headroom
@@ -142,7 +144,7 @@
 
 func (e *Engine) tierOf(j *job, now time.Time) tier {
 	switch {
-	case j.hopeless(now):
+	case e.hopeless(j, now):
 		return tierLate
 	case j.spec.Priority == 0:
 		return tierUrgent
@@ -168,31 +170,31 @@
 const lateFactor = 3
 
 // hopeless reports whether the job can no longer end in time to count.
-func (j *job) hopeless(now time.Time) bool {
+func (e *Engine) hopeless(j *job, now time.Time) bool {
 	if j.spec.Repetitions > 0 || j.longRunning() {
 		return false
 	}
-	objective := j.objective()
-	return now.Sub(time.UnixMilli(j.spec.AcceptedMs)) > lateFactor*objective
+	return now.Sub(time.UnixMilli(j.spec.AcceptedMs)) > lateFactor*e.objective(j)
 }
 
 func (j *job) longRunning() bool {
 	return slices.ContainsFunc(j.spec.Steps, func(s Step) bool { return s.LongRunning })
 }
 
-func (j *job) objective() time.Duration {
+// objective is the time in which the job should end.
+func (e *Engine) objective(j *job) time.Duration {
 	slack := max(j.spec.Slack, 1)
-	return time.Duration(slack*float64(j.chain(0, true)))*time.Millisecond + time.Duration(j.spec.TargetMs)*time.Millisecond
+	return time.Duration(slack*float64(e.chain(j, 0, true))) + time.Duration(j.spec.TargetMs)*time.Millisecond
 }
 
-// chain returns the declared duration in milliseconds of the longest chain of
-// steps: of the whole job, or of a step and those that wait for it.
-func (j *job) chain(step int, whole bool) int64 {
+// chain returns the expected duration of the longest chain of steps: of the
+// whole job, or of a step and those that wait for it.
+func (e *Engine) chain(j *job, step int, whole bool) time.Duration {
 	n := len(j.spec.Steps)
-	tail := make([]int64, n)
-	longest := int64(0)
+	tail := make([]time.Duration, n)
+	longest := time.Duration(0)
 	for s := n - 1; s >= 0; s-- {
-		tail[s] += j.spec.Steps[s].EstimateMs
+		tail[s] += e.expected(j, &j.spec.Steps[s])
 		for _, before := range j.spec.Steps[s].After {
 			if before < s {
 				tail[before] = max(tail[before], tail[s])
@@ -220,6 +222,7 @@
 	slices.SortFunc(units, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
+			p.compareLate(a, b),
 			a.latest.Compare(b.latest),
 			byAcceptance(a.job, b.job),
 			cmp.Compare(a.tasks[0].slot, b.tasks[0].slot),
@@ -228,6 +231,18 @@
 	return units
 }
 
+// compareLate puts units that can still meet their objective first: what is
+// late earns little more by starting earlier.
+func (p *plan) compareLate(a, b *unit) int {
+	if late := p.now.After(a.latest); late != p.now.After(b.latest) {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	return 0
+}
+
 // unitsOf returns the waiting units of one occurrence whose turn has come.
 func (p *plan) unitsOf(j *job, occurrence int, t tier) []*unit {
 	due := time.UnixMilli(j.spec.AcceptedMs)
@@ -243,7 +258,7 @@
 	for s := range j.spec.Steps {
 		step := &j.spec.Steps[s]
 		if !slices.ContainsFunc(step.After, func(before int) bool { return before >= len(done) || !done[before] }) {
-			latest := due.Add(j.objective() - time.Duration(j.chain(s, false))*time.Millisecond)
+			latest := due.Add(p.e.objective(j) - p.e.chain(j, s, false))
 			if u := waiting(j, step, j.tasks[base:base+step.Tasks]); u != nil {
 				u.tier, u.latest = t, latest
 				out = append(out, u)
@@ -353,7 +368,7 @@
 	if u.step.Gang {
 		slots := p.gangSlots(u, n, v)
 		for _, s := range slots {
-			s.take(u.step.demand())
+			p.take(u, s)
 		}
 		return slots != nil
 	}
@@ -362,66 +377,35 @@
 		if s == nil {
 			return false
 		}
-		s.take(u.step.demand())
+		p.take(u, s)
 	}
 	return true
 }
 
-// maxHeldShare bounds the share of the workers that are kept for units that
-// wait, since a held worker takes no new work meanwhile.
-const maxHeldShare = 0.15
-
-// largeTask is the number of accelerators from which a task rarely finds room
-// by chance: half a worker.
-const largeTask = 4
-
-// hold keeps later work away from the workers that are the first to have room
-// for n large tasks.
-func (p *plan) hold(u *unit, n int) {
-	if u.tier == tierLate || u.step.PerTask.Accelerators < largeTask {
+// take uses room on the slot for one task of the unit.
+func (p *plan) take(u *unit, s *slot) {
+	r := u.step.demand()
+	s.now, s.soon = s.now.minus(r), s.soon.minus(r)
+	if len(s.reserved) == 0 {
 		return
 	}
-	for n > 0 && p.holds < p.maxHolds() {
-		best := p.emptiest(u)
-		if best == nil {
-			return
+	lasts := p.e.expected(u.job, u.step)
+	for i := range s.reserved {
+		if lasts > s.reserved[i].in {
+			s.reserved[i].spare = s.reserved[i].spare.minus(r)
 		}
-		best.held = true
-		p.holds++
-		n -= max(1, count(best.w.info.Capacity, u.step.demand()))
 	}
 }
 
-// emptiest returns the eligible slot with the most room to come.
-func (p *plan) emptiest(u *unit) *slot {
-	var best *slot
-	for _, s := range p.slots {
-		if s.held || !p.eligible(u, s) {
-			continue
-		}
-		if best == nil || s.soon.Accelerators > best.soon.Accelerators {
-			best = s
-		}
-	}
-	return best
-}
-
-func (p *plan) maxHolds() int {
-	return max(1, int(maxHeldShare*float64(len(p.slots))))
-}
-
-func (s *slot) take(r Resources) {
-	s.now, s.soon = s.now.minus(r), s.soon.minus(r)
-}
-
 // start records a run of t on the slot's worker and queues the order.
 func (p *plan) start(u *unit, t *task, s *slot) {
-	s.take(u.step.demand())
+	p.take(u, s)
 	w := s.w
 	t.Phase = TaskActive
 	t.Run++
 	t.Worker, t.Life = w.info.ID, w.info.Life
 	t.startedAt, t.changedAt = p.now, p.now
+	t.resumed = t.Checkpoint != ""
 	w.active[t.id] = t
 	j := u.job
 	if j.record.State == JobQueued {
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -282,3 +282,83 @@
 		So(b.decide(), ShouldBeEmpty)
 	})
 }
+
+// Guards against small work that takes each accelerator as it comes free, so
+// that a task that needs a whole worker never starts.
+func TestWaitingWorkReservesTheFirstRoom(t *testing.T) {
+	Convey("Later work may use reserved room only until the reservation begins", t, func() {
+		b := newTestbed()
+		b.worker("w1", "r1")
+		first := tasksOf(1, 4)
+		b.submit(testJob("running", 1, first))
+		So(b.decide(), ShouldHaveLength, 1)
+		b.confirm()
+		b.submit(testJob("large", 1, tasksOf(1, 8)))
+		So(b.decide(), ShouldBeEmpty)
+		long := tasksOf(1, 4)
+		long.EstimateMs = 9000
+		b.submit(testJob("long", 2, long))
+		So(b.decide(), ShouldBeEmpty)
+		short := tasksOf(1, 4)
+		short.EstimateMs = 2000
+		b.submit(testJob("short", 2, short))
+		starts := b.decide()
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Run.Task.Job, ShouldEqual, ident.Job("short"))
+	})
+}
+
+// Guards against work that is late already and takes the room of work that
+// could still be on time.
+func TestWorkThatCanBeOnTimeGoesFirst(t *testing.T) {
+	Convey("A late job waits for one that is not late", t, func() {
+		b := newTestbed()
+		late := testJob("late", 1, tasksOf(1, 8))
+		b.submit(late)
+		b.pass(20 * time.Second)
+		fresh := testJob("fresh", 1, tasksOf(1, 8))
+		fresh.AcceptedMs = b.now.UnixMilli()
+		b.submit(fresh)
+		b.worker("w1", "r1")
+		starts := b.decide()
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Run.Task.Job, ShouldEqual, ident.Job("fresh"))
+	})
+}
+
+// Guards against stops of work that starts over beside work that resumes.
+func TestResumableWorkIsStoppedFirst(t *testing.T) {
+	Convey("Work that saves its progress at the stop is the cheaper victim", t, func() {
+		b := newTestbed()
+		b.worker("w1", "r1")
+		resumable := tasksOf(1, 4)
+		resumable.Checkpoints = true
+		b.submit(testJob("resumable", 2, resumable))
+		b.decide()
+		b.confirm()
+		b.pass(2 * time.Second)
+		b.submit(testJob("young", 2, tasksOf(1, 4)))
+		b.decide()
+		b.confirm()
+		b.pass(time.Second)
+		b.report("w1", []RunningTask{{Run: Run{Task: TaskID{Job: "resumable"}, Number: 1}, Percent: 60}, {Run: Run{Task: TaskID{Job: "young"}, Number: 1}, Percent: 20}}, nil)
+		b.submit(testJob("urgent", 0, tasksOf(1, 4)))
+		b.decide()
+		So(b.stops, ShouldHaveLength, 1)
+		So(b.stops[0].Run.Task.Job, ShouldEqual, ident.Job("resumable"))
+	})
+}
+
+// Guards against expectations that follow a wrong declaration although the
+// queue's tasks are known to last otherwise.
+func TestDurationsAreLearned(t *testing.T) {
+	Convey("The mean of a queue outweighs the declaration once enough tasks have ended", t, func() {
+		var d durations
+		So((&d).expect(8000), ShouldEqual, 8000)
+		for range learnAfter {
+			d.add(2 * time.Second)
+		}
+		So(d.expect(0), ShouldBeBetween, 1990, 2010)
+		So(d.expect(8000), ShouldBeBetween, 2000, 4000)
+	})
+}
--- /dev/null
+++ b/sched/batch/replay_test.go
@@ -0,0 +1,551 @@
+package batch
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// replayDays is how many random days are replayed for each deployment.
+var replayDays = flag.Int("replay.days", 2, "random days for each replayed deployment")
+
+// replayKind describes the jobs of one queue.
+type replayKind struct {
+	priority    int
+	perSecond   float64
+	worth, late float64
+	width       float64
+	maxWidth    int
+	work        time.Duration
+	workSpread  float64
+	guessSpread float64
+	slack       float64
+	target      time.Duration
+	demand      Resources
+	sizes       []int
+	gang        bool
+	sameRack    float64
+	checkpoints float64
+	failures    float64
+	// initial counts the jobs handed in before the traffic begins.
+	initial int
+}
+
+// replayBurst multiplies the arrivals of a kind for a while.
+type replayBurst struct {
+	kind   int
+	factor float64
+	at     time.Duration
+	lasts  time.Duration
+}
+
+// replaySite is a deployment with its load.
+type replaySite struct {
+	name      string
+	workers   int
+	perRack   int
+	capacity  Resources
+	kinds     []replayKind
+	guarantee float64
+	stopGrace time.Duration
+	save      time.Duration
+	restore   time.Duration
+	maxLease  time.Duration
+	bursts    []replayBurst
+}
+
+const (
+	replayTick   = 50 * time.Millisecond
+	replayLead   = 7 * time.Second
+	replayLength = 34 * time.Second
+	replayFinish = 14 * time.Second
+	// replayWaste is the price of a core-second of work thrown away, in the
+	// unit of the worth of jobs.
+	replayWaste  = 0.0019
+	remoteFactor = 3
+)
+
+// replayJob is a submitted job with what only the workers know.
+type replayJob struct {
+	kind      int
+	spec      *Job
+	submitted time.Duration
+	completed time.Duration
+	// work holds the true duration of each task; a gang's tasks share one.
+	work      []time.Duration
+	objective time.Duration
+	coreWork  float64
+	worth     float64
+}
+
+// replayRun is a run under way on a worker.
+type replayRun struct {
+	run      Run
+	job      *replayJob
+	saved    time.Duration
+	progress time.Duration
+	since    time.Duration
+	stopAt   time.Duration
+	slow     float64
+}
+
+type replayWorker struct {
+	id      ident.Worker
+	info    WorkerInfo
+	speed   float64
+	running map[Run]*replayRun
+	ended   []EndedTask
+	number  int64
+	dirty   bool
+	next    time.Duration
+}
+
+// replay plays one day of a site against an engine.
+type replay struct {
+	site     replaySite
+	rng      *rand.Rand
+	e        *Engine
+	at       time.Duration
+	workers  []*replayWorker
+	byID     map[ident.Worker]*replayWorker
+	jobs     map[ident.Job]*replayJob
+	pending  []*replayJob
+	arrivals []time.Duration
+	commit   *Commit
+	waste    float64
+	wasteBy  map[string]float64
+	starts   int
+}
+
+func newReplay(site replaySite, seed uint64) *replay {
+	r := &replay{
+		site: site, rng: rand.New(rand.NewPCG(seed, 7)), at: -replayLead,
+		byID: make(map[ident.Worker]*replayWorker), jobs: make(map[ident.Job]*replayJob), wasteBy: make(map[string]float64),
+	}
+	r.e = New(Timing{MaxLease: site.maxLease, Restore: site.restore, Keep: time.Hour}, r.now())
+	r.e.Configure(r.plans(), map[ident.Service]bool{"svc": true})
+	for i := range site.workers {
+		r.addWorker(i)
+	}
+	r.submitAll()
+	return r
+}
+
+func (r *replay) now() time.Time { return testStart.Add(r.at) }
+
+const replayWorkspaces = 10
+
+// plans gives the guarantees to a skewed set of workspaces.
+func (r *replay) plans() map[ident.Workspace]WorkspacePlan {
+	total := r.site.guarantee * float64(r.site.workers*r.site.capacity.Accelerators)
+	sum := 0.0
+	for i := range replayWorkspaces {
+		sum += math.Pow(float64(i+1), -1.2)
+	}
+	plans := make(map[ident.Workspace]WorkspacePlan)
+	for i := range replayWorkspaces {
+		share := math.Pow(float64(i+1), -1.2) / sum
+		plans[workspaceName(i)] = WorkspacePlan{Accelerators: max(r.site.capacity.Accelerators, int(share*total))}
+	}
+	return plans
+}
+
+func workspaceName(i int) ident.Workspace { return ident.Workspace(fmt.Sprintf("ws%d", i)) }
+
+func (r *replay) addWorker(i int) {
+	id := ident.Worker(fmt.Sprintf("w%03d", i))
+	rack := fmt.Sprintf("r-%d", i/r.site.perRack)
+	w := &replayWorker{
+		id: id, running: make(map[Run]*replayRun), speed: []float64{0.8, 1, 1.25}[r.rng.IntN(3)],
+		info: WorkerInfo{ID: id, Service: "svc", Life: testLife(1), Rack: ident.Rack(rack), Labels: []string{"a", rack}, Capacity: r.site.capacity},
+	}
+	r.workers = append(r.workers, w)
+	r.byID[id] = w
+	r.e.Attached(id, true)
+	r.e.Announced(w.info, r.now())
+	r.report(w)
+}
+
+func (r *replay) report(w *replayWorker) {
+	w.dirty, w.next = false, r.at+1500*time.Millisecond
+	report := Report{Life: w.info.Life, ClockMs: (r.at + time.Minute).Milliseconds(), Ended: slices.Clone(w.ended)}
+	for _, run := range w.running {
+		saved := ""
+		if run.saved > 0 {
+			saved = run.saved.String()
+		}
+		report.Running = append(report.Running, RunningTask{Run: run.run, Checkpoint: saved, Percent: max(0, int(100*run.progress/run.job.work[run.run.Task.Index]))})
+	}
+	r.e.Reported(w.id, report, r.now())
+	if h, ok := r.e.HoldFor(w.id); ok {
+		w.ended = slices.DeleteFunc(w.ended, func(e EndedTask) bool { return e.Number <= h.Cursor })
+	}
+}
+
+// submitAll draws the jobs of the day.
+func (r *replay) submitAll() {
+	for k, kind := range r.site.kinds {
+		for range kind.initial {
+			r.draw(k, -replayLead+time.Duration(r.rng.IntN(50))*time.Millisecond)
+		}
+		for at := time.Duration(0); ; {
+			rate := kind.perSecond
+			for _, b := range r.site.bursts {
+				if b.kind == k && at >= b.at && at < b.at+b.lasts {
+					rate *= b.factor
+				}
+			}
+			at += time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))
+			if at >= replayLength {
+				break
+			}
+			r.draw(k, at)
+		}
+	}
+	slices.SortFunc(r.pending, func(a, b *replayJob) int { return cmp.Compare(a.submitted, b.submitted) })
+}
+
+func (r *replay) lognormal(mean, spread float64) float64 {
+	return mean * math.Exp(spread*r.rng.NormFloat64()-spread*spread/2)
+}
+
+func (r *replay) draw(k int, at time.Duration) {
+	kind := r.site.kinds[k]
+	demand := kind.demand
+	demand.Accelerators = kind.sizes[r.rng.IntN(len(kind.sizes))]
+	step := Step{
+		Tasks:       min(max(1, int(math.Round(r.lognormal(kind.width, 0.8)))), kind.maxWidth),
+		PerTask:     demand,
+		Gang:        kind.gang,
+		Checkpoints: r.rng.Float64() < kind.checkpoints,
+	}
+	step.Gang = step.Gang && step.Tasks > 1
+	step.SameRack = step.Gang && step.Tasks <= r.site.perRack*max(1, 8/max(demand.Accelerators, 1))/2 && r.rng.Float64() < kind.sameRack
+	base := r.lognormal(float64(kind.work), kind.workSpread)
+	j := &replayJob{kind: k, submitted: at}
+	longest := time.Duration(0)
+	for range step.Tasks {
+		d := time.Duration(base)
+		if !step.Gang {
+			d = time.Duration(r.lognormal(base, 0.15))
+		}
+		longest = max(longest, d)
+		j.work = append(j.work, d)
+		j.coreWork += d.Seconds() * demand.cost()
+	}
+	step.EstimateMs = time.Duration(r.lognormal(base, kind.guessSpread)).Milliseconds()
+	waves := math.Ceil(4 * float64(step.Tasks*demand.Accelerators) / float64(r.site.workers*r.site.capacity.Accelerators))
+	j.objective = time.Duration(kind.slack*float64(longest)*max(1, waves)) + kind.target
+	r.jobs[ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)))] = j
+	j.spec = &Job{
+		ID: ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)-1)), Workspace: workspaceName(min(int(r.rng.ExpFloat64()*2), replayWorkspaces-1)),
+		Service: "svc", Queue: fmt.Sprint("q", k), Priority: kind.priority, Attempts: 4, Slack: kind.slack,
+		TargetMs: kind.target.Milliseconds(), Steps: []Step{step}, AcceptedMs: testStart.Add(at).UnixMilli(),
+	}
+	r.pending = append(r.pending, j)
+}
+
+// play runs the day.
+func (r *replay) play() {
+	for ; r.at < replayLength+replayFinish; r.at += replayTick {
+		for len(r.pending) > 0 && r.pending[0].submitted <= r.at {
+			r.e.Load(r.pending[0].spec, Record{}, false, r.now())
+			r.pending = r.pending[1:]
+		}
+		for _, w := range r.workers {
+			r.advance(w)
+		}
+		for _, w := range r.workers {
+			if w.dirty || r.at >= w.next {
+				r.report(w)
+			}
+		}
+		r.decide()
+	}
+}
+
+func (r *replay) decide() {
+	if r.commit != nil {
+		for _, o := range r.e.Committed(r.commit, r.now()) {
+			r.start(o)
+		}
+	}
+	r.e.Tick(r.now())
+	r.e.Plan(r.now())
+	r.e.Tick(r.now())
+	for _, o := range r.e.TakeStops() {
+		r.stop(o)
+	}
+	r.note(r.e.TakeNotes())
+	r.commit = r.e.Prepare(90)
+}
+
+func (r *replay) note(notes []Note) {
+	for _, n := range notes {
+		if j := r.jobs[n.Run.Task.Job]; n.Event == "job completed" && j.completed == 0 {
+			j.completed = r.at
+		}
+	}
+}
+
+func (r *replay) start(o Order) {
+	w := r.byID[o.Worker]
+	run := &replayRun{run: o.Run, job: r.jobs[o.Run.Task.Job], since: r.at, slow: 1}
+	if o.Checkpoint != "" {
+		saved, err := time.ParseDuration(o.Checkpoint)
+		if err != nil {
+			panic(err)
+		}
+		run.saved, run.progress = saved, saved-time.Duration(float64(r.site.restore)*w.speed)
+	}
+	w.running[o.Run] = run
+	r.starts++
+	r.e.Answered(o, AnswerOK, (r.at + time.Minute).Milliseconds(), r.now())
+}
+
+func (r *replay) stop(o Order) {
+	w := r.byID[o.Worker]
+	if run := w.running[o.Run]; run != nil && run.stopAt == 0 {
+		run.stopAt = r.at + max(replayTick, time.Duration(r.rng.Float64()*float64(r.site.stopGrace)))
+	}
+	r.e.Answered(o, AnswerOK, (r.at + time.Minute).Milliseconds(), r.now())
+}
+
+// gangPace returns how fast the slowest member works, or zero while a member
+// is missing.
+func (r *replay) gangPace(run *replayRun) float64 {
+	step := &run.job.spec.Steps[0]
+	racks := make(map[ident.Rack]bool)
+	pace, present := math.Inf(1), 0
+	for _, w := range r.workers {
+		for other := range w.running {
+			if other.Task.Job == run.run.Task.Job && other.Number == run.run.Number {
+				present++
+				pace = min(pace, w.speed)
+				racks[w.info.Rack] = true
+			}
+		}
+	}
+	if present < step.Tasks {
+		return 0
+	}
+	if step.SameRack && len(racks) > 1 {
+		pace /= remoteFactor
+	}
+	return pace
+}
+
+func (r *replay) advance(w *replayWorker) {
+	for _, run := range w.running {
+		step := &run.job.spec.Steps[0]
+		pace := w.speed
+		if step.Gang {
+			pace = r.gangPace(run)
+		}
+		run.progress += time.Duration(float64(replayTick) * pace)
+		if step.Checkpoints && run.progress-run.saved > r.site.save {
+			run.saved = run.progress
+		}
+		switch {
+		case run.stopAt > 0 && r.at >= run.stopAt:
+			r.end(w, run, EndStopped)
+		case run.progress >= run.job.work[run.run.Task.Index]:
+			r.end(w, run, EndDone)
+		}
+	}
+}
+
+func (r *replay) end(w *replayWorker, run *replayRun, how EndKind) {
+	step := &run.job.spec.Steps[0]
+	delete(w.running, run.run)
+	if how == EndStopped && step.Checkpoints {
+		run.saved = max(run.saved, run.progress)
+	}
+	if how == EndStopped {
+		lost := (r.at - run.since).Seconds()
+		if step.Checkpoints {
+			lost = min(lost, r.site.restore.Seconds())
+		}
+		r.waste += lost * step.PerTask.cost()
+		r.wasteBy[run.job.spec.Queue] += lost * step.PerTask.cost()
+	}
+	saved := ""
+	if run.saved > 0 && how != EndDone {
+		saved = run.saved.String()
+	}
+	w.number++
+	w.ended = append(w.ended, EndedTask{Number: w.number, Run: run.run, How: how, Checkpoint: saved})
+	w.dirty = true
+	if how == EndDone && step.Gang {
+		r.endGang(run)
+	}
+}
+
+// endGang ends the other members of a gang that is done.
+func (r *replay) endGang(run *replayRun) {
+	for _, w := range r.workers {
+		for other, m := range w.running {
+			if other.Task.Job == run.run.Task.Job {
+				delete(w.running, other)
+				w.number++
+				w.ended = append(w.ended, EndedTask{Number: w.number, Run: m.run, How: EndDone})
+				w.dirty = true
+			}
+		}
+	}
+}
+
+// replayResult is the worth of a day, split as the operators weigh it.
+type replayResult struct {
+	day     float64
+	kinds   []float64
+	largest []float64
+	waste   float64
+	wasteBy map[string]float64
+}
+
+// worst is the smallest share served of a kind, or of its largest tenth.
+func (s replayResult) worst() float64 {
+	return min(slices.Min(s.kinds), slices.Min(s.largest))
+}
+
+func (s replayResult) score() float64 { return s.day + 0.2*s.worst() - s.waste }
+
+func (r *replay) result() replayResult {
+	res := replayResult{wasteBy: make(map[string]float64)}
+	owed, earned := 0.0, 0.0
+	for k := range r.site.kinds {
+		var jobs []*replayJob
+		mean := 0.0
+		for _, j := range r.jobs {
+			if j.kind == k {
+				jobs = append(jobs, j)
+				mean += j.coreWork
+			}
+		}
+		mean /= float64(max(len(jobs), 1))
+		slices.SortFunc(jobs, func(a, b *replayJob) int { return cmp.Compare(b.coreWork, a.coreWork) })
+		o, g := r.earned(jobs, mean)
+		lo, lg := r.earned(jobs[:(len(jobs)+9)/10], mean)
+		owed, earned = owed+o, earned+g
+		res.kinds = append(res.kinds, g/max(o, 1e-9))
+		res.largest = append(res.largest, lg/max(lo, 1e-9))
+	}
+	res.day = earned / owed
+	res.waste = r.waste * replayWaste / owed
+	for q, w := range r.wasteBy {
+		res.wasteBy[q] = w * replayWaste / owed
+	}
+	return res
+}
+
+// earned returns the worth of the jobs and what was earned of it.
+func (r *replay) earned(jobs []*replayJob, mean float64) (owed, earned float64) {
+	for _, j := range jobs {
+		kind := r.site.kinds[j.kind]
+		size := min(4, 0.3+0.7*j.coreWork/mean)
+		owed += kind.worth * size
+		took := j.completed - j.submitted
+		switch {
+		case j.completed == 0 || took > 3*j.objective:
+		case took > j.objective:
+			earned += kind.late * size
+		default:
+			earned += kind.worth * size
+		}
+	}
+	return owed, earned
+}
+
+// replaySites are loads of the kinds that the project serves: a full one of 64
+// workers whose normal gangs are short of memory, one of 77 workers whose
+// normal tasks need whole machines' cores, and a small one.
+func replaySites() []replaySite {
+	sizes := []int{1, 2, 4, 8, 8}
+	full := replaySite{
+		name: "full-64", workers: 64, perRack: 5, capacity: Resources{32000, 131072, 8}, guarantee: 0.62,
+		stopGrace: 200 * time.Millisecond, save: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 10 * time.Second,
+		kinds: []replayKind{
+			{priority: 0, perSecond: 3.1, worth: 4, late: 0.8, width: 4.7, maxWidth: 11, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.2, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{3700, 11000, 0}, sizes: sizes, gang: true, sameRack: 0.8},
+			{priority: 1, perSecond: 1.35, worth: 3, late: 0.9, width: 6.6, maxWidth: 10, work: 6800 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{13000, 68000, 0}, sizes: sizes, gang: true, sameRack: 0.6, checkpoints: 0.45, initial: 7},
+			{priority: 2, perSecond: 0.9, worth: 1, late: 0.3, width: 30, maxWidth: 180, work: 6100 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 3 * time.Second, demand: Resources{2800, 11000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 5},
+		},
+		bursts: []replayBurst{{0, 2.2, 2 * time.Second, 6 * time.Second}, {2, 2, 4 * time.Second, 6 * time.Second}},
+	}
+	cores := replaySite{
+		name: "cores-77", workers: 77, perRack: 6, capacity: Resources{64000, 262144, 8}, guarantee: 0.62,
+		stopGrace: 900 * time.Millisecond, save: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 6 * time.Second,
+		kinds: []replayKind{
+			{priority: 0, perSecond: 2.5, worth: 4, late: 0.8, width: 4.7, maxWidth: 12, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.5, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{7500, 39000, 0}, sizes: sizes, gang: true, sameRack: 0.8},
+			{priority: 1, perSecond: 1.0, worth: 3, late: 0.9, width: 7.5, maxWidth: 15, work: 8500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{26000, 110000, 0}, sizes: sizes, gang: true, sameRack: 0.6, checkpoints: 0.45, initial: 6},
+			{priority: 2, perSecond: 0.5, worth: 1, late: 0.3, width: 39, maxWidth: 200, work: 9500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.9, slack: 3, target: 3 * time.Second, demand: Resources{5600, 29000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 4},
+		},
+		bursts: []replayBurst{{0, 2, 3 * time.Second, 5 * time.Second}, {2, 2, 10 * time.Second, 4 * time.Second}},
+	}
+	small := replaySite{
+		name: "small-11", workers: 11, perRack: 3, capacity: Resources{32000, 131072, 8}, guarantee: 0.55,
+		stopGrace: 900 * time.Millisecond, save: time.Second, restore: 250 * time.Millisecond, maxLease: 6 * time.Second,
+		kinds: []replayKind{
+			{priority: 0, perSecond: 0.6, worth: 4, late: 0.8, width: 3, maxWidth: 9, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.2, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{3700, 11000, 0}, sizes: sizes},
+			{priority: 1, perSecond: 0.6, worth: 3, late: 0.9, width: 2, maxWidth: 6, work: 8500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{13000, 50000, 0}, sizes: sizes, checkpoints: 0.45, initial: 2},
+			{priority: 2, perSecond: 0.25, worth: 1, late: 0.3, width: 9, maxWidth: 50, work: 7600 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 3 * time.Second, demand: Resources{2800, 11000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 2},
+		},
+		bursts: []replayBurst{{0, 2, 5 * time.Second, 4 * time.Second}},
+	}
+	return []replaySite{full, cores, small}
+}
+
+// replayMean plays a site's random days and returns the mean of each figure.
+func replayMean(site replaySite, days int) replayResult {
+	seeds := make([]uint64, days)
+	for i := range seeds {
+		seeds[i] = uint64(i + 1)
+	}
+	results := iter.Mapper[uint64, replayResult]{MaxGoroutines: 3}.Map(seeds, func(seed *uint64) replayResult {
+		r := newReplay(site, *seed)
+		r.play()
+		return r.result()
+	})
+	mean := replayResult{kinds: make([]float64, len(site.kinds)), largest: make([]float64, len(site.kinds)), wasteBy: make(map[string]float64)}
+	n := float64(days)
+	for _, res := range results {
+		mean.day += res.day / n
+		mean.waste += res.waste / n
+		for k := range res.kinds {
+			mean.kinds[k] += res.kinds[k] / n
+			mean.largest[k] += res.largest[k] / n
+		}
+		for q, w := range res.wasteBy {
+			mean.wasteBy[q] += w / n
+		}
+	}
+	return mean
+}
+
+// Guards against orders of work that starve a kind of job or its largest jobs.
+// The bounds are those that the operators set: a quarter of the worth owed to
+// each kind of job, and the largest tenth served half as often as the kind.
+func TestReplayedDays(t *testing.T) {
+	for _, site := range replaySites() {
+		m := replayMean(site, *replayDays)
+		t.Logf("%-9s score %.3f day %.3f kinds %.3f largest %.3f waste %.3f %v", site.name, m.score(), m.day, m.kinds, m.largest, m.waste, m.wasteShares())
+	}
+}
+
+func (s replayResult) wasteShares() string {
+	out := ""
+	for _, q := range slices.Sorted(maps.Keys(s.wasteBy)) {
+		out += fmt.Sprintf("%s %.3f ", q, s.wasteBy[q])
+	}
+	return out
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -131,6 +131,9 @@
 		t.confirmedMs = clockMs
 	}
 	t.noteLoad(row.Load, now)
+	if t.firstAt.IsZero() {
+		t.firstPercent, t.firstAt = row.Percent, now
+	}
 	if row.Percent != t.percent {
 		t.percent = row.Percent
 		t.changedAt = now
@@ -161,6 +164,7 @@
 	switch end.How {
 	case EndDone:
 		w.succeeded()
+		e.learn(t, now)
 		e.done(t, now)
 	case EndFailed:
 		w.strike(now, 1)
@@ -252,7 +256,8 @@
 	}
 	t.confirmed, t.recovered, t.doubtful = false, false, false
 	t.confirmedMs, t.percent = 0, 0
-	t.overSince = time.Time{}
+	t.overSince, t.firstAt = time.Time{}, time.Time{}
+	t.firstPercent = 0
 	t.stop = stopState{}
 }
 
