Let strong entries take the ownership first

The owner ran on an entry with 0.19 cores and used 0.09 of them on average, so that decisions queued in bursts; entries with 0.8 cores were idle.

Change: an entry leaves a free ownership to stronger ones for up to half a second, the less processor time it has the longer, counted from when it could have taken it. The processor's share and speed are settings.

--- a/control/batchsession/harness_test.go
+++ b/control/batchsession/harness_test.go
@@ -123,7 +123,7 @@
 	})
 	host := s.net.Host("10.0.0." + id)
 	d := decider.New(decider.Options{
-		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.access, Replica: e.replica,
+		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.access, Replica: e.replica, Power: 1,
 		Timing:  batch.Timing{MaxLease: 6 * time.Second, Restore: time.Second, Keep: time.Minute},
 		Catalog: s.catalog.Load,
 		Connect: func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
--- a/control/decider/campaign.go
+++ b/control/decider/campaign.go
@@ -26,6 +26,13 @@
 	// validityMargin is how long before ownerTTL the owner stops to act, which
 	// covers the difference of two clocks.
 	validityMargin = 300 * time.Millisecond
+	// amplePower is the share of a core from which an entry campaigns at once:
+	// a decision takes some milliseconds of a whole core.
+	amplePower = 0.5
+	// maxHesitation is how long an entry without any power would leave a free
+	// ownership to stronger ones, which see it as early and need one
+	// transaction.
+	maxHesitation = 500 * time.Millisecond
 	// watchEvery is how often a candidate looks at the owner's row.
 	watchEvery = 100 * time.Millisecond
 )
@@ -34,9 +41,11 @@
 type Options struct {
 	Entry       ident.Entry
 	Incarnation ident.Incarnation
-	Store       rows.Store
-	Replica     *ledger.Replica
-	Timing      batch.Timing
+	// Power is the share of a core that this process may use.
+	Power   float64
+	Store   rows.Store
+	Replica *ledger.Replica
+	Timing  batch.Timing
 	// Catalog returns the configuration in force, or nil.
 	Catalog func() *catalog.Catalog
 	// Advise asks the placement advisor, or is nil if there is none.
@@ -53,6 +62,8 @@
 // Decider campaigns for the ownership and schedules while it has it.
 type Decider struct {
 	opts Options
+	// freeSince is when this entry first saw that it could take the ownership.
+	freeSince time.Time
 }
 
 // New returns a decider.
@@ -79,6 +90,10 @@
 	view := d.opts.Replica.Owner(time.Now())
 	reason := d.vacancy(view)
 	if reason == "" || d.opts.Catalog() == nil {
+		d.freeSince = time.Time{}
+		return nil
+	}
+	if !d.dares(view, time.Now()) {
 		return nil
 	}
 	owner := ledger.Owner{Epoch: view.Owner.Epoch + 1, Entry: d.opts.Entry, Incarnation: d.opts.Incarnation}
@@ -96,17 +111,34 @@
 	return newLeader(d, c)
 }
 
+// dares reports whether the ownership has been free for long enough. Nobody
+// else takes over from an earlier life of this entry before it lapses.
+func (d *Decider) dares(view ledger.OwnerView, now time.Time) bool {
+	if d.freeSince.IsZero() {
+		d.freeSince = now
+	}
+	own := view.Owner.Entry == d.opts.Entry
+	return own || now.Sub(d.freeSince) >= d.hesitation()
+}
+
+// hesitation returns how long this entry leaves a free ownership to stronger
+// ones.
+func (d *Decider) hesitation() time.Duration {
+	missing := 1 - min(d.opts.Power/amplePower, 1)
+	return time.Duration(missing * float64(maxHesitation))
+}
+
 // vacancy returns why the ownership is free, or nothing.
 func (d *Decider) vacancy(view ledger.OwnerView) string {
 	switch {
 	case !view.Current:
 		return ""
+	case view.Owner.Entry == d.opts.Entry && view.Owner.Incarnation != d.opts.Incarnation:
+		return "held by an earlier life of this entry"
 	case view.Version == 0:
 		return "no owner yet"
 	case view.Owner.Vacant:
 		return "given up"
-	case view.Owner.Entry == d.opts.Entry && view.Owner.Incarnation != d.opts.Incarnation:
-		return "held by an earlier life of this entry"
 	case view.Unchanged > ownerTTL:
 		return "not renewed"
 	default:
--- a/control/service/agent.go
+++ b/control/service/agent.go
@@ -23,7 +23,7 @@
 func NewAgent(s AgentSettings, logger *log.Logger) *Agent {
 	a := &Agent{process: newProcess("agent", s.Process, logger), settings: s}
 	a.runner = runner.New(runner.Options{
-		ID: ident.Worker(s.Node), Address: s.GRPCAddr, Tasks: adapter.NewTasks(),
+		ID: ident.Worker(s.Node), Address: s.reachableAt(), Tasks: adapter.NewTasks(),
 		Store: adapter.NewStore(s.StoreAddr), Logger: logger, Count: a.count,
 	})
 	return a
--- a/control/service/entry.go
+++ b/control/service/entry.go
@@ -118,7 +118,7 @@
 
 // publish writes the entry's row, by which the other entries find it.
 func (e *Entry) publish(ctx context.Context) {
-	value, err := ledger.Encode(ledger.Entry{Address: e.settings.GRPCAddr})
+	value, err := ledger.Encode(ledger.Entry{Address: e.settings.reachableAt()})
 	if err != nil {
 		e.logger.Error().Err(err).Msg("entry row not encoded")
 		return
@@ -146,6 +146,7 @@
 		Advise:      advise,
 		Entry:       ident.Entry(e.settings.Node),
 		Incarnation: ident.Incarnation(ident.NewID("life-")),
+		Power:       e.settings.Processor.power(),
 		Store:       e.store,
 		Replica:     e.replica,
 		Timing:      e.settings.Tasks.Timing(),
--- a/control/service/settings.go
+++ b/control/service/settings.go
@@ -20,17 +20,31 @@
 	StoreAddr string `json:"store_addr"`
 	// GRPCAddr is where the project's other processes reach this one.
 	GRPCAddr string `json:"grpc_addr"`
+	// AdvertiseAddr is where they reach it instead, if something forwards to
+	// GRPCAddr; it may be empty.
+	AdvertiseAddr string `json:"advertise_addr"`
 	// MetricsAddr serves counters and histograms.
 	MetricsAddr string `json:"metrics_addr"`
 	LogLevel    string `json:"log_level"`
 }
 
+// reachableAt is the address that the project's other processes are told.
+func (p Process) reachableAt() string {
+	if p.AdvertiseAddr != "" {
+		return p.AdvertiseAddr
+	}
+	return p.GRPCAddr
+}
+
 func (p Process) check(problems *settings.Problems) {
 	problems.RequireText("node", p.Node)
 	problems.RequireText("zone", p.Zone)
 	problems.RequireAddr("store_addr", p.StoreAddr)
 	problems.RequireAddr("grpc_addr", p.GRPCAddr)
 	problems.RequireAddr("metrics_addr", p.MetricsAddr)
+	if p.AdvertiseAddr != "" {
+		problems.RequireAddr("advertise_addr", p.AdvertiseAddr)
+	}
 }
 
 // EntrySettings configures an entry.
@@ -40,8 +54,11 @@
 	CallerAddr string `json:"caller_addr"`
 	ReadyAddr  string `json:"ready_addr"`
 	// AdvisorAddr is the placement advisor's, or empty.
-	AdvisorAddr string      `json:"advisor_addr"`
-	Tasks       TaskPromise `json:"tasks"`
+	AdvisorAddr string `json:"advisor_addr"`
+	// Processor is what the process may use. Entries with more of it take the
+	// ownership first.
+	Processor Processor   `json:"processor"`
+	Tasks     TaskPromise `json:"tasks"`
 }
 
 // Validate reports every wrong field.
@@ -53,12 +70,26 @@
 	if s.AdvisorAddr != "" {
 		problems.RequireAddr("advisor_addr", s.AdvisorAddr)
 	}
+	if s.Processor.power() <= 0 {
+		problems.Add("processor", "share and speed must be above zero")
+	}
 	if s.Tasks.MaxLeaseMs <= 0 {
 		problems.Add("tasks.max_lease_ms", "must be above zero")
 	}
 	return problems.Err()
 }
 
+// Processor describes what a process may use of its host's processor.
+type Processor struct {
+	// Share is the share of the time of a core.
+	Share float64 `json:"share"`
+	// Speed is the speed of that core, in ordinary cores.
+	Speed float64 `json:"speed"`
+}
+
+// power returns the usable processor time in shares of an ordinary core.
+func (p Processor) power() float64 { return p.Share * p.Speed }
+
 // TaskPromise holds what the platform promises about the tasks of this
 // deployment.
 type TaskPromise struct {
--- a/control/service/settings_test.go
+++ b/control/service/settings_test.go
@@ -24,6 +24,7 @@
 		"{{listen_addrs.front|json}}", `"10.1.0.19:8521"`, "{{listen_addrs.ready_addr|json}}", `"10.1.0.19:8523"`,
 		"{{listen_addrs.control_plane|json}}", `"10.1.0.19:8526"`, "{{placement_advisor}}", "10.200.1.9:8524",
 		"{{bounds.max_hold_ms}}", "10000", "{{bounds.restore_ms}}", "600", "{{bounds.status_s}}", "120",
+		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "2",
 	).Replace(string(raw))
 }
 
@@ -33,6 +34,7 @@
 		var s EntrySettings
 		So(settings.Decode([]byte(rendered(t, "entry.json.tmpl")), &s), ShouldBeNil)
 		So(s.GRPCAddr, ShouldEqual, "10.1.0.19:7000")
+		So(s.Processor.power(), ShouldAlmostEqual, 0.8)
 		So(s.Tasks.Timing().MaxLease, ShouldEqual, 10*time.Second)
 		So(s.Tasks.Timing().Keep, ShouldEqual, 130*time.Second)
 	})
@@ -50,7 +52,7 @@
 		var s EntrySettings
 		err := settings.Decode([]byte(`{"node":"","caller_addr":"nowhere"}`), &s)
 		So(errkind.Of(err), ShouldEqual, errkind.InvalidArgument)
-		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "max_lease_ms"} {
+		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "processor", "max_lease_ms"} {
 			So(err.Error(), ShouldContainSubstring, field)
 		}
 	})
