Plan only after news, and serve bulk work in order of acceptance

Cause: the owner planned at every report of 72 workers, 2.3 ms each on a whole core, most of it in sorting workers by what runs on them; an entry with 0.19 cores was busy half of its time.

Change: a plan is made when work or room came or went, else every 200 ms. Gang placement looks only at workers with room; expected ends are computed once for each worker and plan. Objectives count waves; bulk work keeps the order of its acceptance.

--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -64,6 +64,7 @@
 	}
 	a := j.advice[step]
 	a.asking = false
+	e.changed = true
 	if len(tickets) == 0 {
 		return
 	}
--- a/sched/batch/backfill.go
+++ b/sched/batch/backfill.go
@@ -89,48 +89,54 @@
 	if u.step.MaxPerWorker > 0 {
 		most = min(n, u.step.MaxPerWorker)
 	}
+	for _, r := range s.reserved {
+		most = min(most, count(r.spare, u.step.demand()))
+	}
 	var out []opening
-	for _, in := range p.endings(s) {
-		room := count(p.freeAfter(s, in), u.step.demand())
-		for _, r := range s.reserved {
-			room = min(room, count(r.spare, u.step.demand()))
-		}
-		for len(out) < min(room, most) {
+	free, in := s.soon, time.Duration(0)
+	for at := 0; len(out) < most; at++ {
+		for range min(count(free, u.step.demand()), most) - len(out) {
 			out = append(out, opening{s, in})
 		}
+		ends := p.endings(s)
+		if at == len(ends) {
+			break
+		}
+		free, in = free.plus(ends[at].frees), ends[at].in
 	}
 	return out
 }
 
-// endings returns now and the times when runs on the slot probably end.
-func (p *plan) endings(s *slot) []time.Duration {
-	if s.endings == nil {
-		s.endings = []time.Duration{0}
-		for _, t := range s.w.active {
-			s.endings = append(s.endings, p.untilEnd(t))
-		}
-		slices.Sort(s.endings)
-	}
-	return s.endings
+// ending is the probable end of a run on a slot.
+type ending struct {
+	in    time.Duration
+	frees Resources
 }
 
-// stopTime is how long the stop of a run usually takes.
-const stopTime = 300 * time.Millisecond
-
-func (p *plan) untilEnd(t *task) time.Duration {
-	if t.stop.wanted {
-		return stopTime
+// endings returns when the runs on the slot that are not being stopped will
+// probably end, in order. What is being stopped counts as free soon.
+func (p *plan) endings(s *slot) []ending {
+	if s.endings != nil {
+		return s.endings
+	}
+	s.endings = make([]ending, 0, len(s.w.active))
+	for _, t := range s.w.active {
+		if !t.stop.wanted {
+			s.endings = append(s.endings, ending{p.e.remaining(t, p.now), t.step().demand()})
+		}
 	}
-	return p.e.remaining(t, p.now)
+	slices.SortFunc(s.endings, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
+	return s.endings
 }
 
 // freeAfter returns what will probably be free on the slot.
 func (p *plan) freeAfter(s *slot, in time.Duration) Resources {
 	free := s.soon
-	for _, t := range s.w.active {
-		if !t.stop.wanted && p.untilEnd(t) <= in {
-			free = free.plus(t.step().demand())
+	for _, e := range p.endings(s) {
+		if e.in > in {
+			break
 		}
+		free = free.plus(e.frees)
 	}
 	return free
 }
--- a/sched/batch/engine.go
+++ b/sched/batch/engine.go
@@ -142,6 +142,11 @@
 	// peak is the fading peak of the accelerators that urgent work used.
 	peak   float64
 	peakAt time.Time
+	// changed says that work or room came or went since plannedAt.
+	changed   bool
+	plannedAt time.Time
+	// room is the capacity of all workers.
+	room Resources
 	// learned holds the durations of each queue's tasks.
 	learned map[string]*durations
 	// recoveredUntil is when every lease of earlier owners has lapsed.
@@ -175,6 +180,7 @@
 func (e *Engine) Configure(plans map[ident.Workspace]WorkspacePlan, services map[ident.Service]bool) {
 	e.plans = maps.Clone(plans)
 	e.services = maps.Clone(services)
+	e.changed = true
 }
 
 // Load adds a job with its durable state; a zero record means a new job. It
@@ -185,6 +191,7 @@
 	}
 	j := &job{spec: spec, record: record, cancelled: cancelled, gangFailed: make(map[int]int)}
 	e.jobs[spec.ID] = j
+	e.changed = true
 	if j.record.State == "" {
 		j.record.State = JobQueued
 	}
--- a/sched/batch/harm.go
+++ b/sched/batch/harm.go
@@ -50,8 +50,12 @@
 // crowded reports whether the unit's tasks and those on the slot's worker would
 // disturb each other.
 func crowded(u *unit, s *slot) bool {
+	serves := u.step.LongRunning && u.step.TargetMs > 0
+	if !u.step.Fills && !serves {
+		return false
+	}
 	for _, t := range s.w.active {
-		if u.step.Fills && t.serves() || u.step.LongRunning && u.step.TargetMs > 0 && t.step().Fills {
+		if u.step.Fills && t.serves() || serves && t.step().Fills {
 			return true
 		}
 	}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -45,7 +45,7 @@
 		return 0
 	}
 	for _, r := range s.reserved {
-		if p.e.expected(u.job, u.step) > r.in {
+		if u.lasts > r.in {
 			n = min(n, count(r.spare, u.step.demand()))
 		}
 	}
@@ -133,26 +133,37 @@
 
 // fill spreads n tasks over as few of the slots as possible.
 func (p *plan) fill(u *unit, slots []*slot, n int, v view) []*slot {
-	order := slices.Clone(slots)
-	slices.SortStableFunc(order, func(a, b *slot) int {
+	type candidate struct {
+		s    *slot
+		room int
+	}
+	var order []candidate
+	total := 0
+	for _, s := range slots {
+		if room := p.roomFor(u, s, v); room > 0 {
+			order = append(order, candidate{s, room})
+			total += room
+		}
+	}
+	if total < n {
+		return nil
+	}
+	slices.SortStableFunc(order, func(a, b candidate) int {
 		switch {
-		case p.better(u, a, b, v):
+		case p.better(u, a.s, b.s, v):
 			return -1
-		case p.better(u, b, a, v):
+		case p.better(u, b.s, a.s, v):
 			return 1
 		default:
 			return 0
 		}
 	})
-	var out []*slot
-	for _, s := range order {
-		for range min(p.roomFor(u, s, v), n-len(out)) {
-			out = append(out, s)
+	out := make([]*slot, 0, n)
+	for _, c := range order {
+		for range min(c.room, n-len(out)) {
+			out = append(out, c.s)
 		}
 	}
-	if len(out) < n {
-		return nil
-	}
 	return out
 }
 
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -36,6 +36,8 @@
 	tier  tier
 	// latest is when the unit has to start to meet its objective.
 	latest time.Time
+	// lasts is the expected duration of a task.
+	lasts time.Duration
 	// tickets holds the workers that the placement advisor allows.
 	tickets map[ident.Upstream]string
 }
@@ -48,7 +50,7 @@
 	// reserved keeps room for units that wait.
 	reserved []reservation
 	// endings caches when the runs here probably end.
-	endings []time.Duration
+	endings []ending
 }
 
 // plan is the state of one planning pass.
@@ -62,9 +64,22 @@
 	headroom int
 }
 
+// planEvery is the longest time between two plans. Whatever depends on time
+// alone, such as due times and patience, waits for this long at most.
+const planEvery = 200 * time.Millisecond
+
 // Plan decides which waiting tasks start where and which runs make room. The
-// starts become orders once their records are durable.
+// starts become orders once their records are durable. Without a change since
+// the last plan it does nothing for a while, as progress alone frees no room.
 func (e *Engine) Plan(now time.Time) {
+	if !e.changed && now.Sub(e.plannedAt) < planEvery {
+		return
+	}
+	e.changed, e.plannedAt = false, now
+	e.room = Resources{}
+	for _, w := range e.workers {
+		e.room = e.room.plus(w.info.Capacity)
+	}
 	p := &plan{e: e, now: now, tiers: e.tiers(now)}
 	for _, w := range e.workers {
 		if w.usable(now) && w.trusted(now) {
@@ -194,7 +209,8 @@
 	tail := make([]time.Duration, n)
 	longest := time.Duration(0)
 	for s := n - 1; s >= 0; s-- {
-		tail[s] += e.expected(j, &j.spec.Steps[s])
+		step := &j.spec.Steps[s]
+		tail[s] += e.expected(j, step) * time.Duration(e.waves(step))
 		for _, before := range j.spec.Steps[s].After {
 			if before < s {
 				tail[before] = max(tail[before], tail[s])
@@ -208,6 +224,26 @@
 	return tail[step]
 }
 
+// waveShare is the share of all room that a step may fill at once by its
+// objective; a wider step is expected to run in waves.
+const waveShare = 0.25
+
+// waves returns in how many waves the objective lets the tasks of a step run.
+func (e *Engine) waves(step *Step) int {
+	if step.Gang || step.Tasks < 2 || e.room == (Resources{}) {
+		return 1
+	}
+	share := 0.0
+	for _, d := range [][2]int{
+		{step.demand().MilliCores, e.room.MilliCores},
+		{step.demand().MemoryMB, e.room.MemoryMB},
+		{step.demand().Accelerators, e.room.Accelerators},
+	} {
+		share = max(share, float64(step.Tasks*d[0])/float64(max(d[1], 1)))
+	}
+	return max(1, int(math.Ceil(share/waveShare)))
+}
+
 // units returns the waiting work in the order in which it is placed.
 func (p *plan) units() []*unit {
 	var units []*unit
@@ -222,8 +258,7 @@
 	slices.SortFunc(units, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
-			p.compareLate(a, b),
-			a.latest.Compare(b.latest),
+			p.compareUrgency(a, b),
 			byAcceptance(a.job, b.job),
 			cmp.Compare(a.tasks[0].slot, b.tasks[0].slot),
 		)
@@ -231,16 +266,23 @@
 	return units
 }
 
-// compareLate puts units that can still meet their objective first: what is
-// late earns little more by starting earlier.
-func (p *plan) compareLate(a, b *unit) int {
-	if late := p.now.After(a.latest); late != p.now.After(b.latest) {
-		if late {
-			return 1
-		}
+// compareUrgency orders units of one tier by when they have to start, those
+// that can still be on time first: what is late earns little more by starting
+// earlier. Bulk work keeps the order of its acceptance, because its widest
+// steps are never on time while narrower ones arrive.
+func (p *plan) compareUrgency(a, b *unit) int {
+	if a.tier >= tierBulk {
+		return 0
+	}
+	late, otherLate := p.now.After(a.latest), p.now.After(b.latest)
+	switch {
+	case late == otherLate:
+		return a.latest.Compare(b.latest)
+	case late:
+		return 1
+	default:
 		return -1
 	}
-	return 0
 }
 
 // unitsOf returns the waiting units of one occurrence whose turn has come.
@@ -260,7 +302,7 @@
 		if !slices.ContainsFunc(step.After, func(before int) bool { return before >= len(done) || !done[before] }) {
 			latest := due.Add(p.e.objective(j) - p.e.chain(j, s, false))
 			if u := waiting(j, step, j.tasks[base:base+step.Tasks]); u != nil {
-				u.tier, u.latest = t, latest
+				u.tier, u.latest, u.lasts = t, latest, p.e.expected(j, step)
 				out = append(out, u)
 			}
 		}
@@ -386,12 +428,8 @@
 func (p *plan) take(u *unit, s *slot) {
 	r := u.step.demand()
 	s.now, s.soon = s.now.minus(r), s.soon.minus(r)
-	if len(s.reserved) == 0 {
-		return
-	}
-	lasts := p.e.expected(u.job, u.step)
 	for i := range s.reserved {
-		if lasts > s.reserved[i].in {
+		if u.lasts > s.reserved[i].in {
 			s.reserved[i].spare = s.reserved[i].spare.minus(r)
 		}
 	}
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -362,3 +362,23 @@
 		So(d.expect(8000), ShouldBeBetween, 2000, 4000)
 	})
 }
+
+// Guards against plans at each report, which cost the owner's processor time
+// and find nothing new, and against plans that never look at the clock again.
+func TestProgressAloneNeedsNoPlan(t *testing.T) {
+	Convey("Without news the next plan comes after its period", t, func() {
+		b := newTestbed()
+		b.worker("w1", "r1")
+		b.submit(testJob("j1", 1, tasksOf(1, 1)))
+		b.decide()
+		b.confirm()
+		b.report("w1", []RunningTask{runningRow(b.starts[0], 5)}, nil)
+		planned := b.e.plannedAt
+		b.pass(planEvery / 2)
+		b.decide()
+		So(b.e.plannedAt, ShouldEqual, planned)
+		b.pass(planEvery)
+		b.decide()
+		So(b.e.plannedAt, ShouldEqual, b.now)
+	})
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -10,6 +10,7 @@
 func (e *Engine) Attached(id ident.Worker, open bool) {
 	w := e.workerOf(id)
 	w.attached = open
+	e.changed = true
 	if !open {
 		w.fenced = false
 	}
@@ -25,6 +26,7 @@
 		e.newLife(w, info.Life, now)
 	}
 	w.info = info
+	e.changed = true
 }
 
 // newLife ends all runs of the earlier life. A start without an answer could
@@ -69,6 +71,7 @@
 	if w == nil || w.info.Life != r.Life || r.ClockMs < w.clockMs {
 		return
 	}
+	e.changed = e.changed || !w.fenced
 	w.fenced = true
 	w.reportedAt, w.clockMs = now, r.ClockMs
 	e.noteEnds(w, r.Ended, now)
@@ -251,6 +254,7 @@
 }
 
 func (e *Engine) detach(t *task) {
+	e.changed = true
 	if w := e.workers[t.Worker]; w != nil {
 		delete(w.active, t.id)
 	}
--- a/sched/boundary/boundary.go
+++ b/sched/boundary/boundary.go
@@ -94,6 +94,7 @@
 	// Stop orders the end of a run. A run that has not arrived yet is rejected
 	// from then on.
 	Stop(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) OrderResult
-	// Hold extends the lease and returns the worker's lists.
+	// Hold extends the lease and returns the worker's lists. Kind Unreachable
+	// means that no process listens at the address.
 	Hold(ctx context.Context, address string, r HoldRequest) (batch.Report, error)
 }
