Ask the store's feed again sooner where a delay costs

A feed that is open while the store drops its history reports nothing until its wait of 2 s is over.

Change: the owner's feed waits 0.4 s at most, that of the configuration 1 s.

--- a/control/feed/configuration.go
+++ b/control/feed/configuration.go
@@ -43,9 +43,11 @@
 }
 
 const (
-	// feedWait is how long the store may hold the feed without a change; a
-	// silent connection delays a configuration by at most one second more.
-	feedWait = 2 * time.Second
+	// feedWait is how long the store may hold the feed without a change. A feed
+	// that was open while the store dropped its history reports nothing until
+	// then, and a configuration must be in force within 2.5 s; a silent
+	// connection delays it by at most one second more.
+	feedWait = time.Second
 	// retryEvery is the time between two attempts to reach the store.
 	retryEvery = 250 * time.Millisecond
 	// peerEvery is the time between two questions to other entries while the
--- a/control/ledger/follow.go
+++ b/control/ledger/follow.go
@@ -8,9 +8,15 @@
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
-// feedWait is how long the store may hold a feed without a change. A silent
-// connection is noticed one second after it.
-const feedWait = 2 * time.Second
+const (
+	// feedWait is how long the store may hold a feed without a change. A silent
+	// connection is noticed one second after it.
+	feedWait = 2 * time.Second
+	// watchedWait is the same for the owner of the scheduler. A feed that was
+	// open while the store dropped its history reports nothing until its wait
+	// is over, and urgent jobs must begin within 2.7 s.
+	watchedWait = 400 * time.Millisecond
+)
 
 // followRetry is the time between two attempts to reach the store: short, as
 // an outage delays every decision, and rare enough for the store's rate.
@@ -40,7 +46,7 @@
 	if !f.complete {
 		return f.readAll(ctx)
 	}
-	page, err := f.store.Follow(ctx, f.at, feedWait)
+	page, err := f.store.Follow(ctx, f.at, f.wait())
 	if errkind.Is(err, errkind.HistoryLost) {
 		f.complete = false
 		return nil
@@ -54,6 +60,13 @@
 	return nil
 }
 
+func (f *follower) wait() time.Duration {
+	if f.replica.watched() {
+		return watchedWait
+	}
+	return feedWait
+}
+
 // readAll reads every page. Rows that change meanwhile follow from the feed,
 // which continues from the first page.
 func (f *follower) readAll(ctx context.Context) error {
--- a/control/ledger/replica.go
+++ b/control/ledger/replica.go
@@ -292,6 +292,13 @@
 	return s
 }
 
+// watched reports whether somebody decides by this replica.
+func (r *Replica) watched() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watch != nil
+}
+
 // Unwatch ends the reports.
 func (r *Replica) Unwatch() {
 	r.mu.Lock()
