--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -64,7 +64,7 @@
 		r.opts.Count("announcement_stale")
 		return
 	}
-	changed := !sameLife || a.Info.Draining != r.known.Info.Draining
+	changed := !sameLife || a.Info.Draining != r.known.Info.Draining || r.known.Info.Ended
 	r.known, r.sequence = a, a.Sequence
 	if !changed {
 		return
@@ -93,6 +93,23 @@
 	}
 }
 
+// ended notes that the upstream process of a life has ended. An announcement
+// of it that comes later takes that back.
+func (r *Runner) ended(life batch.Life) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known.Life != life || r.known.Info.Ended {
+		return
+	}
+	r.opts.Count("upstream_ended")
+	r.opts.Logger.Warn().Str("upstream", string(life.Upstream)).Int64("born_ms", life.BornMs).
+		Int("refusals", refusalsBeforeEnd).Msg("upstream ended; its address refuses connections")
+	r.known.Info.Ended = true
+	if r.session != nil {
+		r.session.sendWorker(r.known.Info)
+	}
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -287,6 +304,8 @@
 	switch {
 	case known.Life != o.Life:
 		result.OrderResult = boundary.OrderResult{Kind: batch.AnswerRejected, Reason: "another life"}
+	case known.Info.Ended:
+		result.OrderResult = boundary.OrderResult{Kind: batch.AnswerRejected, Reason: "the upstream process has ended"}
 	case o.Kind == batch.OrderStop:
 		result = s.persist(ctx, func(ctx context.Context) boundary.OrderResult {
 			return s.runner.opts.Tasks.Stop(ctx, known.Address, s.epoch, o)
@@ -378,6 +397,10 @@
 	holdMargin = 400 * time.Millisecond
 	// holdRetry is the time between two attempts to reach the process.
 	holdRetry = 100 * time.Millisecond
+	// refusalsBeforeEnd is how many refused connections in a row, holdRetry
+	// apart, prove that the process has ended: it listens as long as it lives,
+	// and the connection does not leave the machine.
+	refusalsBeforeEnd = 3
 	// noteWait bounds the wait for the owner to note ends.
 	noteWait = time.Second
 )
@@ -386,10 +409,10 @@
 // does not wait for an end, because a new owner starts nothing before it; nor
 // does one after a lost answer, which may have listed an end.
 func (s *session) holdLoop(ctx context.Context) {
-	wait := time.Duration(0)
+	wait, refused := time.Duration(0), 0
 	for ctx.Err() == nil {
 		known := s.runner.current()
-		if known.Life == (batch.Life{}) {
+		if known.Life == (batch.Life{}) || known.Info.Ended {
 			s.sleep(ctx, holdWait)
 			continue
 		}
@@ -401,9 +424,10 @@
 		cancel()
 		if err != nil {
 			wait = 0
-			s.holdFailed(ctx, err)
+			refused = s.holdFailed(ctx, err, refused, known.Life)
 			continue
 		}
+		refused = 0
 		wait = holdWait
 		s.send(rpc.ReportMessage(report))
 		s.awaitNote(ctx, report)
@@ -419,13 +443,26 @@
 	return s.hold
 }
 
-func (s *session) holdFailed(ctx context.Context, err error) {
+// holdFailed waits before the next attempt and returns how many connections
+// were refused in a row.
+func (s *session) holdFailed(ctx context.Context, err error, refused int, life batch.Life) int {
 	if ctx.Err() != nil {
-		return
+		return refused
 	}
 	s.runner.opts.Count("hold_failed")
 	s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("worker did not report")
-	s.sleep(ctx, holdRetry)
+	if !errkind.Is(err, errkind.Unreachable) {
+		refused = 0
+	} else if refused++; refused >= refusalsBeforeEnd {
+		s.runner.ended(life)
+		return 0
+	}
+	// A kick must not shorten the pause, or the refusals would prove less.
+	select {
+	case <-ctx.Done():
+	case <-time.After(holdRetry):
+	}
+	return refused
 }
 
 // awaitNote waits until the owner has noted the ends of a report, because the
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -152,3 +152,56 @@
 		})
 	}
 }
+
+// deadTasks refuses every connection after the first reports.
+type deadTasks struct {
+	boundary.Tasks
+	reports, refusals int
+	other             error
+}
+
+func (d *deadTasks) Hold(_ context.Context, _ string, r boundary.HoldRequest) (batch.Report, error) {
+	if d.reports > 0 {
+		d.reports--
+		return batch.Report{Life: r.Life}, nil
+	}
+	d.refusals++
+	if d.refusals == 2 && d.other != nil {
+		return batch.Report{}, d.other
+	}
+	return batch.Report{}, errkind.New(errkind.Unreachable, "connection refused")
+}
+
+// Guards against a process that is taken for ended because one connection
+// failed, and against one whose end nobody notices.
+func TestRefusedConnectionsProveTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		other error
+		after time.Duration
+	}{
+		{nil, 2 * holdRetry},
+		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * holdRetry},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("Only refusals in a row count", t, func() {
+				r := newRunner(&rowWriter{}, func(string) {})
+				r.opts.Tasks = &deadTasks{reports: 1, other: c.other}
+				r.Announce(announcement(5, 1, false))
+				s := &session{runner: r, cancel: func() {}, out: make(chan *rpc.FromRunner, 10), kick: make(chan struct{}, 1)}
+				r.session = s
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				begun := time.Now()
+				go func() { s.holdLoop(ctx); close(done) }()
+				<-s.out
+				told := <-s.out
+				So(string(told.GetWorker().GetInfo()), ShouldContainSubstring, `"en":true`)
+				So(time.Since(begun), ShouldEqual, c.after)
+				r.Announce(announcement(5, 2, false))
+				So(r.current().Info.Ended, ShouldBeFalse)
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/sched/batch/engine_test.go
+++ b/sched/batch/engine_test.go
@@ -409,3 +409,30 @@
 		So(b.e.workers["w1"].trusted(b.now), ShouldBeFalse)
 	})
 }
+
+// Guards against work that waits for the longest lease although the process
+// that ran it is known to have ended.
+func TestWorkMovesWhenTheProcessHasEnded(t *testing.T) {
+	Convey("The runs of an ended process start elsewhere at once", t, func() {
+		b := newTestbed()
+		b.worker("w1", "r1")
+		b.submit(testJob("j1", 1, tasksOf(1, 8)))
+		So(b.decide(), ShouldHaveLength, 1)
+		b.confirm()
+		b.worker("w2", "r1")
+		info := b.e.workers["w1"].info
+		info.Ended = true
+		b.e.Announced(info, b.now)
+		starts := b.decide()
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Worker, ShouldEqual, ident.Worker("w2"))
+		So(starts[0].Run.Number, ShouldEqual, 2)
+		Convey("and the process gets no work until it announces itself again", func() {
+			b.submit(testJob("j2", 1, tasksOf(1, 8)))
+			So(b.decide(), ShouldBeEmpty)
+			info.Ended = false
+			b.e.Announced(info, b.now)
+			So(b.decide(), ShouldHaveLength, 1)
+		})
+	})
+}
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -81,7 +81,7 @@
 }
 
 func (w *modelWorker) info() WorkerInfo {
-	return WorkerInfo{ID: w.id, Service: "svc", Life: w.life, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
+	return WorkerInfo{ID: w.id, Service: "svc", Life: w.life, Ended: !w.up, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
 }
 
 // takeover replaces the owner: the new one knows only what the store holds.
@@ -389,6 +389,18 @@
 	}
 }
 
+// crash ends the process of a worker. The agent beside it finds out, unless it
+// is not reached; orders under way are lost with the process.
+func (m *model) crash(w *modelWorker) {
+	m.t.Logf("%s crashes", w.id)
+	w.up = false
+	clear(w.running)
+	m.late = slices.DeleteFunc(m.late, func(l lateOrder) bool { return l.order.Worker == w.id })
+	if w.attached {
+		m.e.Announced(w.info(), m.now)
+	}
+}
+
 // Guards against work that runs twice, after its success or its cancellation,
 // or beyond the room of a worker, under takeovers, lost and late orders, lost
 // streams and restarted workers.
@@ -403,7 +415,11 @@
 			case 5:
 				m.cancel()
 			case 6:
-				m.restart(w)
+				if rapid.Bool().Draw(t, "crash first") {
+					m.crash(w)
+				} else {
+					m.restart(w)
+				}
 			case 7:
 				m.takeover()
 			case 8:
@@ -428,6 +444,9 @@
 func (m *model) settle() {
 	for range 12 {
 		for _, w := range m.workers {
+			if !w.up {
+				m.restart(w)
+			}
 			if !w.attached {
 				m.reach(w)
 			}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -408,16 +408,25 @@
 	return t.Phase == TaskActive && !t.stop.wanted && t.confirmed && t.percent >= 100 && now.Sub(t.startedAt) >= settleTime
 }
 
-// restartCost is what any stop costs in core-seconds beside lost work.
-const restartCost = 4
+const (
+	// restartCost is what any stop costs in core-seconds beside lost work.
+	restartCost = 4
+	// urgentStake is how many of its durations the stop of an urgent run costs
+	// beside lost work: it will hardly be on time any more, and the operators
+	// value its core-seconds about four times as high as lost ones.
+	urgentStake = 3
+)
 
-// cost is the work in core-seconds that stopping the run loses.
+// cost is what the stop of a run loses, in core-seconds.
 func (p *plan) cost(t *task) float64 {
 	lost := p.now.Sub(t.startedAt)
 	if t.step().Checkpoints {
 		// Its progress is saved at the stop; only the time to resume is lost.
 		lost = min(lost, p.e.timing.Restore)
 	}
+	if p.tiers[t.job] <= tierUrgent {
+		lost += urgentStake * p.e.expected(t.job, t.step())
+	}
 	members := 1
 	if t.step().Gang {
 		members = t.step().Tasks
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -382,3 +382,27 @@
 		So(b.e.plannedAt, ShouldEqual, b.now)
 	})
 }
+
+// Guards against urgent work that is stopped because it has only just begun,
+// and then is late, although less urgent work could make room.
+func TestUrgentWorkIsStoppedLast(t *testing.T) {
+	Convey("A guarantee is reclaimed from normal work that has run for a while", t, func() {
+		b := newTestbed()
+		b.e.Configure(map[ident.Workspace]WorkspacePlan{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
+		b.worker("w1", "r1")
+		b.submit(testJob("normal", 1, tasksOf(1, 4)))
+		b.decide()
+		b.confirm()
+		b.pass(3 * time.Second)
+		b.submit(testJob("urgent", 0, tasksOf(1, 4)))
+		b.decide()
+		b.confirm()
+		b.report("w1", []RunningTask{{Run: Run{Task: TaskID{Job: "normal"}, Number: 1}, Percent: 50}, {Run: Run{Task: TaskID{Job: "urgent"}, Number: 1}}}, nil)
+		guaranteed := testJob("guaranteed", 0, tasksOf(1, 4))
+		guaranteed.Workspace = "owner"
+		b.submit(guaranteed)
+		b.decide()
+		So(b.stops, ShouldHaveLength, 1)
+		So(b.stops[0].Run.Task.Job, ShouldEqual, ident.Job("normal"))
+	})
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -27,6 +27,9 @@
 	}
 	w.info = info
 	e.changed = true
+	if info.Ended {
+		e.endedLife(w, now)
+	}
 }
 
 // newLife ends all runs of the earlier life. A start without an answer could
@@ -34,7 +37,7 @@
 func (e *Engine) newLife(w *worker, life Life, now time.Time) {
 	old := w.info.Life
 	w.info.Life = life
-	w.fenced, w.leaving = false, false
+	w.fenced = false
 	w.noted, w.acked, w.clockMs = 0, 0, 0
 	clear(w.orphans)
 	for _, t := range w.active {
@@ -52,15 +55,10 @@
 	}
 }
 
-// Left notes that a life has said goodbye: whatever it ran has ended.
-func (e *Engine) Left(id ident.Worker, life Life, now time.Time) {
-	w := e.workers[id]
-	if w == nil || w.info.Life != life {
-		return
-	}
-	w.leaving = true
+// endedLife ends all runs of a worker whose upstream process has ended.
+func (e *Engine) endedLife(w *worker, now time.Time) {
 	for _, t := range w.active {
-		e.noteRun("run ended as its worker left", t, now)
+		e.noteRun("run ended with its worker's process", t, now)
 		e.runOver(t, now)
 	}
 }
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -22,6 +22,9 @@
 	Rack ident.Rack `json:"rk,omitempty"`
 	// Draining says that the upstream process is about to leave.
 	Draining bool `json:"dr,omitempty"`
+	// Ended says that the upstream process of this life has ended, and with it
+	// all that it ran.
+	Ended bool `json:"en,omitempty"`
 }
 
 // RunningTask is a row of a worker's report about a run under way.
@@ -92,8 +95,6 @@
 	noFillsUntil time.Time
 	// strikes counts faults since the last success.
 	strikes int
-	// leaving says that the upstream process has said goodbye.
-	leaving bool
 }
 
 func newWorker(info WorkerInfo) *worker {
@@ -119,7 +120,7 @@
 
 // usable reports whether new work may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.attached && w.fenced && !w.info.Draining && !w.leaving &&
+	return w.attached && w.fenced && !w.info.Draining && !w.info.Ended &&
 		now.Sub(w.reportedAt) < reportTimeout
 }
 
