--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_GO := v1.36.12
 PROTOC_GEN_GO_GRPC := v1.6.2
 
-.PHONY: boundary demo test race vet fmt lint generate build bench soak capacity ci
+.PHONY: boundary demo test race vet fmt lint generate build bench soak soak-requests replay capacity ci
 
 build:
 	go build $(addsuffix /...,$(addprefix ./,$(MODULES)))
@@ -35,14 +35,26 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
-# Long runs under seeded faults: thousands of cases of the model test of
-# partition owners, then 200,000 requests while every part of the request path
-# fails in turn. SEED chooses other cases.
+# Runs the real programs as separate processes under random faults. SEED chooses
+# the faults, MINUTES how long they last; LOGS keeps what the processes wrote.
 SEED ?= 1000
+MINUTES ?= 2
+LOGS ?= $(CURDIR)/target/soak
 soak:
+	mkdir -p $(LOGS)
+	go test ./platform/soak -run TestSoak -count 1 -v -timeout 60m -soak.seed $(SEED) -soak.time $(MINUTES)m -soak.keep $(LOGS)
+
+# Thousands of cases of the model of partition owners, and 200,000 requests
+# while every part of the request path fails in turn.
+soak-requests:
 	go test -run TestOwnersUnderFaults -rapid.seed=$(SEED) -rapid.checks=3000 -timeout 60m ./control/recovery
 	go test ./control/internal/rig -run TestSoak -count 1 -soak 200000 -timeout 15m -v
 
+# Replays random days of the scheduler's loads and prints what each kind earns.
+DAYS ?= 24
+replay:
+	go test ./sched/batch -run TestReplayedDays -count 1 -v -replay.days $(DAYS)
+
 # Tables of takeover and recovery time, table operations and renewal cost.
 capacity:
 	go test -run '^$$' -bench Capacity -benchtime 3x ./control/recovery | grep Capacity
--- a/control/ledger/write.go
+++ b/control/ledger/write.go
@@ -31,6 +31,9 @@
 	writeAttempts = 4
 	// writeRetry is the time between a refusal and the next attempt.
 	writeRetry = 100 * time.Millisecond
+	// answerMargin is the part of the caller's time that stays for the answer:
+	// a round trip between regions and the work of two processes.
+	answerMargin = 60 * time.Millisecond
 	// hedgeAfter is when another attempt joins one without an answer: the
 	// store's slow answers take half a second.
 	hedgeAfter = 600 * time.Millisecond
@@ -56,7 +59,7 @@
 		if done {
 			return created, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || c.pending == 0 && !roomForAnother(ctx) {
 			break
 		}
 	}
@@ -123,10 +126,19 @@
 	}
 	c.last = err
 	c.open = c.open || !errkind.Is(err, errkind.StoreUnavailable)
-	pause(ctx, writeRetry)
+	if c.pending > 0 || roomForAnother(ctx) {
+		pause(ctx, writeRetry)
+	}
 	return false, false
 }
 
+// roomForAnother reports whether another attempt fits into the caller's time.
+// Otherwise the caller is told at once, while it still listens.
+func roomForAnother(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) > writeRetry+answerMargin
+}
+
 // failure tells a row that was surely not written from one that may be.
 func (c *creation) failure() error {
 	if c.open || c.pending > 0 {
--- a/control/ledger/write_test.go
+++ b/control/ledger/write_test.go
@@ -84,6 +84,23 @@
 	})
 }
 
+// Guards against refusals that come when the caller has stopped to listen.
+func TestRefusalComesBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Without time for another attempt the failure is told at once", t, func() {
+			for _, left := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond, 250 * time.Millisecond} {
+				w := newWriter(&fakeStore{commit: turnedAway}, &fakeStore{commit: turnedAway}, true)
+				ctx, cancel := context.WithTimeout(context.Background(), left)
+				begun := time.Now()
+				_, err := w.Create(ctx, "j/1", []byte("{}"))
+				So(errkind.Of(err), ShouldEqual, errkind.StoreUnavailable)
+				So(time.Since(begun), ShouldBeLessThanOrEqualTo, max(0, left-answerMargin))
+				cancel()
+			}
+		})
+	})
+}
+
 // Guards against attempts that are given up although the store only is slow.
 func TestSlowStoreIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/sched/batch/engine_test.go
+++ b/sched/batch/engine_test.go
@@ -295,6 +295,8 @@
 		b.submit(testJob("j1", 1, tasksOf(2, 1)))
 		orders := b.decide()
 		b.confirm()
+		// A failure right after the start would speak against the worker.
+		b.pass(3 * time.Second)
 		b.report("w1", []RunningTask{runningRow(orders[1], 1)}, ends(1, orders[0], EndFailed))
 		again := b.decide()
 		So(again, ShouldHaveLength, 1)
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -9,24 +9,6 @@
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// tier orders the units of a plan. A unit may take capacity from work of a
-// higher tier.
-type tier uint8
-
-// The tiers.
-const (
-	// tierGuaranteed is work of priority 0 inside its workspace's guarantee.
-	tierGuaranteed tier = iota
-	// tierUrgent is other work of priority 0.
-	tierUrgent
-	// tierNormal is work of priority 1.
-	tierNormal
-	// tierBulk is all other work.
-	tierBulk
-	// tierLate is work that is too late to be worth anything.
-	tierLate
-)
-
 // unit is a set of waiting tasks that is placed as a whole: a gang, or the
 // tasks of a step, which may also be placed one by one.
 type unit struct {
@@ -38,6 +20,8 @@
 	latest time.Time
 	// lasts is the expected duration of a task.
 	lasts time.Duration
+	// lastAttempt says that one more failure of a task fails the job.
+	lastAttempt bool
 	// tickets holds the workers that the placement advisor allows.
 	tickets map[ident.Upstream]string
 }
@@ -47,6 +31,8 @@
 	w *worker
 	// now is free; soon also counts the runs that are being stopped.
 	now, soon Resources
+	// probation says that the worker may take a single run that can fail.
+	probation, probed bool
 	// reserved keeps room for units that wait.
 	reserved []reservation
 	// endings caches when the runs here probably end.
@@ -60,6 +46,8 @@
 	slots        []*slot
 	tiers        map[*job]tier
 	reservations int
+	// sound counts the workers without a recent fault.
+	sound int
 	// headroom is the accelerators that stay free for urgent work.
 	headroom int
 }
@@ -84,7 +72,12 @@
 	for _, w := range e.workers {
 		if w.usable(now) && w.trusted(now) {
 			free, soon := w.free()
-			p.slots = append(p.slots, &slot{w: w, now: free, soon: soon})
+			s := &slot{w: w, now: free, soon: soon}
+			s.probation, s.probed = w.onProbation(now)
+			if w.strikes == 0 {
+				p.sound++
+			}
+			p.slots = append(p.slots, s)
 		}
 	}
 	slices.SortFunc(p.slots, func(a, b *slot) int { return cmp.Compare(a.w.info.ID, b.w.info.ID) })
@@ -124,126 +117,6 @@
 	return freeAccelerators(p.slots, viewNow)-n*u.step.PerTask.Accelerators >= p.headroom
 }
 
-// tiers sorts the jobs into tiers. The guarantee of a workspace covers its
-// jobs of priority 0 in the order of their acceptance.
-func (e *Engine) tiers(now time.Time) map[*job]tier {
-	tiers := make(map[*job]tier, len(e.jobs))
-	var urgent []*job
-	for _, j := range e.jobs {
-		if j.record.State.Final() {
-			continue
-		}
-		tiers[j] = e.tierOf(j, now)
-		if j.spec.Priority == 0 {
-			urgent = append(urgent, j)
-		}
-	}
-	slices.SortFunc(urgent, byAcceptance)
-	left := make(map[ident.Workspace]int)
-	for ws, plan := range e.plans {
-		left[ws] = plan.Accelerators
-	}
-	for _, j := range urgent {
-		need := j.accelerators()
-		if need <= left[j.spec.Workspace] {
-			left[j.spec.Workspace] -= need
-			tiers[j] = tierGuaranteed
-		}
-	}
-	return tiers
-}
-
-func byAcceptance(a, b *job) int {
-	return cmp.Or(cmp.Compare(a.spec.AcceptedMs, b.spec.AcceptedMs), cmp.Compare(a.spec.ID, b.spec.ID))
-}
-
-func (e *Engine) tierOf(j *job, now time.Time) tier {
-	switch {
-	case e.hopeless(j, now):
-		return tierLate
-	case j.spec.Priority == 0:
-		return tierUrgent
-	case j.spec.Priority == 1:
-		return tierNormal
-	default:
-		return tierBulk
-	}
-}
-
-// accelerators is what the job's first steps need at once.
-func (j *job) accelerators() int {
-	n := 0
-	for i := range j.spec.Steps {
-		if s := &j.spec.Steps[i]; len(s.After) == 0 {
-			n += s.Tasks * s.PerTask.Accelerators
-		}
-	}
-	return n
-}
-
-// lateFactor bounds, in objectives, how late a job may be and still count.
-const lateFactor = 3
-
-// hopeless reports whether the job can no longer end in time to count.
-func (e *Engine) hopeless(j *job, now time.Time) bool {
-	if j.spec.Repetitions > 0 || j.longRunning() {
-		return false
-	}
-	return now.Sub(time.UnixMilli(j.spec.AcceptedMs)) > lateFactor*e.objective(j)
-}
-
-func (j *job) longRunning() bool {
-	return slices.ContainsFunc(j.spec.Steps, func(s Step) bool { return s.LongRunning })
-}
-
-// objective is the time in which the job should end.
-func (e *Engine) objective(j *job) time.Duration {
-	slack := max(j.spec.Slack, 1)
-	return time.Duration(slack*float64(e.chain(j, 0, true))) + time.Duration(j.spec.TargetMs)*time.Millisecond
-}
-
-// chain returns the expected duration of the longest chain of steps: of the
-// whole job, or of a step and those that wait for it.
-func (e *Engine) chain(j *job, step int, whole bool) time.Duration {
-	n := len(j.spec.Steps)
-	tail := make([]time.Duration, n)
-	longest := time.Duration(0)
-	for s := n - 1; s >= 0; s-- {
-		step := &j.spec.Steps[s]
-		tail[s] += e.expected(j, step) * time.Duration(e.waves(step))
-		for _, before := range j.spec.Steps[s].After {
-			if before < s {
-				tail[before] = max(tail[before], tail[s])
-			}
-		}
-		longest = max(longest, tail[s])
-	}
-	if whole || step >= n {
-		return longest
-	}
-	return tail[step]
-}
-
-// waveShare is the share of all room that a step may fill at once by its
-// objective; a wider step is expected to run in waves.
-const waveShare = 0.25
-
-// waves returns in how many waves the objective lets the tasks of a step run.
-func (e *Engine) waves(step *Step) int {
-	if step.Gang || step.Tasks < 2 || e.room == (Resources{}) {
-		return 1
-	}
-	share := 0.0
-	for _, d := range [][2]int{
-		{step.demand().MilliCores, e.room.MilliCores},
-		{step.demand().MemoryMB, e.room.MemoryMB},
-		{step.demand().Accelerators, e.room.Accelerators},
-	} {
-		share = max(share, float64(step.Tasks*d[0])/float64(max(d[1], 1)))
-	}
-	return max(1, int(math.Ceil(share/waveShare)))
-}
-
 // units returns the waiting work in the order in which it is placed.
 func (p *plan) units() []*unit {
 	var units []*unit
@@ -266,25 +139,6 @@
 	return units
 }
 
-// compareUrgency orders units of one tier by when they have to start, those
-// that can still be on time first: what is late earns little more by starting
-// earlier. Bulk work keeps the order of its acceptance, because its widest
-// steps are never on time while narrower ones arrive.
-func (p *plan) compareUrgency(a, b *unit) int {
-	if a.tier >= tierBulk {
-		return 0
-	}
-	late, otherLate := p.now.After(a.latest), p.now.After(b.latest)
-	switch {
-	case late == otherLate:
-		return a.latest.Compare(b.latest)
-	case late:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // unitsOf returns the waiting units of one occurrence whose turn has come.
 func (p *plan) unitsOf(j *job, occurrence int, t tier) []*unit {
 	due := time.UnixMilli(j.spec.AcceptedMs)
@@ -330,6 +184,7 @@
 	for i := range tasks {
 		if tasks[i].Phase == TaskWaiting {
 			u.tasks = append(u.tasks, &tasks[i])
+			u.lastAttempt = u.lastAttempt || tasks[i].Failures > 0 && tasks[i].Failures+1 >= j.spec.Attempts
 		}
 	}
 	if len(u.tasks) == 0 || step.Gang && len(u.tasks) < step.Tasks {
@@ -427,6 +282,7 @@
 // take uses room on the slot for one task of the unit.
 func (p *plan) take(u *unit, s *slot) {
 	r := u.step.demand()
+	s.probed = true
 	s.now, s.soon = s.now.minus(r), s.soon.minus(r)
 	for i := range s.reserved {
 		if u.lasts > s.reserved[i].in {
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -24,50 +24,13 @@
 // replayDays is how many random days are replayed for each deployment.
 var replayDays = flag.Int("replay.days", 12, "random days for each replayed deployment")
 
-// replayKind describes the jobs of one queue.
-type replayKind struct {
-	priority    int
-	perSecond   float64
-	worth, late float64
-	width       float64
-	maxWidth    int
-	work        time.Duration
-	workSpread  float64
-	guessSpread float64
-	slack       float64
-	target      time.Duration
-	demand      Resources
-	sizes       []int
-	gang        bool
-	sameRack    float64
-	checkpoints float64
-	failures    float64
-	// initial counts the jobs handed in before the traffic begins.
-	initial int
-}
-
-// replayBurst multiplies the arrivals of a kind for a while.
-type replayBurst struct {
-	kind   int
-	factor float64
-	at     time.Duration
-	lasts  time.Duration
-}
-
-// replaySite is a deployment with its load.
-type replaySite struct {
-	name      string
-	workers   int
-	perRack   int
-	capacity  Resources
-	kinds     []replayKind
-	guarantee float64
-	stopGrace time.Duration
-	save      time.Duration
-	restore   time.Duration
-	maxLease  time.Duration
-	bursts    []replayBurst
-}
+// On each day some workers fail all that they start for a while.
+const (
+	failingShare = 0.08
+	failingFrom  = 8 * time.Second
+	failingUntil = 15 * time.Second
+	failingAfter = 400 * time.Millisecond
+)
 
 const (
 	replayTick   = 50 * time.Millisecond
@@ -101,13 +64,15 @@
 	progress time.Duration
 	since    time.Duration
 	stopAt   time.Duration
-	slow     float64
+	// failAt is when the run will fail, or zero.
+	failAt time.Duration
 }
 
 type replayWorker struct {
 	id      ident.Worker
 	info    WorkerInfo
 	speed   float64
+	failing bool
 	running map[Run]*replayRun
 	ended   []EndedTask
 	number  int64
@@ -142,6 +107,7 @@
 	waste    float64
 	wasteBy  map[string]float64
 	starts   int
+	failed   int
 }
 
 func newReplay(site replaySite, seed uint64) *replay {
@@ -184,7 +150,8 @@
 	rack := fmt.Sprintf("r-%d", i/r.site.perRack)
 	w := &replayWorker{
 		id: id, running: make(map[Run]*replayRun), speed: []float64{0.8, 1, 1.25}[r.rng.IntN(3)],
-		info: WorkerInfo{ID: id, Service: "svc", Life: testLife(1), Rack: ident.Rack(rack), Labels: []string{"a", rack}, Capacity: r.site.capacity},
+		failing: r.rng.Float64() < failingShare,
+		info:    WorkerInfo{ID: id, Service: "svc", Life: testLife(1), Rack: ident.Rack(rack), Labels: []string{"a", rack}, Capacity: r.site.capacity},
 	}
 	r.workers = append(r.workers, w)
 	r.byID[id] = w
@@ -266,7 +233,7 @@
 	r.jobs[ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)))] = j
 	j.spec = &Job{
 		ID: ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)-1)), Workspace: workspaceName(min(int(r.rng.ExpFloat64()*2), replayWorkspaces-1)),
-		Service: "svc", Queue: fmt.Sprint("q", k), Priority: kind.priority, Attempts: 4, Slack: kind.slack,
+		Service: "svc", Queue: fmt.Sprint("q", k), Priority: kind.priority, Attempts: kind.attempts, Slack: kind.slack,
 		TargetMs: kind.target.Milliseconds(), Steps: []Step{step}, AcceptedMs: testStart.Add(at).UnixMilli(),
 	}
 	r.pending = append(r.pending, j)
@@ -311,15 +278,18 @@
 
 func (r *replay) note(notes []Note) {
 	for _, n := range notes {
-		if j := r.jobs[n.Run.Task.Job]; n.Event == "job completed" && j.completed == 0 {
+		switch j := r.jobs[n.Run.Task.Job]; n.Event {
+		case "job completed":
 			j.completed = r.at
+		case "job failed":
+			r.failed++
 		}
 	}
 }
 
 func (r *replay) start(o Order) {
 	w := r.byID[o.Worker]
-	run := &replayRun{run: o.Run, job: r.jobs[o.Run.Task.Job], since: r.at, slow: 1}
+	run := &replayRun{run: o.Run, job: r.jobs[o.Run.Task.Job], since: r.at}
 	if o.Checkpoint != "" {
 		saved, err := time.ParseDuration(o.Checkpoint)
 		if err != nil {
@@ -327,6 +297,13 @@
 		}
 		run.saved, run.progress = saved, saved-time.Duration(float64(r.site.restore)*w.speed)
 	}
+	kind := r.site.kinds[run.job.kind]
+	switch {
+	case w.failing && r.at >= failingFrom && r.at < failingUntil:
+		run.failAt = r.at + failingAfter
+	case r.rng.Float64() < kind.failures:
+		run.failAt = r.at + time.Duration(r.rng.Float64()*float64(run.job.work[o.Run.Task.Index]))
+	}
 	w.running[o.Run] = run
 	r.starts++
 	r.e.Answered(o, AnswerOK, (r.at + time.Minute).Milliseconds(), r.now())
@@ -381,6 +358,8 @@
 		switch {
 		case run.stopAt > 0 && r.at >= run.stopAt:
 			r.end(w, run, EndStopped)
+		case run.failAt > 0 && r.at >= run.failAt:
+			r.end(w, run, EndFailed)
 		case run.progress >= run.job.work[run.run.Task.Index]:
 			r.end(w, run, EndDone)
 		}
@@ -408,125 +387,28 @@
 	w.number++
 	w.ended = append(w.ended, EndedTask{Number: w.number, Run: run.run, How: how, Checkpoint: saved})
 	w.dirty = true
-	if how == EndDone && step.Gang {
-		r.endGang(run)
+	if step.Gang && how != EndStopped {
+		r.endGang(run, how)
 	}
 }
 
-// endGang ends the other members of a gang that is done.
-func (r *replay) endGang(run *replayRun) {
+// endGang ends the other members of a gang that is done or has failed.
+func (r *replay) endGang(run *replayRun, how EndKind) {
+	if how != EndDone {
+		how = EndBroken
+	}
 	for _, w := range r.workers {
 		for _, m := range w.sorted() {
 			if m.run.Task.Job == run.run.Task.Job {
 				delete(w.running, m.run)
 				w.number++
-				w.ended = append(w.ended, EndedTask{Number: w.number, Run: m.run, How: EndDone})
+				w.ended = append(w.ended, EndedTask{Number: w.number, Run: m.run, How: how})
 				w.dirty = true
 			}
 		}
 	}
 }
 
-// replayResult is the worth of a day, split as the operators weigh it.
-type replayResult struct {
-	day     float64
-	kinds   []float64
-	largest []float64
-	waste   float64
-	wasteBy map[string]float64
-}
-
-// worst is the smallest share served of a kind, or of its largest tenth.
-func (s replayResult) worst() float64 {
-	return min(slices.Min(s.kinds), slices.Min(s.largest))
-}
-
-func (s replayResult) score() float64 { return s.day + 0.2*s.worst() - s.waste }
-
-func (r *replay) result() replayResult {
-	res := replayResult{wasteBy: make(map[string]float64)}
-	owed, earned := 0.0, 0.0
-	for k := range r.site.kinds {
-		var jobs []*replayJob
-		mean := 0.0
-		for _, j := range r.jobs {
-			if j.kind == k {
-				jobs = append(jobs, j)
-				mean += j.coreWork
-			}
-		}
-		mean /= float64(max(len(jobs), 1))
-		slices.SortFunc(jobs, func(a, b *replayJob) int { return cmp.Compare(b.coreWork, a.coreWork) })
-		o, g := r.earned(jobs, mean)
-		lo, lg := r.earned(jobs[:(len(jobs)+9)/10], mean)
-		owed, earned = owed+o, earned+g
-		res.kinds = append(res.kinds, g/max(o, 1e-9))
-		res.largest = append(res.largest, lg/max(lo, 1e-9))
-	}
-	res.day = earned / owed
-	res.waste = r.waste * replayWaste / owed
-	for q, w := range r.wasteBy {
-		res.wasteBy[q] = w * replayWaste / owed
-	}
-	return res
-}
-
-// earned returns the worth of the jobs and what was earned of it.
-func (r *replay) earned(jobs []*replayJob, mean float64) (owed, earned float64) {
-	for _, j := range jobs {
-		kind := r.site.kinds[j.kind]
-		size := min(4, 0.3+0.7*j.coreWork/mean)
-		owed += kind.worth * size
-		took := j.completed - j.submitted
-		switch {
-		case j.completed == 0 || took > 3*j.objective:
-		case took > j.objective:
-			earned += kind.late * size
-		default:
-			earned += kind.worth * size
-		}
-	}
-	return owed, earned
-}
-
-// replaySites are loads of the kinds that the project serves: a full one of 64
-// workers whose normal gangs are short of memory, one of 77 workers whose
-// normal tasks need whole machines' cores, and a small one.
-func replaySites() []replaySite {
-	sizes := []int{1, 2, 4, 8, 8}
-	full := replaySite{
-		name: "full-64", workers: 64, perRack: 5, capacity: Resources{32000, 131072, 8}, guarantee: 0.62,
-		stopGrace: 200 * time.Millisecond, save: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 10 * time.Second,
-		kinds: []replayKind{
-			{priority: 0, perSecond: 3.1, worth: 4, late: 0.8, width: 4.7, maxWidth: 11, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.2, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{3700, 11000, 0}, sizes: sizes, gang: true, sameRack: 0.8},
-			{priority: 1, perSecond: 1.35, worth: 3, late: 0.9, width: 6.6, maxWidth: 10, work: 6800 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{13000, 68000, 0}, sizes: sizes, gang: true, sameRack: 0.6, checkpoints: 0.45, initial: 7},
-			{priority: 2, perSecond: 0.9, worth: 1, late: 0.3, width: 30, maxWidth: 180, work: 6100 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 3 * time.Second, demand: Resources{2800, 11000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 5},
-		},
-		bursts: []replayBurst{{0, 2.2, 2 * time.Second, 6 * time.Second}, {2, 2, 4 * time.Second, 6 * time.Second}},
-	}
-	cores := replaySite{
-		name: "cores-77", workers: 77, perRack: 6, capacity: Resources{64000, 262144, 8}, guarantee: 0.62,
-		stopGrace: 900 * time.Millisecond, save: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 6 * time.Second,
-		kinds: []replayKind{
-			{priority: 0, perSecond: 2.5, worth: 4, late: 0.8, width: 4.7, maxWidth: 12, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.5, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{7500, 39000, 0}, sizes: sizes, gang: true, sameRack: 0.8},
-			{priority: 1, perSecond: 1.0, worth: 3, late: 0.9, width: 7.5, maxWidth: 15, work: 8500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{26000, 110000, 0}, sizes: sizes, gang: true, sameRack: 0.6, checkpoints: 0.45, initial: 6},
-			{priority: 2, perSecond: 0.5, worth: 1, late: 0.3, width: 39, maxWidth: 200, work: 9500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.9, slack: 3, target: 3 * time.Second, demand: Resources{5600, 29000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 4},
-		},
-		bursts: []replayBurst{{0, 2, 3 * time.Second, 5 * time.Second}, {2, 2, 10 * time.Second, 4 * time.Second}},
-	}
-	small := replaySite{
-		name: "small-11", workers: 11, perRack: 3, capacity: Resources{32000, 131072, 8}, guarantee: 0.55,
-		stopGrace: 900 * time.Millisecond, save: time.Second, restore: 250 * time.Millisecond, maxLease: 6 * time.Second,
-		kinds: []replayKind{
-			{priority: 0, perSecond: 0.6, worth: 4, late: 0.8, width: 3, maxWidth: 9, work: 2500 * time.Millisecond, workSpread: 0.5, guessSpread: 0.2, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{3700, 11000, 0}, sizes: sizes},
-			{priority: 1, perSecond: 0.6, worth: 3, late: 0.9, width: 2, maxWidth: 6, work: 8500 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{13000, 50000, 0}, sizes: sizes, checkpoints: 0.45, initial: 2},
-			{priority: 2, perSecond: 0.25, worth: 1, late: 0.3, width: 9, maxWidth: 50, work: 7600 * time.Millisecond, workSpread: 0.3, guessSpread: 0.5, slack: 3, target: 3 * time.Second, demand: Resources{2800, 11000, 0}, sizes: []int{1}, checkpoints: 0.45, initial: 2},
-		},
-		bursts: []replayBurst{{0, 2, 5 * time.Second, 4 * time.Second}},
-	}
-	return []replaySite{full, cores, small}
-}
-
 // replayMean plays a site's random days and returns the mean of each figure.
 func replayMean(site replaySite, days int) replayResult {
 	seeds := make([]uint64, days)
@@ -543,6 +425,7 @@
 	for _, res := range results {
 		mean.day += res.day / n
 		mean.waste += res.waste / n
+		mean.failed += res.failed / n
 		for k := range res.kinds {
 			mean.kinds[k] += res.kinds[k] / n
 			mean.largest[k] += res.largest[k] / n
@@ -560,7 +443,7 @@
 func TestReplayedDays(t *testing.T) {
 	for _, site := range replaySites() {
 		m := replayMean(site, *replayDays)
-		t.Logf("%-9s score %.3f day %.3f kinds %.3f largest %.3f waste %.3f %v", site.name, m.score(), m.day, m.kinds, m.largest, m.waste, m.wasteShares())
+		t.Logf("%-9s score %.3f day %.3f kinds %.3f largest %.3f waste %.3f %v failed %.2f", site.name, m.score(), m.day, m.kinds, m.largest, m.waste, m.wasteShares(), m.failed)
 		for k := range site.kinds {
 			if m.kinds[k] < 0.25 {
 				t.Errorf("%s: kind %d earned %.2f of its worth", site.name, k, m.kinds[k])
@@ -571,11 +454,3 @@
 		}
 	}
 }
-
-func (s replayResult) wasteShares() string {
-	out := ""
-	for _, q := range slices.Sorted(maps.Keys(s.wasteBy)) {
-		out += fmt.Sprintf("%s %.3f ", q, s.wasteBy[q])
-	}
-	return out
-}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -164,11 +164,11 @@
 	e.noteRunEnd(t, end)
 	switch end.How {
 	case EndDone:
-		w.succeeded()
+		w.succeeded(t.startedAt)
 		e.learn(t, now)
 		e.done(t, now)
 	case EndFailed:
-		w.strike(now, 1)
+		w.strike(now, e.blame(t, now))
 		e.failed(t, now)
 	default:
 		e.runOver(t, now)
@@ -215,6 +215,15 @@
 	return out
 }
 
+// blame returns how much a failed run speaks against its worker.
+func (e *Engine) blame(t *task, now time.Time) int {
+	early := time.Duration(earlyFailure * float64(e.expected(t.job, t.step())))
+	if !t.step().LongRunning && now.Sub(t.startedAt) < early {
+		return strikesBeforeSuspicion
+	}
+	return 1
+}
+
 func (e *Engine) failed(t *task, now time.Time) {
 	j := t.job
 	run, first := t.Run, t.slot-t.id.Index
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -93,8 +93,11 @@
 	suspectUntil time.Time
 	// noFillsUntil keeps filling tasks away from serving ones here.
 	noFillsUntil time.Time
-	// strikes counts faults since the last success.
-	strikes int
+	// strikes counts faults since the last success, the newest at struckAt.
+	strikes  int
+	struckAt time.Time
+	// certain says that one of them was surely the worker's.
+	certain bool
 }
 
 func newWorker(info WorkerInfo) *worker {
@@ -139,26 +142,52 @@
 	return false
 }
 
-// Faults keep new work away from a worker for a time that doubles with each
-// fault in a row.
+// Faults keep new work away from a worker for a while. Afterwards a single run
+// at a time shows whether it works, which costs little and is soon known.
 const (
-	firstSuspicion = 3 * time.Second
-	maxSuspicion   = 30 * time.Second
+	suspicion = 2 * time.Second
+	// probation is how long after its newest fault a worker without a success
+	// is kept to single runs.
+	probation = 10 * time.Second
 	// strikesBeforeSuspicion tolerates single failures, which are as often the
 	// job's own.
 	strikesBeforeSuspicion = 2
+	// earlyFailure is the part of its expected duration within which a failure
+	// speaks against the worker rather than the job: jobs fail at any time of
+	// their work, faulty workers at once.
+	earlyFailure = 0.1
 )
 
 func (w *worker) strike(now time.Time, weight int) {
 	w.strikes += weight
+	w.struckAt = now
+	w.certain = w.certain || weight >= strikesBeforeSuspicion
 	if w.strikes < strikesBeforeSuspicion {
 		return
 	}
-	wait := firstSuspicion << min(w.strikes-strikesBeforeSuspicion, 4)
-	w.suspectUntil = now.Add(min(wait, maxSuspicion))
+	w.suspectUntil = now.Add(suspicion)
 }
 
-func (w *worker) succeeded() {
-	w.strikes = 0
+// succeeded clears the faults. If they are certain, a run that began before the
+// newest one says nothing about the worker's state since.
+func (w *worker) succeeded(startedAt time.Time) {
+	if w.certain && startedAt.Before(w.struckAt) {
+		return
+	}
+	w.strikes, w.certain = 0, false
 	w.suspectUntil = time.Time{}
 }
+
+// onProbation reports whether the worker has to show first that it works, and
+// whether a run is under way that will.
+func (w *worker) onProbation(now time.Time) (on, probed bool) {
+	if !w.certain || now.Sub(w.struckAt) > probation {
+		return false, false
+	}
+	for _, t := range w.active {
+		if !t.startedAt.Before(w.struckAt) {
+			return true, true
+		}
+	}
+	return true, false
+}
