Read new jobs before states, and relieve owners on weak entries

The owner was a weak entry because both strong ones had been cut off 10 s before, and it kept the ownership after they were back.

Change: rows are read in ranges, states last, and each range takes effect at once. An entry with twice the power of a weak owner takes the ownership over once the store has answered it for 5 s; it fences the owner as in any takeover.

Ruled out: handing over by a call to the owner, which needs another message and saves nothing, as running work goes on under its leases either way.

Measured: golden session relief: the running job goes on, its task runs once, and a new job starts at once.

--- a/control/batchsession/harness_test.go
+++ b/control/batchsession/harness_test.go
@@ -113,7 +113,10 @@
 func ignore(string) {}
 
 // entry starts an entry; a restart takes the same name.
-func (s *system) entry(id string) *entry {
+func (s *system) entry(id string) *entry { return s.entryWith(id, 1) }
+
+// entryWith starts an entry that may use the given share of a core.
+func (s *system) entryWith(id string, power float64) *entry {
 	e := &entry{id: id, access: &access{memoryStore: s.store}}
 	e.replica = ledger.NewReplica(func(key string, err error) { s.t.Errorf("row %s: %v", key, err) })
 	e.gateway = gateway.New(gateway.Options{
@@ -123,7 +126,7 @@
 	})
 	host := s.net.Host("10.0.0." + id)
 	d := decider.New(decider.Options{
-		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.access, Replica: e.replica, Power: 1,
+		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.access, Replica: e.replica, Power: power,
 		Timing:  batch.Timing{MaxLease: 6 * time.Second, Restore: time.Second, Keep: time.Minute},
 		Catalog: s.catalog.Load,
 		Connect: func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
--- a/control/batchsession/session_test.go
+++ b/control/batchsession/session_test.go
@@ -185,3 +185,22 @@
 		s.state(a, "bulk", job2)
 	})
 }
+
+// Guards against work that is stopped or started twice when a strong entry
+// relieves a weak owner that is alive.
+func TestStrongEntryRelievesWeakOwner(t *testing.T) {
+	session(t, "relief", func(s *system) {
+		a := s.entryWith("1", 0.2)
+		s.worker("1")
+		s.wait(2 * time.Second)
+		s.submit(a, "bulk", job1, "12s", 1)
+		s.wait(time.Second)
+		b := s.entryWith("2", 0.8)
+		s.wait(7 * time.Second)
+		s.log.add("entry %s is owner", b.replica.Owner(time.Now()).Owner.Entry)
+		s.submit(a, "bulk", job2, "1s", 1)
+		s.wait(6 * time.Second)
+		s.state(b, "bulk", job1)
+		s.state(b, "bulk", job2)
+	})
+}
--- a/control/decider/campaign.go
+++ b/control/decider/campaign.go
@@ -33,6 +33,12 @@
 	// ownership to stronger ones, which see it as early and need one
 	// transaction.
 	maxHesitation = 500 * time.Millisecond
+	// relieveFactor is how much more power an entry needs to relieve an owner
+	// that is alive: less would not pay for the change.
+	relieveFactor = 2
+	// relieveAfter is how long the store must have answered before: an entry
+	// that was just cut off or restarted may be so again.
+	relieveAfter = 5 * time.Second
 	// watchEvery is how often a candidate looks at the owner's row.
 	watchEvery = 100 * time.Millisecond
 )
@@ -96,7 +102,7 @@
 	if !d.dares(view, time.Now()) {
 		return nil
 	}
-	owner := ledger.Owner{Epoch: view.Owner.Epoch + 1, Entry: d.opts.Entry, Incarnation: d.opts.Incarnation}
+	owner := ledger.Owner{Epoch: view.Owner.Epoch + 1, Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, Power: d.opts.Power}
 	c := &chain{store: d.opts.Store, version: view.Version, owner: owner, clock: d.opts.Clock}
 	err := c.commit(ctx, nil, nil)
 	d.opts.Logger.Info().Uint64("epoch", uint64(owner.Epoch)).Str("reason", reason).
@@ -111,6 +117,13 @@
 	return newLeader(d, c)
 }
 
+// relieves reports whether this entry takes the ownership over from one that
+// is alive but has too little power for it.
+func (d *Decider) relieves(view ledger.OwnerView) bool {
+	weak := view.Owner.Power > 0 && view.Owner.Power < amplePower
+	return weak && d.opts.Power >= relieveFactor*view.Owner.Power && view.CurrentFor > relieveAfter
+}
+
 // dares reports whether the ownership has been free for long enough. Nobody
 // else takes over from an earlier life of this entry before it lapses.
 func (d *Decider) dares(view ledger.OwnerView, now time.Time) bool {
@@ -141,6 +154,8 @@
 		return "given up"
 	case view.Unchanged > ownerTTL:
 		return "not renewed"
+	case d.relieves(view):
+		return "held by a much weaker entry"
 	default:
 		return ""
 	}
--- a/control/decider/campaign_test.go
+++ b/control/decider/campaign_test.go
@@ -25,3 +25,21 @@
 		So(New(Options{Entry: "e1", Power: 0.2}).dares(own, now), ShouldBeTrue)
 	})
 }
+
+// Guards against a weak entry that keeps the ownership although a strong one is
+// back, and against strong entries that take it from each other.
+func TestStrongEntriesRelieveWeakOwners(t *testing.T) {
+	Convey("Only a steady entry with much more power relieves a live owner", t, func() {
+		reason := func(power, owner float64, steady time.Duration) string {
+			view := ledger.OwnerView{
+				Version: 3, Owner: ledger.Owner{Entry: "e2", Power: owner}, Current: true, CurrentFor: steady,
+			}
+			return New(Options{Entry: "e1", Power: power}).vacancy(view)
+		}
+		So(reason(0.8, 0.2, relieveAfter+1), ShouldEqual, "held by a much weaker entry")
+		So(reason(0.8, 0.2, relieveAfter), ShouldBeEmpty)
+		So(reason(0.3, 0.2, time.Hour), ShouldBeEmpty)
+		So(reason(4, 0.8, time.Hour), ShouldBeEmpty)
+		So(reason(0.8, 0, time.Hour), ShouldBeEmpty)
+	})
+}
--- a/control/ledger/follow.go
+++ b/control/ledger/follow.go
@@ -67,25 +67,30 @@
 	return feedWait
 }
 
-// readAll reads every page. Rows that change meanwhile follow from the feed,
+// readOrder lists the ranges of keys in the order in which they are read. The
+// states of jobs come last: they are by far the largest part, and the owner has
+// written them itself, while it waits for new jobs and cancellations.
+var readOrder = []struct{ from, to string }{
+	{"", statePrefix},
+	{stateEnd, ""},
+	{statePrefix, stateEnd},
+}
+
+// readAll reads every row. Rows that change meanwhile follow from the feed,
 // which continues from the first page.
 func (f *follower) readAll(ctx context.Context) error {
 	var all []rows.Row
 	var first rows.Version
-	from := ""
-	for {
-		page, err := f.store.Read(ctx, from, "")
+	for _, r := range readOrder {
+		list, at, err := f.readRange(ctx, r.from, r.to)
 		if err != nil {
 			return err
 		}
 		if first == 0 {
-			first = page.At
-		}
-		all = append(all, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			break
+			first = at
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		f.replica.Apply(list)
+		all = append(all, list...)
 	}
 	f.replica.Replace(all, first)
 	f.at, f.complete = first, true
@@ -93,6 +98,26 @@
 	return nil
 }
 
+// readRange reads the pages of a range and returns the version of the first.
+func (f *follower) readRange(ctx context.Context, from, to string) ([]rows.Row, rows.Version, error) {
+	var list []rows.Row
+	var first rows.Version
+	for {
+		page, err := f.store.Read(ctx, from, to)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.At
+		}
+		list = append(list, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return list, first, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
 func (f *follower) reached() {
 	f.replica.SetConnected(true)
 	if f.down {
--- a/control/ledger/follow_test.go
+++ b/control/ledger/follow_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/core/rows"
+	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
 
 // deafStore reports changes only when the wait of a feed is over, as a store
@@ -60,3 +61,54 @@
 		})
 	})
 }
+
+// largeStore forgot its history, and its states take long to read.
+type largeStore struct {
+	rows.Store
+	readTime time.Duration
+}
+
+func (s *largeStore) Read(_ context.Context, from, to string) (rows.Page, error) {
+	job := rows.Row{Key: JobKey("j1"), Version: 5, Value: []byte(`{"id":"j1"}`)}
+	switch {
+	case from == statePrefix:
+		time.Sleep(s.readTime)
+		return rows.Page{At: 6, Rows: []rows.Row{{Key: StateKey("j1"), Version: 6, Value: []byte(`{"s":"running"}`)}}}, nil
+	case from <= job.Key && (to == "" || job.Key < to):
+		return rows.Page{At: 5, Rows: []rows.Row{job}}, nil
+	default:
+		return rows.Page{At: 5}, nil
+	}
+}
+
+func (s *largeStore) Follow(ctx context.Context, _ rows.Version, _ time.Duration) (rows.Page, error) {
+	<-ctx.Done()
+	return rows.Page{}, ctx.Err()
+}
+
+// Guards against an owner that hears of new jobs only after it has read all
+// states again, which takes a second over a slow link.
+func TestNewJobsAreReadBeforeTheStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A watched replica reports a job while the states are still read", t, func() {
+			replica := NewReplica(func(string, error) {})
+			begun := time.Now()
+			heard := time.Duration(-1)
+			replica.Watch(func(c Change) {
+				if c.Job != nil && heard < 0 {
+					heard = time.Since(begun)
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			store := &largeStore{readTime: time.Second}
+			go func() { Follow(ctx, store, replica, func(error) {}); close(done) }()
+			time.Sleep(store.readTime + time.Millisecond)
+			So(heard, ShouldEqual, 0)
+			So(replica.Ready(), ShouldBeTrue)
+			So(replica.jobs["j1"].Record.State, ShouldEqual, batch.JobRunning)
+			cancel()
+			<-done
+		})
+	})
+}
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -24,6 +24,8 @@
 	cancelPrefix = "c/"
 	workerPrefix = "w/"
 	entryPrefix  = "e/"
+	// stateEnd is the first key behind all states.
+	stateEnd = "s0"
 )
 
 // JobKey is the row of an accepted job; entries write it once.
@@ -49,6 +51,8 @@
 	Incarnation ident.Incarnation `json:"life"`
 	// Sequence counts the transactions of the epoch.
 	Sequence uint64 `json:"seq"`
+	// Power is the share of a core that the owner may use.
+	Power float64 `json:"power,omitempty"`
 	// Vacant says that the owner has given up its office.
 	Vacant bool `json:"vacant,omitempty"`
 }
--- a/control/ledger/replica.go
+++ b/control/ledger/replica.go
@@ -48,8 +48,10 @@
 	ownerSeen time.Time
 	synced    bool
 	connected bool
-	watch     func(Change)
-	problem   func(key string, err error)
+	// connectedAt is when the store began to answer.
+	connectedAt time.Time
+	watch       func(Change)
+	problem     func(key string, err error)
 }
 
 // Change is one row that has changed, decoded.
@@ -198,6 +200,7 @@
 	defer r.mu.Unlock()
 	if up && !r.connected {
 		r.ownerSeen = time.Now()
+		r.connectedAt = r.ownerSeen
 	}
 	r.connected = up
 }
@@ -247,15 +250,20 @@
 	// Unchanged is for how long the row has not changed while the store
 	// answered.
 	Unchanged time.Duration
-	// Current says that the replica is complete and the store answers.
-	Current bool
+	// Current says that the replica is complete and the store answers, and
+	// CurrentFor for how long it has answered.
+	Current    bool
+	CurrentFor time.Duration
 }
 
 // Owner returns the state of the owner's row.
 func (r *Replica) Owner(now time.Time) OwnerView {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return OwnerView{r.owner, r.ownerAt, now.Sub(r.ownerSeen), r.synced && r.connected}
+	return OwnerView{
+		Owner: r.owner, Version: r.ownerAt, Unchanged: now.Sub(r.ownerSeen),
+		Current: r.synced && r.connected, CurrentFor: now.Sub(r.connectedAt),
+	}
 }
 
 // Peers returns the addresses of the other entries.
