--- a/cmd/lacewingd/main.go
+++ b/cmd/lacewingd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -26,15 +27,22 @@
 	var c commands
 	parsed := kong.Parse(&c, kong.Name("lacewingd"),
 		kong.Description("Schedules multi-accelerator jobs on the platform."))
+	lines := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: lines}
+	run := runEntry
 	if parsed.Command() == "agent" {
-		os.Exit(runAgent(c.Settings))
+		run = runAgent
 	}
-	os.Exit(runEntry(c.Settings))
+	code := run(c.Settings, logger)
+	// The last lines say why the process ends.
+	if err := lines.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, "lacewingd: log not written:", err)
+	}
+	os.Exit(code)
 }
 
-func runEntry(path string) int {
+func runEntry(path string, logger *log.Logger) int {
 	var s service.EntrySettings
-	logger := newLogger()
 	return daemon.Main(path, &s, logger, func() (daemon.Runner, error) {
 		if err := identify(logger, "entry", s.Process); err != nil {
 			return nil, err
@@ -43,9 +51,8 @@
 	})
 }
 
-func runAgent(path string) int {
+func runAgent(path string, logger *log.Logger) int {
 	var s service.AgentSettings
-	logger := newLogger()
 	return daemon.Main(path, &s, logger, func() (daemon.Runner, error) {
 		if err := identify(logger, "agent", s.Process); err != nil {
 			return nil, err
@@ -58,12 +65,6 @@
 // dropped, because logging must never hold a decision up.
 const logQueue = 2048
 
-func newLogger() *log.Logger {
-	return &log.Logger{Level: log.InfoLevel, Writer: &log.AsyncWriter{
-		ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout},
-	}}
-}
-
 // identify adds the process's identity and level to every line.
 func identify(logger *log.Logger, role string, p service.Process) error {
 	if p.LogLevel != "" {
