Pause between attempts of an order that fails at once

An urgent gang of six began 2.9 s late: one worker reset its connections, all four attempts of the start failed within a millisecond, and the gang was given up. The pauses that a silent worker enforces were missing for one that resets.

Change: an order is repeated for a second in all, with 100 ms between attempts that fail at once.

Measured: TestOrdersWithoutAnAnswerAreRepeated has two cases of resets; before, four attempts within no time.

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -329,9 +329,12 @@
 	// orderAttempt is how long an order waits for its answer. The upstream
 	// process is on the same machine and answers within milliseconds.
 	orderAttempt = 250 * time.Millisecond
-	// orderAttempts keeps an order below a third of the shortest time that a
-	// gang waits for its last member, which is 3 s.
-	orderAttempts = 4
+	// orderTime bounds all attempts of an order, below a third of the shortest
+	// time that a gang waits for its last member, which is 3 s.
+	orderTime = time.Second
+	// orderPause is the time between two attempts when one fails at once, as
+	// from a process that resets its connections.
+	orderPause = 100 * time.Millisecond
 )
 
 // persisted is the result of an order that may have been sent several times.
@@ -346,17 +349,23 @@
 // twice does nothing the second time.
 func (s *session) persist(ctx context.Context, order func(context.Context) boundary.OrderResult) persisted {
 	var out persisted
-	for out.unanswered < orderAttempts {
+	for begun := time.Now(); ; {
 		attempt, cancel := context.WithTimeout(ctx, orderAttempt)
 		out.OrderResult = order(attempt)
+		failedAtOnce := attempt.Err() == nil
 		cancel()
 		if out.Kind != batch.AnswerLost || ctx.Err() != nil {
 			return out
 		}
 		out.unanswered++
 		s.runner.opts.Count("order_unanswered")
+		if failedAtOnce {
+			pause(ctx, orderPause)
+		}
+		if time.Since(begun) >= orderTime {
+			return out
+		}
 	}
-	return out
 }
 
 // startAnswer returns what the answer to the last attempt of a start proves. A
@@ -458,11 +467,15 @@
 		return 0
 	}
 	// A kick must not shorten the pause, or the refusals would prove less.
+	pause(ctx, holdRetry)
+	return refused
+}
+
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(holdRetry):
+	case <-time.After(d):
 	}
-	return refused
 }
 
 // awaitNote waits until the owner has noted the ends of a report, because the
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -92,7 +92,9 @@
 // next ones.
 type lossyTasks struct {
 	boundary.Tasks
-	silent  int
+	silent int
+	// resets says that orders without an answer fail at once.
+	resets  bool
 	answer  batch.AnswerKind
 	ordered []batch.Order
 }
@@ -100,8 +102,10 @@
 func (l *lossyTasks) Start(ctx context.Context, _ string, _ ident.Epoch, o batch.Order) boundary.OrderResult {
 	l.ordered = append(l.ordered, o)
 	if len(l.ordered) <= l.silent {
-		<-ctx.Done()
-		return boundary.OrderResult{Kind: batch.AnswerLost, Reason: ctx.Err().Error()}
+		if !l.resets {
+			<-ctx.Done()
+		}
+		return boundary.OrderResult{Kind: batch.AnswerLost, Reason: "no answer"}
 	}
 	return boundary.OrderResult{Kind: l.answer, ClockMs: 7}
 }
@@ -127,24 +131,31 @@
 func TestOrdersWithoutAnAnswerAreRepeated(t *testing.T) {
 	cases := []struct {
 		silent      int
+		resets      bool
 		kind        batch.OrderKind
 		last, given batch.AnswerKind
 		attempts    int
 	}{
-		{0, batch.OrderStart, batch.AnswerOK, batch.AnswerOK, 1},
-		{2, batch.OrderStart, batch.AnswerOK, batch.AnswerOKRepeated, 3},
-		{1, batch.OrderStart, batch.AnswerRejectedForRoom, batch.AnswerLost, 2},
-		{1, batch.OrderStop, batch.AnswerOK, batch.AnswerOK, 2},
-		{9, batch.OrderStart, batch.AnswerOK, batch.AnswerLost, orderAttempts},
+		{0, false, batch.OrderStart, batch.AnswerOK, batch.AnswerOK, 1},
+		{2, false, batch.OrderStart, batch.AnswerOK, batch.AnswerOKRepeated, 3},
+		{1, false, batch.OrderStart, batch.AnswerRejectedForRoom, batch.AnswerLost, 2},
+		{1, false, batch.OrderStop, batch.AnswerOK, batch.AnswerOK, 2},
+		{99, false, batch.OrderStart, batch.AnswerOK, batch.AnswerLost, 4},
+		{6, true, batch.OrderStart, batch.AnswerOK, batch.AnswerOKRepeated, 7},
+		{99, true, batch.OrderStart, batch.AnswerOK, batch.AnswerLost, 10},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			Convey("The same run is ordered again until it is answered", t, func() {
-				tasks := &lossyTasks{silent: c.silent, answer: c.last}
+				tasks := &lossyTasks{silent: c.silent, resets: c.resets, answer: c.last}
 				begun := time.Now()
 				So(answerTo(tasks, c.kind), ShouldEqual, c.given)
 				So(tasks.ordered, ShouldHaveLength, c.attempts)
-				So(time.Since(begun), ShouldEqual, time.Duration(min(c.silent, orderAttempts))*orderAttempt)
+				each := orderAttempt
+				if c.resets {
+					each = orderPause
+				}
+				So(time.Since(begun), ShouldEqual, min(time.Duration(c.silent)*each, orderTime))
 				for _, o := range tasks.ordered {
 					So(o.Run.Number, ShouldEqual, 1)
 				}
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -53,7 +53,6 @@
 	work      []time.Duration
 	objective time.Duration
 	coreWork  float64
-	worth     float64
 }
 
 // replayRun is a run under way on a worker.
@@ -94,20 +93,19 @@
 
 // replay plays one day of a site against an engine.
 type replay struct {
-	site     replaySite
-	rng      *rand.Rand
-	e        *Engine
-	at       time.Duration
-	workers  []*replayWorker
-	byID     map[ident.Worker]*replayWorker
-	jobs     map[ident.Job]*replayJob
-	pending  []*replayJob
-	arrivals []time.Duration
-	commit   *Commit
-	waste    float64
-	wasteBy  map[string]float64
-	starts   int
-	failed   int
+	site    replaySite
+	rng     *rand.Rand
+	e       *Engine
+	at      time.Duration
+	workers []*replayWorker
+	byID    map[ident.Worker]*replayWorker
+	jobs    map[ident.Job]*replayJob
+	pending []*replayJob
+	commit  *Commit
+	waste   float64
+	wasteBy map[string]float64
+	starts  int
+	failed  int
 }
 
 func newReplay(site replaySite, seed uint64) *replay {
