Give the ownership up through another entry when the store refuses the owner

Other entries could have written for it, as they do for submissions.

Change: an owner whose transaction the store has refused for 0.6 s sends it through another entry, with the ownership marked as free. The condition on the owner's row orders it like any other transaction, so a lost answer is recognised and a later owner is never overwritten. Starts in that transaction are durable but not sent; the next owner treats them as after any takeover.

Measured: TestRefusedOwnerGivesUpThroughAnotherEntry, below 1 s instead of 3 s.

--- a/control/decider/campaign.go
+++ b/control/decider/campaign.go
@@ -48,7 +48,9 @@
 	Entry       ident.Entry
 	Incarnation ident.Incarnation
 	// Power is the share of a core that this process may use.
-	Power   float64
+	Power float64
+	// Relay reaches the store through other entries, or is nil.
+	Relay   Relay
 	Store   rows.Store
 	Replica *ledger.Replica
 	Timing  batch.Timing
@@ -103,7 +105,7 @@
 		return nil
 	}
 	owner := ledger.Owner{Epoch: view.Owner.Epoch + 1, Entry: d.opts.Entry, Incarnation: d.opts.Incarnation, Power: d.opts.Power}
-	c := &chain{store: d.opts.Store, version: view.Version, owner: owner, clock: d.opts.Clock}
+	c := &chain{store: d.opts.Store, relay: d.opts.Relay, version: view.Version, owner: owner, clock: d.opts.Clock}
 	err := c.commit(ctx, nil, nil)
 	d.opts.Logger.Info().Uint64("epoch", uint64(owner.Epoch)).Str("reason", reason).
 		Str("before", string(view.Owner.Entry)).Int64("unchanged_ms", view.Unchanged.Milliseconds()).
--- a/control/decider/chain.go
+++ b/control/decider/chain.go
@@ -20,7 +20,9 @@
 // lands after a takeover. Except for valid it
 // is used by one goroutine at a time.
 type chain struct {
-	store   rows.Store
+	store rows.Store
+	// relay commits through other entries, or is nil.
+	relay   Relay
 	version rows.Version
 	owner   ledger.Owner
 	clock   boottime.Clock
@@ -31,12 +33,26 @@
 	renewed atomic.Int64
 }
 
-// commitRetry is the time between two attempts of a transaction.
-const commitRetry = 150 * time.Millisecond
+// Relay commits transactions through other entries.
+type Relay interface {
+	Commit(ctx context.Context, txn rows.Txn) (rows.Version, error)
+}
+
+const (
+	// commitRetry is the time between two attempts of a transaction.
+	commitRetry = 150 * time.Millisecond
+	// giveUpAfter is how long the store may refuse an owner before it gives the
+	// ownership up through another entry, which takes less than the rest of
+	// ownerTTL. Short outages should not change the owner.
+	giveUpAfter = 600 * time.Millisecond
+	// relayTimeout bounds the transaction through another entry.
+	relayTimeout = 500 * time.Millisecond
+)
 
 // commit writes and removes rows. It tries until the result is certain, and
-// fails with kind StaleEpoch once another owner has written, or with kind
-// OutcomeUnknown when ctx ends.
+// fails with kind StaleEpoch once another owner has written, with kind NotReady
+// once the ownership was given up with the transaction because the store
+// refuses this entry, or with kind OutcomeUnknown when ctx ends.
 func (c *chain) commit(ctx context.Context, puts []rows.Put, removes []string) error {
 	next := c.owner
 	next.Sequence++
@@ -44,13 +60,17 @@
 	if err != nil {
 		return err
 	}
-	for {
-		sent := c.clock()
-		version, err := c.store.Commit(ctx, rows.Txn{
+	txn := func(value []byte) rows.Txn {
+		return rows.Txn{
 			Expect: []rows.Expect{{Key: ledger.OwnerKey, Version: c.version}},
 			Put:    append([]rows.Put{{Key: ledger.OwnerKey, Value: value}}, puts...),
 			Remove: removes,
-		})
+		}
+	}
+	for begun := c.clock(); ; {
+		sent := c.clock()
+		version, err := c.store.Commit(ctx, txn(value))
+		refused := errkind.Is(err, errkind.StoreUnavailable)
 		landed, err := c.settle(version, err, value)
 		if landed {
 			c.owner, c.written = next, value
@@ -60,6 +80,11 @@
 		if err != nil {
 			return err
 		}
+		if refused && c.relay != nil && c.clock()-begun >= giveUpAfter {
+			if err := c.giveUp(ctx, next, txn); err != nil {
+				return err
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "commit of the owner")
@@ -68,6 +93,24 @@
 	}
 }
 
+// giveUp sends the transaction through another entry, with the ownership marked
+// as free. It returns an error of kind NotReady once that has landed.
+func (c *chain) giveUp(ctx context.Context, next ledger.Owner, txn func([]byte) rows.Txn) error {
+	next.Vacant = true
+	value, err := ledger.Encode(next)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	version, err := c.relay.Commit(ctx, txn(value))
+	landed, err := c.settle(version, err, value)
+	if landed {
+		return errkind.New(errkind.NotReady, "the store refuses this entry; the ownership was given up through another one")
+	}
+	return err
+}
+
 // settle decides what the answer to a transaction means. Without an error and
 // without having landed, the transaction is tried again.
 func (c *chain) settle(version rows.Version, err error, value []byte) (landed bool, fatal error) {
--- a/control/decider/chain_test.go
+++ b/control/decider/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +99,58 @@
 		})
 	})
 }
+
+// refusing is a store that serves other entries and refuses this one for a
+// while.
+type refusing struct {
+	rows.Store
+	until time.Time
+	calls int
+}
+
+func (r *refusing) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
+	r.calls++
+	if time.Now().Before(r.until) {
+		return 0, errkind.New(errkind.StoreUnavailable, "refused")
+	}
+	return r.Store.Commit(ctx, txn)
+}
+
+// Guards against urgent work that waits for the end of the ownership of an
+// entry that the store refuses, and against owners that change at each short
+// outage.
+func TestRefusedOwnerGivesUpThroughAnotherEntry(t *testing.T) {
+	play := func(t *testing.T, outage time.Duration, relayLoses int) (*ownerStore, error, time.Duration) {
+		store := &ownerStore{lose: relayLoses}
+		c := newChain(store)
+		c.relay = store
+		c.store = &refusing{Store: store, until: time.Now().Add(outage)}
+		begun := time.Now()
+		err := c.commit(context.Background(), nil, nil)
+		return store, err, time.Since(begun)
+	}
+	vacant := func(s *ownerStore) bool {
+		var owner ledger.Owner
+		So(json.Unmarshal(s.row.Value, &owner), ShouldBeNil)
+		return owner.Vacant
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The ownership is free long before it would lapse", t, func() {
+			s, err, took := play(t, time.Minute, 0)
+			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
+			So(took, ShouldBeLessThan, time.Second)
+			So(vacant(s), ShouldBeTrue)
+		})
+		Convey("A lost answer of the other entry is recognised as landed", t, func() {
+			s, err, _ := play(t, time.Minute, 1)
+			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
+			So(vacant(s), ShouldBeTrue)
+			So(s.row.Version, ShouldEqual, rows.Version(1))
+		})
+		Convey("A short outage keeps the owner", t, func() {
+			s, err, _ := play(t, giveUpAfter-commitRetry, 0)
+			So(err, ShouldBeNil)
+			So(vacant(s), ShouldBeFalse)
+		})
+	})
+}
--- a/control/service/entry.go
+++ b/control/service/entry.go
@@ -148,6 +148,7 @@
 		Incarnation: ident.Incarnation(ident.NewID("life-")),
 		Power:       e.settings.Processor.power(),
 		Store:       e.store,
+		Relay:       e.peers,
 		Replica:     e.replica,
 		Timing:      e.settings.Tasks.Timing(),
 		Catalog:     e.config.Current,
