Leave a lapsing ownership alone, and judge recovered runs by their progress

After each change of the owner all runs counted as young, so that those nearly done were stopped as the cheapest.

Change: an owner gives up only within 2 s of its last renewal. The age of a run is at least what its progress says.

Measured: TestRefusedOwnerGivesUpThroughAnotherEntry has the case of a lapsing ownership; TestProgressTellsTheAgeOfRecoveredRuns fails before.

--- a/control/decider/chain.go
+++ b/control/decider/chain.go
@@ -45,6 +45,9 @@
 	// ownership up through another entry, which takes less than the rest of
 	// ownerTTL. Short outages should not change the owner.
 	giveUpAfter = 600 * time.Millisecond
+	// giveUpBefore is how long after its last renewal an owner still gives up:
+	// later, the change of the row would only delay the next owner.
+	giveUpBefore = 2 * time.Second
 	// relayTimeout bounds the transaction through another entry.
 	relayTimeout = 500 * time.Millisecond
 )
@@ -80,7 +83,7 @@
 		if err != nil {
 			return err
 		}
-		if refused && c.relay != nil && c.clock()-begun >= giveUpAfter {
+		if refused && c.clock()-begun >= giveUpAfter && c.mayGiveUp() {
 			if err := c.giveUp(ctx, next, txn); err != nil {
 				return err
 			}
@@ -93,6 +96,10 @@
 	}
 }
 
+func (c *chain) mayGiveUp() bool {
+	return c.relay != nil && c.clock()-time.Duration(c.renewed.Load()) < giveUpBefore
+}
+
 // giveUp sends the transaction through another entry, with the ownership marked
 // as free. It returns an error of kind NotReady once that has landed.
 func (c *chain) giveUp(ctx context.Context, next ledger.Owner, txn func([]byte) rows.Txn) error {
--- a/control/decider/chain_test.go
+++ b/control/decider/chain_test.go
@@ -120,10 +120,11 @@
 // entry that the store refuses, and against owners that change at each short
 // outage.
 func TestRefusedOwnerGivesUpThroughAnotherEntry(t *testing.T) {
-	play := func(t *testing.T, outage time.Duration, relayLoses int) (*ownerStore, error, time.Duration) {
+	play := func(t *testing.T, outage, sinceRenewal time.Duration, relayLoses int) (*ownerStore, error, time.Duration) {
 		store := &ownerStore{lose: relayLoses}
 		c := newChain(store)
 		c.relay = store
+		c.renewed.Store(int64(c.clock() - sinceRenewal))
 		c.store = &refusing{Store: store, until: time.Now().Add(outage)}
 		begun := time.Now()
 		err := c.commit(context.Background(), nil, nil)
@@ -136,19 +137,24 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The ownership is free long before it would lapse", t, func() {
-			s, err, took := play(t, time.Minute, 0)
+			s, err, took := play(t, time.Minute, time.Second, 0)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(took, ShouldBeLessThan, time.Second)
 			So(vacant(s), ShouldBeTrue)
 		})
 		Convey("A lost answer of the other entry is recognised as landed", t, func() {
-			s, err, _ := play(t, time.Minute, 1)
+			s, err, _ := play(t, time.Minute, time.Second, 1)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(vacant(s), ShouldBeTrue)
 			So(s.row.Version, ShouldEqual, rows.Version(1))
 		})
+		Convey("An ownership that lapses soon is left to lapse", t, func() {
+			s, err, _ := play(t, 2*giveUpAfter, giveUpBefore, 0)
+			So(err, ShouldBeNil)
+			So(vacant(s), ShouldBeFalse)
+		})
 		Convey("A short outage keeps the owner", t, func() {
-			s, err, _ := play(t, giveUpAfter-commitRetry, 0)
+			s, err, _ := play(t, giveUpAfter-commitRetry, time.Second, 0)
 			So(err, ShouldBeNil)
 			So(vacant(s), ShouldBeFalse)
 		})
--- a/sched/batch/evict.go
+++ b/sched/batch/evict.go
@@ -213,13 +213,15 @@
 
 // cost is what the stop of a run loses, in core-seconds.
 func (p *plan) cost(t *task) float64 {
-	lost := p.now.Sub(t.startedAt)
+	expected := p.e.expected(t.job, t.step())
+	// The progress tells the age of a run that an earlier owner has started.
+	lost := max(p.now.Sub(t.startedAt), expected*time.Duration(t.percent)/100)
 	if t.step().Checkpoints {
 		// Its progress is saved at the stop; only the time to resume is lost.
 		lost = min(lost, p.e.timing.Restore)
 	}
 	if p.tiers[t.job] <= tierUrgent {
-		lost += urgentStake * p.e.expected(t.job, t.step())
+		lost += urgentStake * expected
 	}
 	members := 1
 	if t.step().Gang {
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -406,3 +406,27 @@
 		So(b.stops[0].Run.Task.Job, ShouldEqual, ident.Job("normal"))
 	})
 }
+
+// Guards against a new owner that takes every run for young and stops the ones
+// that are nearly done.
+func TestProgressTellsTheAgeOfRecoveredRuns(t *testing.T) {
+	Convey("Of two recovered runs the one with less progress is stopped", t, func() {
+		b := newTestbed()
+		record := Record{State: JobRunning, Tasks: []TaskRecord{{Phase: TaskActive, Run: 1, Worker: "w1", Life: testLife(1)}}}
+		for _, id := range []string{"far", "near"} {
+			b.e.Load(testJob(id, 2, tasksOf(1, 4)), record, false, b.now)
+		}
+		b.e.Attached("w1", true)
+		b.e.Announced(WorkerInfo{
+			ID: "w1", Service: "svc", Life: testLife(1), Capacity: Resources{MilliCores: 64000, MemoryMB: 100000, Accelerators: 8},
+		}, b.now)
+		row := func(id string, percent int) RunningTask {
+			return RunningTask{Run: Run{Task: TaskID{Job: ident.Job(id)}, Number: 1}, Percent: percent}
+		}
+		b.e.Reported("w1", Report{Life: testLife(1), ClockMs: 9, Running: []RunningTask{row("far", 90), row("near", 20)}}, b.now)
+		b.submit(testJob("urgent", 0, tasksOf(1, 4)))
+		b.decide()
+		So(b.stops, ShouldHaveLength, 1)
+		So(b.stops[0].Run.Task.Job, ShouldEqual, ident.Job("near"))
+	})
+}
