Follow runs into the next life of a worker with the same id

Its process had been started again under its id, and its agent had not heard of it yet, so a start for the earlier life was carried out in the new one and answered. When the new life was announced, the owner took the run for ended, gave its room away and would have started the task again while it ran.

Change: only a run that a list of the earlier life has shown, and whose start was not repeated, surely ended with it. Any other run follows into a life of the same id and is stopped there; for runs of earlier owners the first list decides, as their orders are fenced by then.

Ruled out: asking agents to compare births in the answer to an order, which does not carry one.

Measured: TestStartTakenByTheNextLifeOfTheSameID fails before. In TestRebornWorkerWithSameID the first run is shown by a list before the restart, because an answer alone no longer proves where it began.

--- a/control/decider/chain.go
+++ b/control/decider/chain.go
@@ -17,8 +17,8 @@
 // chain is the sequence of an owner's transactions. Each one replaces the
 // owner's row on condition of the version that the one before has left, so a
 // transaction whose answer was lost can not land after a later one, and none
-// lands after a takeover. Except for valid it
-// is used by one goroutine at a time.
+// lands after a takeover. Except for valid it is used by one goroutine at a
+// time.
 type chain struct {
 	store rows.Store
 	// relay commits through other entries, or is nil.
--- a/sched/batch/engine.go
+++ b/sched/batch/engine.go
@@ -17,6 +17,8 @@
 	// confirmedMs is the worker's clock then.
 	confirmed   bool
 	confirmedMs int64
+	// listed says that a list of the worker's present life has shown the run.
+	listed bool
 	// doubtful says that an attempt to start the run had no answer, so that it
 	// may still arrive after the run has ended.
 	doubtful bool
@@ -53,6 +55,10 @@
 
 func (t *task) run() Run { return Run{Task: t.id, Number: t.Run} }
 
+// endedWithLife reports whether the run surely ended with the life that it was
+// sent to.
+func (t *task) endedWithLife() bool { return t.listed && !t.doubtful }
+
 // job is an accepted job.
 type job struct {
 	spec      *Job
--- a/sched/batch/engine_test.go
+++ b/sched/batch/engine_test.go
@@ -205,6 +205,8 @@
 		b.clock++
 		b.e.Answered(orders[0], AnswerOK, b.clock, b.now)
 		b.e.Answered(orders[1], AnswerLost, 0, b.now)
+		// Without a list, the first start may have been taken by the new life.
+		b.report("w1", []RunningTask{runningRow(orders[0], 1)}, nil)
 		b.e.Announced(WorkerInfo{ID: "w1", Service: "svc", Life: testLife(2), Capacity: Resources{MilliCores: 64000, MemoryMB: 100000, Accelerators: 8}}, b.now)
 		b.e.Reported("w1", Report{Life: testLife(2), ClockMs: 1}, b.now)
 		b.decide()
@@ -438,3 +440,23 @@
 		})
 	})
 }
+
+// Guards against a run that is taken for ended with an earlier life, although
+// the worker was started again under its id and took the order in the new one.
+func TestStartTakenByTheNextLifeOfTheSameID(t *testing.T) {
+	Convey("A run that no list has shown is stopped in the new life first", t, func() {
+		b := newTestbed()
+		b.worker("w1", "r1")
+		b.submit(testJob("j1", 1, tasksOf(1, 8)))
+		So(b.decide(), ShouldHaveLength, 1)
+		b.confirm()
+		b.worker("w2", "r1")
+		info := b.e.workers["w1"].info
+		info.Life = testLife(2)
+		b.e.Announced(info, b.now)
+		So(b.decide(), ShouldBeEmpty)
+		So(b.stops, ShouldHaveLength, 1)
+		So(b.stops[0].Life, ShouldResemble, testLife(2))
+		So(b.stops[0].Run.Number, ShouldEqual, 1)
+	})
+}
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -211,13 +211,13 @@
 	m.e.Answered(o, kind, clock, m.now)
 }
 
-// carryOut lets a worker act on an order. An order that waits does so inside
-// the upstream process, and is lost with it; agents pass no order to another
-// life than the one it names.
+// carryOut lets a worker act on an order. A life that its agent has not heard of
+// yet takes orders for an earlier one of the same id; an order that waits does so
+// inside the upstream process, and is lost with it.
 func (m *model) carryOut(o Order, epoch int) (AnswerKind, int64) {
 	w := m.worker(o.Worker)
 	m.t.Logf("order %d %v for %s life %d, epoch %d", o.Kind, o.Run, w.id, o.Life.BornMs, epoch)
-	if !w.up || w.life != o.Life {
+	if !w.up || w.life.Upstream != o.Life.Upstream {
 		return AnswerLost, 0
 	}
 	clock := w.clock(m.now)
@@ -313,7 +313,9 @@
 		if l.at.After(m.now) {
 			return false
 		}
-		m.carryOut(l.order, l.epoch)
+		if w := m.worker(l.order.Worker); w.life == l.order.Life {
+			m.carryOut(l.order, l.epoch)
+		}
 		return true
 	})
 	for _, w := range m.workers {
@@ -355,6 +357,8 @@
 	if !w.up || !w.attached {
 		return
 	}
+	// The agent has heard of a life before it can give its lists.
+	m.e.Announced(w.info(), m.now)
 	w.fence = max(w.fence, m.epoch)
 	m.t.Logf("report of %s at %d: running %v, ended %v", w.id, w.clock(m.now), sortedRuns(w.running), w.ended)
 	r := Report{Life: w.life, ClockMs: w.clock(m.now), Ended: slices.Clone(w.ended)}
@@ -384,7 +388,7 @@
 func (m *model) restart(w *modelWorker) {
 	upstream := rapid.SampledFrom([]string{"u0", "u1"}).Draw(m.t, "id")
 	m.birth(w, upstream)
-	if w.attached {
+	if w.attached && rapid.Bool().Draw(m.t, "announced at once") {
 		m.e.Announced(w.info(), m.now)
 	}
 }
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -32,10 +32,11 @@
 	}
 }
 
-// newLife ends all runs of the earlier life. A start without an answer could
-// still reach the new life if it has the same id, so it is stopped there.
+// newLife ends all runs of the earlier life. A run that no list of that life has
+// shown may have begun in the new one, or may still do so, if both have the same
+// id: it is stopped there. The first list decides about runs of earlier owners,
+// whose orders are fenced by then.
 func (e *Engine) newLife(w *worker, life Life, now time.Time) {
-	old := w.info.Life
 	w.info.Life = life
 	w.fenced = false
 	w.noted, w.acked, w.clockMs = 0, 0, 0
@@ -44,10 +45,8 @@
 		if t.Life == life {
 			continue
 		}
-		if life.Upstream == old.Upstream && (t.doubtful || !t.confirmed && !t.recovered) {
-			t.Life = life
-			e.dirty[t.id.Job] = true
-			e.wantStop(t, ReasonNoAnswer)
+		if t.Life.Upstream == life.Upstream && !t.endedWithLife() {
+			e.moveTo(t, life)
 			continue
 		}
 		e.noteRun("run ended with its worker's life", t, now)
@@ -55,6 +54,18 @@
 	}
 }
 
+// moveTo follows a run into the next life of its worker, whose clock starts
+// anew.
+func (e *Engine) moveTo(t *task, life Life) {
+	t.Life = life
+	e.dirty[t.id.Job] = true
+	t.confirmed, t.confirmedMs = false, 0
+	t.stop = stopState{}
+	if !t.recovered {
+		e.wantStop(t, ReasonNoAnswer)
+	}
+}
+
 // endedLife ends all runs of a worker whose upstream process has ended.
 func (e *Engine) endedLife(w *worker, now time.Time) {
 	for _, t := range w.active {
@@ -132,6 +143,7 @@
 		t.confirmedMs = clockMs
 	}
 	t.noteLoad(row.Load, now)
+	t.listed = true
 	if t.firstAt.IsZero() {
 		t.firstPercent, t.firstAt = row.Percent, now
 	}
@@ -265,7 +277,7 @@
 	if w := e.workers[t.Worker]; w != nil {
 		delete(w.active, t.id)
 	}
-	t.confirmed, t.recovered, t.doubtful = false, false, false
+	t.confirmed, t.recovered, t.doubtful, t.listed = false, false, false, false
 	t.confirmedMs, t.percent = 0, 0
 	t.overSince, t.firstAt = time.Time{}, time.Time{}
 	t.firstPercent = 0
