--- a/control/decider/chain_test.go
+++ b/control/decider/chain_test.go
@@ -120,7 +120,7 @@
 // entry that the store refuses, and against owners that change at each short
 // outage.
 func TestRefusedOwnerGivesUpThroughAnotherEntry(t *testing.T) {
-	play := func(t *testing.T, outage, sinceRenewal time.Duration, relayLoses int) (*ownerStore, error, time.Duration) {
+	play := func(t *testing.T, outage, sinceRenewal time.Duration, relayLoses int) (*ownerStore, time.Duration, error) {
 		store := &ownerStore{lose: relayLoses}
 		c := newChain(store)
 		c.relay = store
@@ -128,7 +128,7 @@
 		c.store = &refusing{Store: store, until: time.Now().Add(outage)}
 		begun := time.Now()
 		err := c.commit(context.Background(), nil, nil)
-		return store, err, time.Since(begun)
+		return store, time.Since(begun), err
 	}
 	vacant := func(s *ownerStore) bool {
 		var owner ledger.Owner
@@ -137,24 +137,24 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The ownership is free long before it would lapse", t, func() {
-			s, err, took := play(t, time.Minute, time.Second, 0)
+			s, took, err := play(t, time.Minute, time.Second, 0)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(took, ShouldBeLessThan, time.Second)
 			So(vacant(s), ShouldBeTrue)
 		})
 		Convey("A lost answer of the other entry is recognised as landed", t, func() {
-			s, err, _ := play(t, time.Minute, time.Second, 1)
+			s, _, err := play(t, time.Minute, time.Second, 1)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(vacant(s), ShouldBeTrue)
 			So(s.row.Version, ShouldEqual, rows.Version(1))
 		})
 		Convey("An ownership that lapses soon is left to lapse", t, func() {
-			s, err, _ := play(t, 2*giveUpAfter, giveUpBefore, 0)
+			s, _, err := play(t, 2*giveUpAfter, giveUpBefore, 0)
 			So(err, ShouldBeNil)
 			So(vacant(s), ShouldBeFalse)
 		})
 		Convey("A short outage keeps the owner", t, func() {
-			s, err, _ := play(t, giveUpAfter-commitRetry, time.Second, 0)
+			s, _, err := play(t, giveUpAfter-commitRetry, time.Second, 0)
 			So(err, ShouldBeNil)
 			So(vacant(s), ShouldBeFalse)
 		})
