--- a/control/ledger/follow_test.go
+++ b/control/ledger/follow_test.go
@@ -49,11 +49,11 @@
 				done := make(chan struct{})
 				go func() { Follow(ctx, store, replica, func(error) {}); close(done) }()
 				time.Sleep(feedWait + time.Millisecond)
+				cancel()
+				<-done
 				if !watched && replica.jobs["j1"] != nil {
 					at = feedWait
 				}
-				cancel()
-				<-done
 				return at
 			}
 			So(heard(true), ShouldEqual, watchedWait)
@@ -104,11 +104,11 @@
 			store := &largeStore{readTime: time.Second}
 			go func() { Follow(ctx, store, replica, func(error) {}); close(done) }()
 			time.Sleep(store.readTime + time.Millisecond)
+			cancel()
+			<-done
 			So(heard, ShouldEqual, 0)
 			So(replica.Ready(), ShouldBeTrue)
 			So(replica.jobs["j1"].Record.State, ShouldEqual, batch.JobRunning)
-			cancel()
-			<-done
 		})
 	})
 }
