Log size, duration and source of configurations and every failed watch

Callers saw queues missing for seconds after their configuration was confirmed; the logs could not tell transfer, order of queries, decoding and the watch apart. Gauges tell the active version and how long ago the store confirmed it. No logic changes.

--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -23,9 +23,22 @@
 
 // Peers queries other entries for a newer configuration.
 type Peers interface {
-	Configuration(ctx context.Context, newerThan ident.ConfigVersion) [][]byte
+	Configuration(ctx context.Context, newerThan ident.ConfigVersion) []Received
 }
 
+// Received is a configuration that has arrived.
+type Received struct {
+	// Source is "store" or the address of the entry that sent it.
+	Source string
+	Body   []byte
+	// ArrivedAt is when the whole body had arrived, Took how long the call lasted. A
+	// call to the store includes the wait for a change.
+	ArrivedAt time.Time
+	Took      time.Duration
+}
+
+const sourceStore = "store"
+
 // Follower holds the newest configuration and never reverts to an older one. It is
 // safe for concurrent use.
 type Follower struct {
@@ -34,12 +47,18 @@
 	Decode func([]byte) (*catalog.Catalog, error)
 	Logger *log.Logger
 
+	// Count is called with the name of each event.
+	Count func(event string)
+
 	mu           sync.Mutex
 	body         []byte
 	current      *catalog.Catalog
 	lastResponse time.Time
-	// unavailable is set if the last call to the store failed.
-	unavailable bool
+	// failedSince is when the first of an unbroken series of failed calls to the store
+	// ended, and failures their number.
+	failedSince     time.Time
+	failures        int
+	failureLoggedAt time.Time
 }
 
 const (
@@ -56,6 +75,9 @@
 	// silenceBeforePeers is how long after watchWait the store may remain silent before
 	// other entries are queried.
 	silenceBeforePeers = time.Second
+	// failureLogInterval is the shortest time between two log lines about failed calls
+	// to the store.
+	failureLogInterval = time.Second
 )
 
 // Current returns the active configuration, or nil.
@@ -76,7 +98,8 @@
 	return f.current.Version, f.body
 }
 
-func (f *Follower) version() ident.ConfigVersion {
+// Version returns the version of the active configuration, or zero.
+func (f *Follower) Version() ident.ConfigVersion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current == nil {
@@ -85,21 +108,39 @@
 	return f.current.Version
 }
 
+// Age returns the time since the store last confirmed the active configuration or
+// delivered a newer one. It is zero before the first response of the store.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lastResponse.IsZero() {
+		return 0
+	}
+	return time.Since(f.lastResponse)
+}
+
 // applyIfNewer decodes a configuration and makes it active if it is newer.
-func (f *Follower) applyIfNewer(body []byte, from string) {
-	next, err := f.Decode(body)
+func (f *Follower) applyIfNewer(r Received) {
+	start := time.Now()
+	next, err := f.Decode(r.Body)
 	if err != nil {
-		f.Logger.Error().Err(err).Str("from", from).Msg("failed to decode configuration; keeping the active one")
+		f.Logger.Error().Err(err).Str("from", r.Source).Int("bytes", len(r.Body)).
+			Msg("failed to decode configuration; keeping the active one")
 		return
 	}
+	decoded := time.Since(start)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != nil && next.Version <= f.current.Version {
+		f.Count("config_received_again")
 		return
 	}
-	f.body, f.current = body, next
-	f.Logger.Info().Uint64("version", uint64(next.Version)).Str("from", from).
-		Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).Msg("configuration is now active")
+	f.body, f.current = r.Body, next
+	f.Logger.Info().Uint64("version", uint64(next.Version)).Str("from", r.Source).
+		Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).
+		Int("bytes", len(r.Body)).Int64("took_ms", r.Took.Milliseconds()).
+		Int64("waited_ms", start.Sub(r.ArrivedAt).Milliseconds()).Int64("decode_ms", decoded.Milliseconds()).
+		Msg("configuration is now active")
 }
 
 // Run reads and watches the configuration in the store until ctx ends.
@@ -109,6 +150,7 @@
 	for ctx.Err() == nil {
 		var body []byte
 		var err error
+		start := time.Now()
 		if complete {
 			body, version, err = f.watchNext(ctx, version)
 		} else {
@@ -126,7 +168,7 @@
 		complete = true
 		f.recordSuccess()
 		if body != nil {
-			f.applyIfNewer(body, "store")
+			f.applyIfNewer(Received{Source: sourceStore, Body: body, ArrivedAt: time.Now(), Took: time.Since(start)})
 		}
 	}
 }
@@ -145,20 +187,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastResponse = time.Now()
-	if f.unavailable {
-		f.unavailable = false
-		f.Logger.Info().Msg("configuration watch restored")
+	if f.failures == 0 {
+		return
 	}
+	f.Logger.Info().Int("failures", f.failures).Int64("failed_ms", time.Since(f.failedSince).Milliseconds()).
+		Msg("configuration watch restored")
+	f.failures = 0
 }
 
-// recordFailure logs the first failure of an outage.
+// recordFailure counts failures and logs the first one of an outage and then one in
+// each failureLogInterval.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unavailable || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Count("config_watch_failed")
+	now := time.Now()
+	if f.failures == 0 {
+		f.failedSince = now
+	}
+	f.failures++
+	if f.failures > 1 && now.Sub(f.failureLoggedAt) < failureLogInterval {
 		return
 	}
-	f.unavailable = true
+	f.failureLoggedAt = now
 	f.Logger.Warn().Err(err).Msg("configuration watch failed; querying other entries")
 }
 
@@ -169,8 +223,8 @@
 		if !f.storeSilent() {
 			continue
 		}
-		for _, body := range f.Peers.Configuration(ctx, f.version()) {
-			f.applyIfNewer(body, "peer")
+		for _, r := range f.Peers.Configuration(ctx, f.Version()) {
+			f.applyIfNewer(r)
 		}
 	}
 }
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -47,8 +47,8 @@
 
 type fakePeers struct{ body string }
 
-func (p fakePeers) Configuration(context.Context, ident.ConfigVersion) [][]byte {
-	return [][]byte{[]byte(p.body)}
+func (p fakePeers) Configuration(context.Context, ident.ConfigVersion) []Received {
+	return []Received{{Body: []byte(p.body)}}
 }
 
 func decode(body []byte) (*catalog.Catalog, error) {
@@ -57,7 +57,7 @@
 }
 
 func newFollower(s Source, p Peers) *Follower {
-	return &Follower{Source: s, Peers: p, Decode: decode,
+	return &Follower{Source: s, Peers: p, Decode: decode, Count: func(string) {},
 		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}}}
 }
 
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 
+	"github.com/lacewingpier/lacewingpier/control/configsync"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -201,19 +202,22 @@
 
 // Configuration returns the configurations of the other entries that are newer than
 // the given version.
-func (c *Client) Configuration(ctx context.Context, newerThan ident.ConfigVersion) [][]byte {
-	var bodies [][]byte
+func (c *Client) Configuration(ctx context.Context, newerThan ident.ConfigVersion) []configsync.Received {
+	var received []configsync.Received
 	for _, address := range c.Addresses() {
+		start := time.Now()
 		reply, err := c.configuration(ctx, address, newerThan)
 		if err != nil {
 			c.OnError(address, err)
 			continue
 		}
 		if len(reply.GetBody()) > 0 {
-			bodies = append(bodies, reply.GetBody())
+			received = append(received, configsync.Received{
+				Source: address, Body: reply.GetBody(), ArrivedAt: time.Now(), Took: time.Since(start),
+			})
 		}
 	}
-	return bodies
+	return received
 }
 
 func (c *Client) configuration(ctx context.Context, address string, newerThan ident.ConfigVersion) (*rpc.ConfigurationReply, error) {
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -121,7 +121,10 @@
 			return 5, []byte("five")
 		}})
 		client := newClient(closedAddress(t), address)
-		So(client.Configuration(context.Background(), 4), ShouldResemble, [][]byte{[]byte("five")})
+		received := client.Configuration(context.Background(), 4)
+		So(received, ShouldHaveLength, 1)
+		So(received[0].Source, ShouldEqual, address)
+		So(string(received[0].Body), ShouldEqual, "five")
 		So(client.Configuration(context.Background(), 5), ShouldBeEmpty)
 	})
 }
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -48,7 +48,7 @@
 			logger.Warn().Str("entry", address).Err(err).Msg("request to another entry failed")
 		},
 	}
-	e.config = &configsync.Follower{Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Logger: logger}
+	e.config = &configsync.Follower{Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Logger: logger, Count: e.count}
 	return e
 }
 
@@ -97,9 +97,23 @@
 	if err := e.serveHTTP(e.settings.ReadyAddr, adapter.ReadyHandler(e.ready)); err != nil {
 		return err
 	}
+	if err := e.publishGauges(); err != nil {
+		return err
+	}
 	return e.serveMetrics()
 }
 
+// publishGauges publishes which configuration the entry serves and how long ago the
+// store confirmed it.
+func (e *Entry) publishGauges() error {
+	version := func() float64 { return float64(e.config.Version()) }
+	if err := e.metrics.GaugeFunc("config_version", "Version of the active configuration.", version); err != nil {
+		return err
+	}
+	age := func() float64 { return e.config.Age().Seconds() }
+	return e.metrics.GaugeFunc("config_age_seconds", "Time since the store confirmed the active configuration.", age)
+}
+
 // ready reports whether the entry can serve callers.
 func (e *Entry) ready() bool {
 	return !e.draining.Load() && e.config.Current() != nil && e.replica.Ready()
