--- /dev/null
+++ b/control/configsync/propagation_test.go
@@ -0,0 +1,342 @@
+package configsync_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc"
+
+	"github.com/lacewingpier/lacewingpier/control/configsync"
+	"github.com/lacewingpier/lacewingpier/control/peer"
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/core/catalog"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
+	"github.com/lacewingpier/lacewingpier/infra/standin"
+)
+
+const (
+	// applyTimeout is how soon a configuration has to be in force at every entry that
+	// the store serves or that reaches such an entry.
+	applyTimeout = 4 * time.Second
+	// narrowLink is the bandwidth of the narrowest host, 10 Mbit/s.
+	narrowLink = 10_000_000 / 8
+	storeHost  = "store"
+	// encodedShare is how much larger a row is in the store's responses.
+	encodedShare = 4.0 / 3
+)
+
+// operator is the store's row of the configuration, with all its versions.
+type operator struct {
+	mu      sync.Mutex
+	bodies  [][]byte
+	changed chan struct{}
+}
+
+func (o *operator) publish(body []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.bodies = append(o.bodies, body)
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *operator) since(after rows.Version) ([][]byte, rows.Version, chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.bodies[after:], rows.Version(len(o.bodies)), o.changed
+}
+
+// storeClient is one entry's access to the store over the entry's own link.
+type storeClient struct {
+	*operator
+	net *standin.Network
+	ip  string
+
+	mu      sync.Mutex
+	refused bool
+}
+
+func (c *storeClient) setRefused(refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = refused
+}
+
+func (c *storeClient) available() error {
+	time.Sleep(8 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused {
+		return errkind.New(errkind.StoreUnavailable, "the store rejected the call")
+	}
+	return nil
+}
+
+// transfer returns the last of the bodies once all have arrived.
+func (c *storeClient) transfer(ctx context.Context, bodies [][]byte) ([]byte, error) {
+	size := 0
+	for _, b := range bodies {
+		size += len(b)
+	}
+	err := c.net.Transfer(ctx, storeHost, c.ip, int(float64(size)*encodedShare))
+	if err != nil || len(bodies) == 0 {
+		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "transfer")
+	}
+	return bodies[len(bodies)-1], nil
+}
+
+func (c *storeClient) ReadConfiguration(ctx context.Context) ([]byte, rows.Version, error) {
+	if err := c.available(); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	bodies, version, _ := c.since(0)
+	body, err := c.transfer(ctx, bodies[len(bodies)-1:])
+	return body, version, err
+}
+
+// WatchConfiguration returns every version after one, as the store does.
+func (c *storeClient) WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) ([]byte, rows.Version, error) {
+	if err := c.available(); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
+	expired := time.After(wait)
+	for {
+		bodies, version, changed := c.since(after)
+		if len(bodies) > 0 {
+			body, err := c.transfer(ctx, bodies)
+			return body, version, err
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "watch")
+		}
+	}
+}
+
+type deployment struct {
+	t        *testing.T
+	net      *standin.Network
+	operator *operator
+	entries  []*entry
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	version  ident.ConfigVersion
+	// late lists the entries in which a version was not in force in time.
+	mu     sync.Mutex
+	late   []string
+	checks sync.WaitGroup
+}
+
+type entry struct {
+	store  *storeClient
+	config *configsync.Follower
+	server *grpc.Server
+
+	mu    sync.Mutex
+	conns []*grpc.ClientConn
+}
+
+func (e *entry) connect(host transport.Network, address string) (*grpc.ClientConn, error) {
+	conn, err := transport.NewGRPCClient(host, address)
+	if err == nil {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.conns = append(e.conns, conn)
+	}
+	return conn, err
+}
+
+func (e *entry) close() {
+	e.server.Stop()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, conn := range e.conns {
+		_ = conn.Close()
+	}
+}
+
+func entryIP(i int) string      { return fmt.Sprintf("10.0.0.%d", i+1) }
+func entryAddress(i int) string { return entryIP(i) + ":7000" }
+
+// body returns a configuration of the platform's size: queues with random names.
+func body(version ident.ConfigVersion, queues int) []byte {
+	type queue struct {
+		Name, Host, PathPrefix, Service string
+		Priority, Attempts              int
+		SlackFactor                     float64
+		TargetMs, TimeoutMs             int
+		Methods                         []string
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	content := struct {
+		Version ident.ConfigVersion
+		Queues  []queue
+	}{Version: version}
+	for range queues {
+		name := fmt.Sprintf("%08x", rng.Uint32())
+		content.Queues = append(content.Queues, queue{
+			Name: "queue-" + name, Host: fmt.Sprintf("host%d.example", rng.IntN(50)), PathPrefix: "/" + name + "/",
+			Service: "site-analysis", Priority: rng.IntN(3), Attempts: 3, SlackFactor: 1.5,
+			TargetMs: 400, TimeoutMs: 3000, Methods: []string{"GET", "POST", "DELETE"},
+		})
+	}
+	raw, err := json.Marshal(content)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func decode(body []byte) (*catalog.Catalog, error) {
+	var content struct{ Version ident.ConfigVersion }
+	err := json.Unmarshal(body, &content)
+	return catalog.New(catalog.Catalog{Version: content.Version}), errkind.Wrap(errkind.Corrupt, err, "decode")
+}
+
+func newDeployment(t *testing.T, entries int) *deployment {
+	d := &deployment{t: t, net: standin.NewNetwork(), operator: &operator{changed: make(chan struct{})}}
+	d.publish(45)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for i := range entries {
+		d.net.SetBandwidth(entryIP(i), narrowLink)
+		d.entries = append(d.entries, d.startEntry(ctx, i, entries))
+	}
+	return d
+}
+
+func (d *deployment) startEntry(ctx context.Context, i, entries int) *entry {
+	host := d.net.Host(entryIP(i))
+	e := &entry{store: &storeClient{operator: d.operator, net: d.net, ip: entryIP(i)}, server: transport.NewGRPCServer()}
+	peers := &peer.Client{
+		Addresses: func() []string {
+			var others []string
+			for j := range entries {
+				if j != i {
+					others = append(others, entryAddress(j))
+				}
+			}
+			return others
+		},
+		Connect: func(address string) (*grpc.ClientConn, error) { return e.connect(host, address) },
+		OnError: func(string, error) {},
+	}
+	e.config = &configsync.Follower{
+		Source: e.store, Peers: peers, Decode: decode, Count: func(string) {},
+		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+	listener, err := host.Listen(entryAddress(i))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	rpc.RegisterEntryPeerServer(e.server, &peer.Server{Body: e.config.Body})
+	d.group.Go(func() { _ = e.server.Serve(listener) })
+	d.group.Go(func() { e.config.Run(ctx) })
+	d.group.Go(func() { e.config.PollPeers(ctx) })
+	return e
+}
+
+// write writes the next configuration.
+func (d *deployment) write(queues int) {
+	d.version += 3
+	d.operator.publish(body(d.version, queues))
+}
+
+// publish writes the next configuration and checks it after applyTimeout.
+func (d *deployment) publish(queues int) {
+	d.write(queues)
+	version := d.version
+	d.checks.Go(func() {
+		time.Sleep(applyTimeout)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for i, e := range d.entries {
+			if current := e.config.Current(); current == nil || current.Version < version {
+				d.late = append(d.late, fmt.Sprintf("version %d at entry %d", version, i))
+			}
+		}
+	})
+}
+
+// refuse makes the store turn away the entries of a range and serve the others.
+func (d *deployment) refuse(from, to int) {
+	for i, e := range d.entries {
+		e.store.setRefused(i >= from && i < to)
+	}
+}
+
+// lateVersions waits until every version has been checked, and returns those that were
+// not in force in time.
+func (d *deployment) lateVersions() []string {
+	d.checks.Wait()
+	return d.late
+}
+
+func (d *deployment) close() {
+	d.checks.Wait()
+	d.cancel()
+	for _, e := range d.entries {
+		e.close()
+	}
+	d.group.Wait()
+	synctest.Wait()
+}
+
+// Guards against a watch that resumes at an old version and never catches up,
+// because the store returns all versions since.
+func TestReturningEntryCatchesUpWithConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An entry that the store serves again has the newest configuration in time", t, func() {
+			d := newDeployment(t, 1)
+			defer d.close()
+			time.Sleep(2 * time.Second)
+			d.refuse(0, 1)
+			for range 8 {
+				d.write(1400)
+				time.Sleep(1300 * time.Millisecond)
+			}
+			d.refuse(0, 0)
+			time.Sleep(applyTimeout)
+			So(d.entries[0].config.Current().Version, ShouldEqual, d.version)
+		})
+	})
+}
+
+// Guards against large configurations that reach refused entries late, because the
+// other entries are queried one after the other and each sends the whole body.
+func TestRefusedEntriesGetLargeConfigurationsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Each version is in force everywhere in time while the store refuses four of eleven entries", t, func() {
+			d := newDeployment(t, 11)
+			defer d.close()
+			time.Sleep(2 * time.Second)
+			d.publish(1400)
+			time.Sleep(time.Second)
+			d.refuse(0, 4)
+			for range 8 {
+				d.publish(1400)
+				time.Sleep(1300 * time.Millisecond)
+			}
+			So(d.lateVersions(), ShouldBeEmpty)
+		})
+	})
+}
--- a/infra/standin/network.go
+++ b/infra/standin/network.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,6 +20,15 @@
 	downLinks map[hostLink]bool
 	conns     map[*memoryConn]struct{}
 	bytes     map[hostLink]int64
+	bandwidth map[string]*hostBandwidth
+}
+
+// hostBandwidth is the bandwidth of a host's own link, in bytes per second for each
+// direction, with the times from which on the directions are free.
+type hostBandwidth struct {
+	bytesPerSecond int64
+	sendFreeAt     time.Time
+	receiveFreeAt  time.Time
 }
 
 // hostLink is one direction of the link between two hosts.
@@ -31,6 +41,7 @@
 		downLinks: make(map[hostLink]bool),
 		conns:     make(map[*memoryConn]struct{}),
 		bytes:     make(map[hostLink]int64),
+		bandwidth: make(map[string]*hostBandwidth),
 	}
 }
 
@@ -86,6 +97,57 @@
 	return n.bytes[hostLink{from, to}]
 }
 
+// SetBandwidth limits what a host sends, and what it receives, to a number of bytes
+// per second. All its connections share the limit.
+func (n *Network) SetBandwidth(ip string, bytesPerSecond int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bandwidth[ip] = &hostBandwidth{bytesPerSecond: bytesPerSecond}
+}
+
+// Transfer waits for as long as a number of bytes takes from one host to another.
+func (n *Network) Transfer(ctx context.Context, from, to string, size int) error {
+	const segment = 16 << 10
+	for sent := 0; sent < size; sent += segment {
+		delay := n.reserve(hostLink{from, to}, min(segment, size-sent))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(delay):
+		}
+	}
+	return nil
+}
+
+// reserve takes the time of a number of bytes on both hosts' links, and returns how
+// long the sender has to wait until they have arrived.
+func (n *Network) reserve(link hostLink, size int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	arrived := now
+	if b := n.bandwidth[link.from]; b != nil {
+		b.sendFreeAt = later(now, b.sendFreeAt).Add(b.duration(size))
+		arrived = later(arrived, b.sendFreeAt)
+	}
+	if b := n.bandwidth[link.to]; b != nil {
+		b.receiveFreeAt = later(now, b.receiveFreeAt).Add(b.duration(size))
+		arrived = later(arrived, b.receiveFreeAt)
+	}
+	return arrived.Sub(now)
+}
+
+func (b *hostBandwidth) duration(size int) time.Duration {
+	return time.Duration(int64(size) * int64(time.Second) / b.bytesPerSecond)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func hostOf(addr string) string {
 	parsed, err := netip.ParseAddrPort(addr)
 	if err != nil {
@@ -160,8 +222,12 @@
 	link hostLink
 }
 
-// Write implements net.Conn and counts the bytes sent.
+// Write implements net.Conn and counts the bytes sent. It takes as long as the
+// bandwidth of the hosts demands.
 func (c *memoryConn) Write(p []byte) (int, error) {
+	if delay := c.network.reserve(c.link, len(p)); delay > 0 {
+		time.Sleep(delay)
+	}
 	n, err := c.Conn.Write(p)
 	c.network.mu.Lock()
 	c.network.bytes[c.link] += int64(n)
