Read the newest configuration after a failed watch

Callers got 404 for added queues for up to 20 s from entries that the store served again. A watch that failed resumed at its old version; the store then returned every version since, whole (0.4 to 1.2 MB had arrived when the deadline cut it off), and the same request was repeated until the store dropped its history after 20 s.

After a failure the follower reads the row, which has the newest version only, and watches from there. TestReturningEntryCatchesUpWithConfiguration failed before (version 6 instead of 27 after 4 s) and passes.

Responses of 0.5 MB that are cut off after 2 s remain, and entries that depend on others are still late by up to 4.4 s.

--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -143,7 +143,9 @@
 		Msg("configuration is now active")
 }
 
-// Run reads and watches the configuration in the store until ctx ends.
+// Run reads and watches the configuration in the store until ctx ends. After a failure
+// it reads again: a watch that resumed would get every version since, whole, which can
+// take longer than the store keeps its history.
 func (f *Follower) Run(ctx context.Context) {
 	var version rows.Version
 	complete := false
@@ -156,16 +158,15 @@
 		} else {
 			body, version, err = f.Source.ReadConfiguration(ctx)
 		}
+		complete = err == nil
 		switch {
 		case errkind.Is(err, errkind.HistoryLost):
-			complete = false
 			continue
 		case err != nil:
 			f.recordFailure(ctx, err)
 			sleep(ctx, retryDelay)
 			continue
 		}
-		complete = true
 		f.recordSuccess()
 		if body != nil {
 			f.applyIfNewer(Received{Source: sourceStore, Body: body, ArrivedAt: time.Now(), Took: time.Since(start)})
