Share the exchange of configurations between the sheet and the batch path

The request path passes configurations between processes as deltas with digests; the batch path passes whole bodies. Requests can ask a peer to wait and for deltas only; nothing uses that yet. The entry of the request path converts messages with the shared functions instead of its own copy. Rendezvous hashing, of which there were two copies, moves to core/rendezvous; membership now mixes the hash as ownership does, so it may choose other peers of the same rank.

--- a/cmd/lacewingctl/sheets.go
+++ b/cmd/lacewingctl/sheets.go
@@ -9,6 +9,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/adminapi"
 	"github.com/lacewingpier/lacewingpier/control/agent"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 	"github.com/lacewingpier/lacewingpier/control/entry"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -49,7 +50,7 @@
 		if err != nil {
 			return err
 		}
-		digest := sheet.Digest(parsed.Encode())
+		digest := exchange.Digest(parsed.Encode())
 		return inv.printer.Lines(map[string]string{"digest": digest}, "the text is valid, digest "+digest)
 	}
 	return printDiff(inv, "/v1/config/check", nil, raw)
--- a/control/adminapi/configuration.go
+++ b/control/adminapi/configuration.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/config"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -105,7 +106,7 @@
 	if err != nil {
 		return nil, nil, result, err
 	}
-	result = CheckResult{Version: current.Version, Digest: sheet.Digest(next.Encode()), Diff: notNil(sheet.Diff(before, next))}
+	result = CheckResult{Version: current.Version, Digest: exchange.Digest(next.Encode()), Diff: notNil(sheet.Diff(before, next))}
 	return before, next, result, nil
 }
 
@@ -143,7 +144,7 @@
 		return nil, err
 	}
 	next = sheet.KeepHomes(next, before)
-	return CheckResult{Version: record.Version, Digest: sheet.Digest(next.Encode()), Diff: notNil(sheet.Diff(before, next))}, nil
+	return CheckResult{Version: record.Version, Digest: exchange.Digest(next.Encode()), Diff: notNil(sheet.Diff(before, next))}, nil
 }
 
 func (a *API) applyConfig(c call) (any, error) {
--- a/control/config/bench_test.go
+++ b/control/config/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/lacewingpier/lacewingpier/control/config/apikey"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 )
 
@@ -35,7 +36,7 @@
 // a full body.
 func BenchmarkOfferTargetSheet(b *testing.B) {
 	body := targetSheet(b)
-	digest := sheet.Digest(body)
+	digest := exchange.Digest(body)
 	var compressed bytes.Buffer
 	writer := gzip.NewWriter(&compressed)
 	_, _ = writer.Write(body)
@@ -43,7 +44,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		f := NewFollower(Options{})
-		if err := f.Offer(Versioned{Version: 1, Digest: digest, Body: body}); err != nil {
+		if err := f.Offer(exchange.Versioned{Version: 1, Digest: digest, Body: body}); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -65,11 +66,11 @@
 	}
 	delta := sheet.Delta(before, after)
 	current := Snapshot{Version: 1, Body: body, Sheet: before}
-	digest := sheet.Digest(after.Encode())
+	digest := exchange.Digest(after.Encode())
 	for b.Loop() {
 		f := NewFollower(Options{})
 		f.current = current
-		if err := f.Offer(Versioned{Version: 2, Digest: digest, Base: 1, Deltas: [][]byte{delta}}); err != nil {
+		if err := f.Offer(exchange.Versioned{Version: 2, Digest: digest, Base: 1, Deltas: [][]byte{delta}}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/control/config/wire.go
+++ b/control/config/exchange/wire.go
@@ -1,4 +1,4 @@
-package config
+package exchange
 
 import (
 	"time"
@@ -38,10 +38,17 @@
 
 // RequestFromProto converts a request received from a peer.
 func RequestFromProto(m *rpc.FetchConfigRequest) FetchRequest {
-	return FetchRequest{AtLeast: ident.ConfigVersion(m.GetAtLeast()), Have: ident.ConfigVersion(m.GetHave())}
+	return FetchRequest{
+		AtLeast:    ident.ConfigVersion(m.GetAtLeast()),
+		Have:       ident.ConfigVersion(m.GetHave()),
+		Wait:       time.Duration(m.GetWaitMs()) * time.Millisecond,
+		DeltasOnly: m.GetDeltasOnly(),
+	}
 }
 
 // Proto converts the request to the message sent to a peer.
 func (r FetchRequest) Proto() *rpc.FetchConfigRequest {
-	return &rpc.FetchConfigRequest{AtLeast: uint64(r.AtLeast), Have: uint64(r.Have)}
+	return &rpc.FetchConfigRequest{
+		AtLeast: uint64(r.AtLeast), Have: uint64(r.Have), WaitMs: r.Wait.Milliseconds(), DeltasOnly: r.DeltasOnly,
+	}
 }
--- a/control/config/follower.go
+++ b/control/config/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -27,21 +28,6 @@
 	initialLoadRetry = 250 * time.Millisecond
 )
 
-// Versioned is a configuration as peers exchange it.
-type Versioned struct {
-	Version ident.ConfigVersion
-	Digest  string
-	// Body is empty when Deltas are set or the receiver requested a higher
-	// version.
-	Body []byte
-	// Base is the version that the first delta applies to.
-	Base   ident.ConfigVersion
-	Deltas [][]byte
-	// Age is the time since the sender last confirmed that the version was in
-	// force.
-	Age time.Duration
-}
-
 // Snapshot is a verified version with its parsed sheet. It must not be modified.
 type Snapshot struct {
 	Version ident.ConfigVersion
@@ -60,17 +46,9 @@
 	Body(ctx context.Context, digest string) ([]byte, error)
 }
 
-// FetchRequest is a request for a peer's configuration.
-type FetchRequest struct {
-	// AtLeast is the lowest version that the requester needs.
-	AtLeast ident.ConfigVersion
-	// Have is the version that the requester holds; deltas may start from it.
-	Have ident.ConfigVersion
-}
-
 // FetchFunc requests the configuration of a peer. The peer replies with the
 // result of Follower.Answer.
-type FetchFunc func(ctx context.Context, peer string, req FetchRequest) (Versioned, error)
+type FetchFunc func(ctx context.Context, peer string, req exchange.FetchRequest) (exchange.Versioned, error)
 
 // Event is the name of an event that is reported to operators.
 type Event string
@@ -113,7 +91,7 @@
 
 	mu        sync.Mutex
 	current   Snapshot
-	chain     deltaChain
+	chain     exchange.Chain
 	started   time.Time
 	confirmed time.Time
 	announced map[string]ident.ConfigVersion
@@ -229,7 +207,7 @@
 	}
 	body, err := f.opts.Source.Body(ctx, record.Digest)
 	if err == nil {
-		err = f.Offer(Versioned{Version: record.Version, Digest: record.Digest, Body: body})
+		err = f.Offer(exchange.Versioned{Version: record.Version, Digest: record.Digest, Body: body})
 	}
 	if err != nil {
 		f.opts.OnEvent(EventFetchFailed, err)
@@ -239,10 +217,10 @@
 
 func (f *Follower) loadDeltas(ctx context.Context, record Record) bool {
 	base := f.Current().Version
-	if base == 0 || record.Version-base > maxChainDeltas {
+	if base == 0 || !exchange.Covers(base, record.Version) {
 		return false
 	}
-	next := Versioned{Version: record.Version, Digest: record.Digest, Base: base}
+	next := exchange.Versioned{Version: record.Version, Digest: record.Digest, Base: base}
 	for v := base + 1; v <= record.Version; v++ {
 		audit, err := f.opts.Source.Version(ctx, v)
 		if err != nil || (audit.Delta == "" && audit.Changes > 0) {
@@ -335,9 +313,9 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	have := f.Current().Version
-	usedDeltas, err := f.fetchOnce(ctx, peer, FetchRequest{AtLeast: have + 1, Have: have})
+	usedDeltas, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have})
 	if usedDeltas && errkind.Is(err, errkind.Corrupt) {
-		_, err = f.fetchOnce(ctx, peer, FetchRequest{AtLeast: have + 1})
+		_, err = f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1})
 	}
 	if err != nil {
 		f.opts.OnEvent(EventFetchFailed, err)
@@ -347,7 +325,7 @@
 
 // fetchOnce installs the answer of a peer. On an error, usedDeltas reports whether
 // the answer had deltas.
-func (f *Follower) fetchOnce(ctx context.Context, peer string, req FetchRequest) (usedDeltas bool, err error) {
+func (f *Follower) fetchOnce(ctx context.Context, peer string, req exchange.FetchRequest) (usedDeltas bool, err error) {
 	requestedAt := time.Now()
 	got, err := f.opts.Fetch(ctx, peer, req)
 	if err != nil {
@@ -362,7 +340,7 @@
 
 // Offer installs a version if it is higher than the current one and its content
 // has the stated digest. A lower or equal version is ignored without an error.
-func (f *Follower) Offer(v Versioned) error {
+func (f *Follower) Offer(v exchange.Versioned) error {
 	current := f.Current()
 	if v.Version <= current.Version {
 		return nil
@@ -371,7 +349,7 @@
 	var err error
 	if len(v.Deltas) > 0 {
 		next.Sheet, err = patch(current, v)
-	} else if sheet.Digest(v.Body) == v.Digest {
+	} else if exchange.Digest(v.Body) == v.Digest {
 		next.Sheet, err = sheet.Parse(v.Body)
 	}
 	if err != nil {
@@ -380,14 +358,14 @@
 	if next.Sheet != nil && next.Body == nil {
 		next.Body = next.Sheet.Encode()
 	}
-	if got := sheet.Digest(next.Body); got != v.Digest {
+	if got := exchange.Digest(next.Body); got != v.Digest {
 		return errkind.New(errkind.Corrupt, "configuration version %d has digest %s, its content has %s", v.Version, v.Digest, got)
 	}
 	f.install(next, v)
 	return nil
 }
 
-func patch(current Snapshot, v Versioned) (*sheet.Sheet, error) {
+func patch(current Snapshot, v exchange.Versioned) (*sheet.Sheet, error) {
 	if v.Base != current.Version {
 		return nil, errkind.New(errkind.Corrupt, "the delta is based on version %d, this process holds version %d", v.Base, current.Version)
 	}
@@ -395,18 +373,13 @@
 }
 
 // install makes next, which was decoded from v, the current version.
-func (f *Follower) install(next Snapshot, v Versioned) {
+func (f *Follower) install(next Snapshot, v exchange.Versioned) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if next.Version <= f.current.Version {
 		return
 	}
-	var delta []byte
-	// Another version may have been installed since the deltas were applied.
-	if v.Base == f.current.Version {
-		delta = bytes.Join(v.Deltas, nil)
-	}
-	f.chain.add(f.current, next, delta)
+	f.extendChain(next, v)
 	// The time of the last confirmation is kept: the older version was in force
 	// at that time, and the new one came after it.
 	f.current = next
@@ -415,6 +388,23 @@
 	}
 }
 
+// extendChain adds the change from the current version to next, which was decoded from
+// v.
+func (f *Follower) extendChain(next Snapshot, v exchange.Versioned) {
+	if f.current.Version == 0 {
+		return
+	}
+	var delta []byte
+	// Another version may have been installed since the deltas were applied.
+	if v.Base == f.current.Version {
+		delta = bytes.Join(v.Deltas, nil)
+	}
+	if len(delta) == 0 {
+		delta = sheet.Delta(f.current.Sheet, next.Sheet)
+	}
+	f.chain.Add(f.current.Version, next.Version, delta)
+}
+
 // Current returns the current version.
 func (f *Follower) Current() Snapshot {
 	f.mu.Lock()
@@ -425,15 +415,15 @@
 // Answer returns the reply to a peer's request: only version and digest when the
 // version is below what the peer needs, deltas when they are known, or else the
 // full body.
-func (f *Follower) Answer(req FetchRequest) Versioned {
+func (f *Follower) Answer(req exchange.FetchRequest) exchange.Versioned {
 	age := f.Age()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := Versioned{Version: f.current.Version, Digest: f.current.Digest, Age: age}
+	out := exchange.Versioned{Version: f.current.Version, Digest: f.current.Digest, Age: age}
 	if f.current.Version < req.AtLeast {
 		return out
 	}
-	if deltas := f.chain.since(req.Have); len(deltas) > 0 {
+	if deltas := f.chain.Since(req.Have); len(deltas) > 0 {
 		out.Base, out.Deltas = req.Have, deltas
 	} else {
 		out.Body = f.current.Body
--- a/control/config/follower_test.go
+++ b/control/config/follower_test.go
@@ -12,15 +12,15 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/infra/standin"
 )
 
-func versioned(t testing.TB, v ident.ConfigVersion) Versioned {
+func versioned(t testing.TB, v ident.ConfigVersion) exchange.Versioned {
 	body := sheetOf(t, int(v)).Encode()
-	return Versioned{Version: v, Digest: sheet.Digest(body), Body: body}
+	return exchange.Versioned{Version: v, Digest: exchange.Digest(body), Body: body}
 }
 
 // startFollower runs f until stop is called.
@@ -70,12 +70,12 @@
 // Guards against a process that reports ready with an older version than the
 // table or a reachable peer has.
 func TestReadyOnlyWithHighestVersion(t *testing.T) {
-	peers := map[string]Versioned{"ahead": versioned(t, 3)}
-	fetch := func(_ context.Context, peer string, _ FetchRequest) (Versioned, error) {
+	peers := map[string]exchange.Versioned{"ahead": versioned(t, 3)}
+	fetch := func(_ context.Context, peer string, _ exchange.FetchRequest) (exchange.Versioned, error) {
 		if v, ok := peers[peer]; ok {
 			return v, nil
 		}
-		return Versioned{}, errkind.New(errkind.Unreachable, "no answer")
+		return exchange.Versioned{}, errkind.New(errkind.Unreachable, "no answer")
 	}
 	cases := []struct {
 		name      string
@@ -188,7 +188,7 @@
 				parent, latency := all[(i-1)/treeFanout], latencyOf(i)
 				all[i] = NewFollower(Options{
 					Peers: func() []string { return []string{"parent"} },
-					Fetch: func(_ context.Context, _ string, req FetchRequest) (Versioned, error) {
+					Fetch: func(_ context.Context, _ string, req exchange.FetchRequest) (exchange.Versioned, error) {
 						time.Sleep(2 * latency)
 						return parent.Answer(req), nil
 					},
@@ -271,7 +271,7 @@
 		store := NewStore(st.Table("e"), st.Objects("e"))
 		entry := NewFollower(Options{Source: store})
 		bodies, deltas, corruptDelta := 0, 0, false
-		agent := NewFollower(Options{Peers: func() []string { return []string{"entry"} }, Fetch: func(_ context.Context, _ string, req FetchRequest) (Versioned, error) {
+		agent := NewFollower(Options{Peers: func() []string { return []string{"entry"} }, Fetch: func(_ context.Context, _ string, req exchange.FetchRequest) (exchange.Versioned, error) {
 			v := entry.Answer(req)
 			bodies += min(1, len(v.Body))
 			deltas += len(v.Deltas)
@@ -319,7 +319,7 @@
 		old.Age = 20 * time.Second
 		f := NewFollower(Options{
 			Peers: func() []string { return []string{"old"} },
-			Fetch: func(context.Context, string, FetchRequest) (Versioned, error) { return old, nil },
+			Fetch: func(context.Context, string, exchange.FetchRequest) (exchange.Versioned, error) { return old, nil },
 		})
 		defer startFollower(t, f)()
 		synctest.Wait()
@@ -333,7 +333,7 @@
 func TestFetchesHighestAnnouncedVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		requests := map[string]int{}
-		f := NewFollower(Options{Fetch: func(_ context.Context, peer string, _ FetchRequest) (Versioned, error) {
+		f := NewFollower(Options{Fetch: func(_ context.Context, peer string, _ exchange.FetchRequest) (exchange.Versioned, error) {
 			requests[peer]++
 			switch peer {
 			case "high":
--- a/control/config/sheet/encode.go
+++ b/control/config/sheet/encode.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 
@@ -24,12 +22,6 @@
 	return out.Bytes()
 }
 
-// Digest returns the hexadecimal SHA-256 of a body.
-func Digest(body []byte) string {
-	sum := sha256.Sum256(body)
-	return hex.EncodeToString(sum[:])
-}
-
 // encodedLine is an encoded record with an id that identifies it in comparisons.
 type encodedLine struct {
 	id     string
--- a/control/config/store.go
+++ b/control/config/store.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
 	"github.com/lacewingpier/lacewingpier/control/internal/timing"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if sheet.Digest(body) != digest {
+	if exchange.Digest(body) != digest {
 		return nil, errkind.New(errkind.Corrupt, "configuration body %s does not match its digest", digest)
 	}
 	return body, nil
@@ -170,7 +171,7 @@
 	body := req.Sheet.Encode()
 	next := Record{
 		Version:  current.Version + 1,
-		Digest:   sheet.Digest(body),
+		Digest:   exchange.Digest(body),
 		Parent:   current.Digest,
 		Operator: req.Operator,
 		Time:     req.Now.UTC(),
@@ -186,7 +187,7 @@
 // parent returns the sheet in force: the given one when its digest matches, or
 // the one in the object store.
 func (s *Store) parent(ctx context.Context, current Record, given *sheet.Sheet) (*sheet.Sheet, error) {
-	if given != nil && sheet.Digest(given.Encode()) == current.Digest {
+	if given != nil && exchange.Digest(given.Encode()) == current.Digest {
 		return given, nil
 	}
 	return s.Sheet(ctx, current.Digest)
--- a/control/entry/peers.go
+++ b/control/entry/peers.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/lacewingpier/lacewingpier/control/config"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/membership"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
@@ -140,27 +140,17 @@
 }
 
 // fetchConfig fetches the configuration of a peer.
-func (e *Entry) fetchConfig(ctx context.Context, addr string, req config.FetchRequest) (config.Versioned, error) {
+func (e *Entry) fetchConfig(ctx context.Context, addr string, req exchange.FetchRequest) (exchange.Versioned, error) {
 	conn, err := transport.NewGRPCClient(e.network, addr)
 	if err != nil {
-		return config.Versioned{}, err
+		return exchange.Versioned{}, err
 	}
 	defer conn.Close()
-	reply, err := rpc.NewEntryClient(conn).FetchConfig(ctx, &rpc.FetchConfigRequest{
-		AtLeast: uint64(req.AtLeast),
-		Have:    uint64(req.Have),
-	})
+	reply, err := rpc.NewEntryClient(conn).FetchConfig(ctx, req.Proto())
 	if err != nil {
-		return config.Versioned{}, rpc.ErrorFromStatus(err)
+		return exchange.Versioned{}, rpc.ErrorFromStatus(err)
 	}
-	return config.Versioned{
-		Version: ident.ConfigVersion(reply.GetVersion()),
-		Digest:  reply.GetDigest(),
-		Body:    reply.GetBody(),
-		Base:    ident.ConfigVersion(reply.GetBaseVersion()),
-		Deltas:  reply.GetDeltas(),
-		Age:     time.Duration(reply.GetAgeMs()) * time.Millisecond,
-	}, nil
+	return exchange.FromProto(reply), nil
 }
 
 // configPeers returns the addresses of the peers to fetch the configuration from at
--- a/control/entry/state.go
+++ b/control/entry/state.go
@@ -6,11 +6,11 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lacewingpier/lacewingpier/control/config"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/executor"
 	"github.com/lacewingpier/lacewingpier/control/ownership"
 	"github.com/lacewingpier/lacewingpier/control/partition"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
-	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/infra/tableclient"
 )
 
@@ -109,16 +109,5 @@
 
 // FetchConfig implements rpc.EntryServer.
 func (e *Entry) FetchConfig(_ context.Context, req *rpc.FetchConfigRequest) (*rpc.Config, error) {
-	answer := e.state.config.Answer(config.FetchRequest{
-		AtLeast: ident.ConfigVersion(req.GetAtLeast()),
-		Have:    ident.ConfigVersion(req.GetHave()),
-	})
-	return &rpc.Config{
-		Version:     uint64(answer.Version),
-		Digest:      answer.Digest,
-		Body:        answer.Body,
-		AgeMs:       answer.Age.Milliseconds(),
-		BaseVersion: uint64(answer.Base),
-		Deltas:      answer.Deltas,
-	}, nil
+	return e.state.config.Answer(exchange.RequestFromProto(req)).Proto(), nil
 }
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -5,11 +5,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rendezvous"
 )
 
 // Intervals and timeouts of the membership protocol.
@@ -249,7 +249,7 @@
 	slices.SortFunc(peers, func(a, b *Peer) int {
 		return cmp.Or(
 			cmp.Compare(v.rank(a, now), v.rank(b, now)),
-			cmp.Compare(rendezvous(v.self.Entry, b.Entry), rendezvous(v.self.Entry, a.Entry)),
+			cmp.Compare(v.preference(b), v.preference(a)),
 		)
 	})
 	var out []Member
@@ -261,6 +261,11 @@
 	return out
 }
 
+// preference is the weight of a peer by which this entry chooses among the healthy ones.
+func (v *View) preference(p *Peer) uint64 {
+	return rendezvous.Score(string(v.self.Entry), string(p.Entry))
+}
+
 // rank sorts healthy members before draining, silent and failing ones.
 func (v *View) rank(p *Peer, now time.Time) int {
 	switch {
@@ -275,22 +280,6 @@
 	}
 }
 
-func rendezvous(self, peer ident.Entry) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(self + "\x00" + peer))
-	return mixBits(h.Sum64())
-}
-
-// mixBits spreads ids that differ only in the last character over all bits, which
-// FNV alone does not do.
-func mixBits(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Backoff of connection attempts.
 const (
 	minRetryDelay = time.Second
--- a/control/ownership/placement.go
+++ b/control/ownership/placement.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rendezvous"
 )
 
 // PartitionSpec is a configured partition.
@@ -39,7 +39,7 @@
 			session:   s,
 			inRegion:  s.Region == spec.Region,
 			otherZone: s.Zone != spec.Zone,
-			score:     score(string(spec.ID), s.Entry),
+			score:     rendezvous.Score(string(spec.ID), string(s.Entry)),
 		}
 		if !found || compareCandidates(c, best) > 0 {
 			best, found = c, true
@@ -74,24 +74,8 @@
 	ordered := slices.Clone(live)
 	slices.SortFunc(ordered, func(a, b Session) int {
 		return cmp.Or(
-			cmp.Compare(score(subject, b.Entry), score(subject, a.Entry)),
+			cmp.Compare(rendezvous.Score(subject, string(b.Entry)), rendezvous.Score(subject, string(a.Entry))),
 			cmp.Compare(a.Entry, b.Entry))
 	})
 	return slices.IndexFunc(ordered, func(s Session) bool { return s.Entry == self })
 }
-
-// score is the rendezvous hashing weight of an entry for a subject. The FNV
-// hash is mixed further, because its high bits depend little on the last
-// characters.
-func score(subject string, entry ident.Entry) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(subject))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(entry))
-	x := h.Sum64()
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
