Let entries watch each other's configurations and exchange deltas

Callers saw 404 for queues and answers by older versions on entries that the store refused. Such an entry queried all others one after the other, in the same order, also those that it could not reach; each sent the whole body of 302 to 449 KB, of which four entries at once fill a link of 10 Mbit/s beyond the deadline of 0.5 s; and nothing was used before the round had ended (1.1 s p50, 3.4 s at most).

Each entry now keeps a request open to two others, whether the store answers it or not. The other one answers when it has a newer version, with the deltas since the version that the requester holds, and says how long ago it last knew that its version was the newest; an entry that does not know that lately is left for the next one. Entries that were of no use come last for a while. A whole body is transferred compressed, from one entry, if deltas are missing. Content is checked against its digest.

--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -1,5 +1,7 @@
-// Package configsync keeps an entry's copy of the operator's configuration up to
-// date, from the store or, while this entry cannot reach the store, from other entries.
+// Package configsync keeps an entry's copy of the operator's configuration up to date,
+// from the store and from other entries. Whatever arrives first is used; the store sends
+// whole bodies, entries send each other deltas. An entry that the store does not serve
+// thus learns of a change one round trip after an entry that it does serve.
 package configsync
 
 import (
@@ -9,231 +11,233 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
-	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
-// Source reads and watches the operator's configuration in the store.
-type Source interface {
-	ReadConfiguration(ctx context.Context) ([]byte, rows.Version, error)
-	WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) ([]byte, rows.Version, error)
+// Options configures a Follower.
+type Options struct {
+	// Self is the address of this entry.
+	Self   string
+	Source Source
+	Peers  Peers
+	Decode func([]byte) (*catalog.Catalog, error)
+	Logger *log.Logger
+	// Count is called with the name of each event.
+	Count func(event string)
 }
 
-// Peers queries other entries for a newer configuration.
-type Peers interface {
-	Configuration(ctx context.Context, newerThan ident.ConfigVersion) []Received
+// Follower holds the newest configuration and never reverts to an older one. It is
+// safe for concurrent use.
+type Follower struct {
+	opts  Options
+	store storeWatch
+	peers peerWatches
+
+	// applying is held while a received configuration is decoded, so that the same
+	// version is decoded once.
+	applying sync.Mutex
+
+	mu      sync.Mutex
+	current snapshot
+	chain   exchange.Chain
+	// changed is closed when a newer version becomes active.
+	changed chan struct{}
+	// confirmedAt is when the active version was last known to be the newest one.
+	confirmedAt time.Time
 }
 
-// Received is a configuration that has arrived.
-type Received struct {
-	// Source is "store" or the address of the entry that sent it.
-	Source string
-	Body   []byte
-	// ArrivedAt is when the whole body had arrived, Took how long the call lasted. A
-	// call to the store includes the wait for a change.
-	ArrivedAt time.Time
-	Took      time.Duration
+// snapshot is a version of the configuration. It is immutable.
+type snapshot struct {
+	version ident.ConfigVersion
+	digest  string
+	body    []byte
+	catalog *catalog.Catalog
 }
 
-const sourceStore = "store"
+// confirmedFor is how long a confirmation of the active version counts. An entry whose
+// last one is older tells the others so, who then turn to other entries. It covers the
+// wait of a watch of the store, or of a chain of two entries.
+const confirmedFor = 1500 * time.Millisecond
 
-// Follower holds the newest configuration and never reverts to an older one. It is
-// safe for concurrent use.
-type Follower struct {
-	Source Source
-	Peers  Peers
-	Decode func([]byte) (*catalog.Catalog, error)
-	Logger *log.Logger
+// NewFollower returns a Follower without a configuration.
+func NewFollower(opts Options) *Follower {
+	f := &Follower{opts: opts, changed: make(chan struct{})}
+	f.peers.watched = make(map[string]bool)
+	return f
+}
 
-	// Count is called with the name of each event.
-	Count func(event string)
+// Current returns the active configuration, or nil.
+func (f *Follower) Current() *catalog.Catalog { return f.snapshot().catalog }
 
-	mu           sync.Mutex
-	body         []byte
-	current      *catalog.Catalog
-	lastResponse time.Time
-	// failedSince is when the first of an unbroken series of failed calls to the store
-	// ended, and failures their number.
-	failedSince     time.Time
-	failures        int
-	failureLoggedAt time.Time
-}
-
-const (
-	// watchWait is how long the store may hold a watch request without a change. A
-	// request that is open while the store drops its history reports nothing until
-	// its wait is over, and a configuration must take effect within 2.5 s. A dead
-	// connection delays it by at most one second more.
-	watchWait = time.Second
-	// retryDelay is the time between two attempts to reach the store.
-	retryDelay = 250 * time.Millisecond
-	// peerPollInterval is the time between two queries to other entries while the
-	// store does not answer.
-	peerPollInterval = 500 * time.Millisecond
-	// silenceBeforePeers is how long after watchWait the store may remain silent before
-	// other entries are queried.
-	silenceBeforePeers = time.Second
-	// failureLogInterval is the shortest time between two log lines about failed calls
-	// to the store.
-	failureLogInterval = time.Second
-)
+// Version returns the version of the active configuration, or zero.
+func (f *Follower) Version() ident.ConfigVersion { return f.snapshot().version }
 
-// Current returns the active configuration, or nil.
-func (f *Follower) Current() *catalog.Catalog {
+func (f *Follower) snapshot() snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.current
 }
 
-// Body returns the configuration as the operator wrote it if it is newer than the
-// given version.
-func (f *Follower) Body(newerThan ident.ConfigVersion) (ident.ConfigVersion, []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.current == nil || f.current.Version <= newerThan {
-		return 0, nil
-	}
-	return f.current.Version, f.body
-}
-
-// Version returns the version of the active configuration, or zero.
-func (f *Follower) Version() ident.ConfigVersion {
+// Age returns the time since the active version was last known to be the newest one. It
+// is zero before the first confirmation.
+func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.current == nil {
+	if f.confirmedAt.IsZero() {
 		return 0
 	}
-	return f.current.Version
+	return time.Since(f.confirmedAt)
 }
 
-// Age returns the time since the store last confirmed the active configuration or
-// delivered a newer one. It is zero before the first response of the store.
-func (f *Follower) Age() time.Duration {
+// confirm records that a version was the newest one at a time.
+func (f *Follower) confirm(version ident.ConfigVersion, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lastResponse.IsZero() {
-		return 0
+	if version >= f.current.version && at.After(f.confirmedAt) {
+		f.confirmedAt = at
 	}
-	return time.Since(f.lastResponse)
 }
 
-// applyIfNewer decodes a configuration and makes it active if it is newer.
-func (f *Follower) applyIfNewer(r Received) {
+// received is a configuration that has arrived.
+type received struct {
+	exchange.Versioned
+	// source is "store" or the address of the entry that sent it.
+	source string
+	// took is how long the call lasted, with the wait for a change.
+	took time.Duration
+	// at is when the configuration had arrived.
+	at time.Time
+}
+
+// apply makes a received configuration active if it is newer than the active one. An
+// error has kind Corrupt: the configuration can't be decoded, or does not have the stated
+// digest.
+func (f *Follower) apply(r received) error {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	before := f.snapshot()
+	if r.Digest == before.digest || r.Version != 0 && r.Version <= before.version {
+		f.opts.Count("config_received_again")
+		return nil
+	}
 	start := time.Now()
-	next, err := f.Decode(r.Body)
-	if err != nil {
-		f.Logger.Error().Err(err).Str("from", r.Source).Int("bytes", len(r.Body)).
-			Msg("failed to decode configuration; keeping the active one")
-		return
+	next, err := f.decode(before, r)
+	if err != nil || next.version <= before.version {
+		return err
 	}
 	decoded := time.Since(start)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.current != nil && next.Version <= f.current.Version {
-		f.Count("config_received_again")
-		return
-	}
-	f.body, f.current = r.Body, next
-	f.Logger.Info().Uint64("version", uint64(next.Version)).Str("from", r.Source).
-		Int("queues", len(next.Queues)).Int("workspaces", len(next.Workspaces)).
-		Int("bytes", len(r.Body)).Int64("took_ms", r.Took.Milliseconds()).
-		Int64("waited_ms", start.Sub(r.ArrivedAt).Milliseconds()).Int64("decode_ms", decoded.Milliseconds()).
+	delta, err := deltaBetween(before, next, r)
+	if err != nil {
+		return err
+	}
+	f.install(next, before.version, delta)
+	f.opts.Logger.Info().Uint64("version", uint64(next.version)).Str("from", r.source).
+		Int("queues", len(next.catalog.Queues)).Int("workspaces", len(next.catalog.Workspaces)).
+		Int("bytes", len(next.body)).Int("received_bytes", r.size()).Int64("took_ms", r.took.Milliseconds()).
+		Int64("waited_ms", start.Sub(r.at).Milliseconds()).Int64("decode_ms", decoded.Milliseconds()).
 		Msg("configuration is now active")
+	return nil
 }
 
-// Run reads and watches the configuration in the store until ctx ends. After a failure
-// it reads again: a watch that resumed would get every version since, whole, which can
-// take longer than the store keeps its history.
-func (f *Follower) Run(ctx context.Context) {
-	var version rows.Version
-	complete := false
-	for ctx.Err() == nil {
-		var body []byte
-		var err error
-		start := time.Now()
-		if complete {
-			body, version, err = f.watchNext(ctx, version)
-		} else {
-			body, version, err = f.Source.ReadConfiguration(ctx)
-		}
-		complete = err == nil
-		switch {
-		case errkind.Is(err, errkind.HistoryLost):
-			continue
-		case err != nil:
-			f.recordFailure(ctx, err)
-			sleep(ctx, retryDelay)
-			continue
-		}
-		f.recordSuccess()
-		if body != nil {
-			f.applyIfNewer(Received{Source: sourceStore, Body: body, ArrivedAt: time.Now(), Took: time.Since(start)})
-		}
+// size returns the number of bytes that were received.
+func (r received) size() int {
+	n := len(r.Body)
+	for _, d := range r.Deltas {
+		n += len(d)
 	}
+	return n
 }
 
-// watchNext returns the next change after a version, and the version from which to
-// continue. On an error, that is the same version.
-func (f *Follower) watchNext(ctx context.Context, after rows.Version) ([]byte, rows.Version, error) {
-	body, next, err := f.Source.WatchConfiguration(ctx, after, watchWait)
+// decode returns the configuration that was received, and verifies its digest.
+func (f *Follower) decode(before snapshot, r received) (snapshot, error) {
+	next := snapshot{digest: r.Digest, body: r.Body}
+	var err error
+	if len(r.Deltas) > 0 {
+		next.body, err = exchange.Patch(before.body, r.Deltas...)
+	}
+	if err == nil && exchange.Digest(next.body) != r.Digest {
+		err = errkind.New(errkind.Corrupt, "the content of configuration version %d does not have its digest", r.Version)
+	}
+	if err == nil {
+		next.catalog, err = f.opts.Decode(next.body)
+	}
 	if err != nil {
-		return nil, after, err
+		return snapshot{}, err
 	}
-	return body, max(after, next), nil
-}
-
-func (f *Follower) recordSuccess() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastResponse = time.Now()
-	if f.failures == 0 {
-		return
+	next.version = next.catalog.Version
+	return next, nil
+}
+
+// deltaBetween returns the change from one version to the next one, which was decoded
+// from r, or nil if there was no version before.
+func deltaBetween(before, next snapshot, r received) ([]byte, error) {
+	switch {
+	case before.version == 0:
+		return nil, nil
+	case len(r.Deltas) == 1 && r.Base == before.version:
+		return r.Deltas[0], nil
+	default:
+		return exchange.Delta(before.body, next.body)
 	}
-	f.Logger.Info().Int("failures", f.failures).Int64("failed_ms", time.Since(f.failedSince).Milliseconds()).
-		Msg("configuration watch restored")
-	f.failures = 0
 }
 
-// recordFailure counts failures and logs the first one of an outage and then one in
-// each failureLogInterval.
-func (f *Follower) recordFailure(ctx context.Context, err error) {
+// install makes a version active. delta is the change from the one before.
+func (f *Follower) install(next snapshot, before ident.ConfigVersion, delta []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ctx.Err() != nil {
-		return
+	if before != 0 {
+		f.chain.Add(before, next.version, delta)
 	}
-	f.Count("config_watch_failed")
-	now := time.Now()
-	if f.failures == 0 {
-		f.failedSince = now
-	}
-	f.failures++
-	if f.failures > 1 && now.Sub(f.failureLoggedAt) < failureLogInterval {
-		return
-	}
-	f.failureLoggedAt = now
-	f.Logger.Warn().Err(err).Msg("configuration watch failed; querying other entries")
-}
-
-// PollPeers queries the other entries for a newer configuration while the store does
-// not answer, until ctx ends.
-func (f *Follower) PollPeers(ctx context.Context) {
-	for sleep(ctx, peerPollInterval) {
-		if !f.storeSilent() {
-			continue
+	f.current = next
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Answer returns the reply to another entry's request. It waits, at most as long as the
+// request allows, for the version that the entry needs, but only while this entry itself
+// would learn of it.
+func (f *Follower) Answer(ctx context.Context, req exchange.FetchRequest) exchange.Versioned {
+	expired := time.After(req.Wait)
+	for {
+		reply, changed := f.reply(req)
+		if reply.Version >= req.AtLeast || reply.Age > confirmedFor {
+			return reply
 		}
-		for _, r := range f.Peers.Configuration(ctx, f.Version()) {
-			f.applyIfNewer(r)
+		select {
+		case <-changed:
+		case <-expired:
+			reply, _ = f.reply(req)
+			return reply
+		case <-ctx.Done():
+			return reply
 		}
 	}
 }
 
-func (f *Follower) storeSilent() bool {
+// reply returns the reply to a request at this moment: only version and digest when the
+// version is below what the entry needs, deltas when they are known, or else the whole
+// body if the entry wants it.
+func (f *Follower) reply(req exchange.FetchRequest) (exchange.Versioned, chan struct{}) {
+	age := f.Age()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.lastResponse) > watchWait+silenceBeforePeers
+	if f.confirmedAt.IsZero() {
+		// Nothing was ever confirmed.
+		age = 2 * confirmedFor
+	}
+	out := exchange.Versioned{Version: f.current.version, Digest: f.current.digest, Age: age}
+	if out.Version < req.AtLeast {
+		return out, f.changed
+	}
+	if deltas := f.chain.Since(req.Have); len(deltas) > 0 {
+		out.Base, out.Deltas = req.Have, deltas
+	} else if !req.DeltasOnly {
+		out.Body = f.current.body
+	}
+	return out, f.changed
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/phuslu/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -45,10 +47,44 @@
 	return []byte(next.body), after + 1, nil
 }
 
-type fakePeers struct{ body string }
+// fakePeers is one other entry. It answers as reply says.
+type fakePeers struct {
+	reply func(ctx context.Context, req exchange.FetchRequest) (exchange.Versioned, error)
+	mu    sync.Mutex
+	// requests are the requests that were answered.
+	requests []exchange.FetchRequest
+}
 
-func (p fakePeers) Configuration(context.Context, ident.ConfigVersion) []Received {
-	return []Received{{Body: []byte(p.body)}}
+func (p *fakePeers) FetchConfiguration(ctx context.Context, _ string, req exchange.FetchRequest) (exchange.Versioned, error) {
+	p.mu.Lock()
+	p.requests = append(p.requests, req)
+	p.mu.Unlock()
+	return p.reply(ctx, req)
+}
+
+func (p *fakePeers) Ranked(string) []string { return []string{"peer"} }
+func (p *fakePeers) Record(string, bool)    {}
+
+func whole(version string) exchange.Versioned {
+	n, err := strconv.Atoi(version)
+	if err != nil {
+		panic(err)
+	}
+	return exchange.Versioned{Version: ident.ConfigVersion(n), Digest: exchange.Digest([]byte(version)), Body: []byte(version)}
+}
+
+// holding returns the reply function of an entry that holds one version.
+func holding(version string) func(context.Context, exchange.FetchRequest) (exchange.Versioned, error) {
+	return func(ctx context.Context, req exchange.FetchRequest) (exchange.Versioned, error) {
+		v := whole(version)
+		if v.Version < req.AtLeast {
+			sleep(ctx, req.Wait)
+		}
+		if v.Version < req.AtLeast || req.DeltasOnly {
+			v.Body = nil
+		}
+		return v, nil
+	}
 }
 
 func decode(body []byte) (*catalog.Catalog, error) {
@@ -57,43 +93,132 @@
 }
 
 func newFollower(s Source, p Peers) *Follower {
-	return &Follower{Source: s, Peers: p, Decode: decode, Count: func(string) {},
-		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}}}
+	return NewFollower(Options{Source: s, Peers: p, Decode: decode, Count: func(string) {},
+		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}}})
+}
+
+// run runs the watches of a follower until stop is called.
+func run(f *Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { f.WatchStore(ctx) })
+	group.Go(func() { f.WatchPeers(ctx) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
 }
 
-// Guards against reverting to an older configuration, missing one when the store drops
-// its history, and not getting one while the store does not answer.
+// Guards against reverting to an older configuration, and missing one when the store
+// drops its history.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Older and invalid configurations are ignored, and a lost history causes a new read", t, func() {
 			s := &fakeSource{initial: "5", results: []watchResult{{body: "4"}, {body: "x"}, {body: "7"}, {err: errkind.New(errkind.HistoryLost, "")}, {body: "6"}}}
-			f := newFollower(s, fakePeers{"1"})
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { f.Run(ctx); close(done) }()
+			f := newFollower(s, &fakePeers{reply: holding("1")})
+			stop := run(f)
 			time.Sleep(time.Second)
-			cancel()
-			<-done
+			stop()
 			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(7))
-			version, body := f.Body(6)
-			So(version, ShouldEqual, ident.ConfigVersion(7))
-			So(string(body), ShouldEqual, "7")
-			_, body = f.Body(7)
-			So(body, ShouldBeNil)
+			reply := f.Answer(context.Background(), exchange.FetchRequest{AtLeast: 7})
+			So(reply.Version, ShouldEqual, ident.ConfigVersion(7))
+			So(string(reply.Body), ShouldEqual, "7")
+			So(f.Answer(context.Background(), exchange.FetchRequest{AtLeast: 8}).Body, ShouldBeNil)
 		})
-		Convey("Other entries are queried while the store does not answer", t, func() {
-			f := newFollower(&fakeSource{initial: "5"}, fakePeers{"9"})
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{}, 2)
-			go func() { f.Run(ctx); done <- struct{}{} }()
-			go func() { f.PollPeers(ctx); done <- struct{}{} }()
-			time.Sleep(time.Second)
+		Convey("Content without the stated digest is not used", t, func() {
+			wrong := func(context.Context, exchange.FetchRequest) (exchange.Versioned, error) {
+				v := whole("9")
+				v.Digest = exchange.Digest([]byte("8"))
+				return v, nil
+			}
+			f := newFollower(&fakeSource{initial: "5"}, &fakePeers{reply: wrong})
+			stop := run(f)
+			time.Sleep(5 * time.Second)
+			stop()
 			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(5))
-			time.Sleep(watchWait + silenceBeforePeers)
+		})
+	})
+}
+
+// Guards against waiting for the store to fail before other entries are asked.
+func TestChangeArrivesFromPeersWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A newer configuration of another entry is active at once", t, func() {
+			f := newFollower(&fakeSource{initial: "5"}, &fakePeers{reply: holding("9")})
+			stop := run(f)
+			time.Sleep(100 * time.Millisecond)
 			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(9))
-			cancel()
-			<-done
-			<-done
+			stop()
+		})
+	})
+}
+
+// Guards against whole bodies where a delta would do, and against an entry that gets
+// stuck when a delta does not fit.
+func TestDeltasAreUsedIfTheyFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		delta := func(base, next string) []byte {
+			d, err := exchange.Delta([]byte(base), []byte(next))
+			So(err, ShouldBeNil)
+			return d
+		}
+		cases := []struct {
+			name       string
+			deltas     func() [][]byte
+			wholeCount int
+		}{
+			{"A fitting chain of deltas needs no body", func() [][]byte { return [][]byte{delta("5", "7"), delta("7", "9")} }, 0},
+			{"After a delta with another result the body is fetched", func() [][]byte { return [][]byte{delta("5", "8")} }, 1},
+			{"After unreadable deltas the body is fetched", func() [][]byte { return [][]byte{[]byte("x")} }, 1},
+		}
+		for _, c := range cases {
+			Convey(c.name, t, func() {
+				deltas := c.deltas()
+				peers := &fakePeers{}
+				peers.reply = func(ctx context.Context, req exchange.FetchRequest) (exchange.Versioned, error) {
+					v, err := holding("9")(ctx, req)
+					if req.Have == 5 && req.DeltasOnly {
+						v.Base, v.Deltas = 5, deltas
+					}
+					return v, err
+				}
+				f := newFollower(&fakeSource{initial: "5"}, peers)
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() { f.WatchStore(ctx); close(done) }()
+				synctest.Wait()
+				f.watchPeer(ctx, "peer")
+				So(f.Current().Version, ShouldEqual, ident.ConfigVersion(9))
+				wholeCount := 0
+				for _, r := range peers.requests {
+					if !r.DeltasOnly {
+						wholeCount++
+					}
+				}
+				So(wholeCount, ShouldEqual, c.wholeCount)
+				cancel()
+				<-done
+			})
+		}
+	})
+}
+
+// Guards against requests that are held by an entry that would not learn of a change.
+func TestAnswerWaitsOnlyWhileConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An entry without a recent confirmation answers at once and says so", t, func() {
+			f := newFollower(&fakeSource{initial: "5"}, &fakePeers{reply: holding("1")})
+			stop := run(f)
+			time.Sleep(100 * time.Millisecond)
+			request := exchange.FetchRequest{AtLeast: 6, Have: 5, Wait: peerWait, DeltasOnly: true}
+			start := time.Now()
+			So(f.Answer(context.Background(), request).Age, ShouldBeLessThan, confirmedFor)
+			So(time.Since(start), ShouldEqual, peerWait)
+			time.Sleep(confirmedFor)
+			start = time.Now()
+			So(f.Answer(context.Background(), request).Age, ShouldBeGreaterThan, confirmedFor)
+			So(time.Since(start), ShouldEqual, 0)
+			stop()
 		})
 	})
 }
--- /dev/null
+++ b/control/configsync/peerwatch.go
@@ -0,0 +1,138 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
+)
+
+// Peers calls the other entries.
+type Peers interface {
+	// FetchConfiguration requests the configuration of one entry.
+	FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error)
+	// Ranked returns the addresses of the other entries in the order in which a subject
+	// prefers them; those that were of no use lately come last.
+	Ranked(subject string) []string
+	// Record notes whether a call to an entry was of use.
+	Record(address string, useful bool)
+}
+
+const (
+	// peerWatchCount is how many entries are watched at the same time: one of them may
+	// fail without a delay.
+	peerWatchCount = 2
+	// peerWait is how long another entry may hold a request without a change. A dead
+	// connection is detected half a second after that.
+	peerWait = 500 * time.Millisecond
+	// minPeerRetryDelay and maxPeerRetryDelay bound the time between an entry that was of
+	// no use and the next one, which doubles each time. Ten entries are tried within a
+	// second, so that one that is up to date is found in time.
+	minPeerRetryDelay = 20 * time.Millisecond
+	maxPeerRetryDelay = 400 * time.Millisecond
+	// noPeerDelay is the time between two looks for another entry to watch.
+	noPeerDelay = 500 * time.Millisecond
+)
+
+// peerWatches is the state of the watches of other entries.
+type peerWatches struct {
+	mu      sync.Mutex
+	watched map[string]bool
+	// fetching is held while a whole body is fetched, so that only one is.
+	fetching sync.Mutex
+}
+
+// WatchPeers watches the configurations of other entries until ctx ends.
+func (f *Follower) WatchPeers(ctx context.Context) {
+	var group conc.WaitGroup
+	for range peerWatchCount {
+		group.Go(func() { f.watchPeersInTurn(ctx) })
+	}
+	group.Wait()
+}
+
+// watchPeersInTurn watches one entry as long as it is of use, and then another one.
+func (f *Follower) watchPeersInTurn(ctx context.Context) {
+	delay := minPeerRetryDelay
+	for ctx.Err() == nil {
+		address, ok := f.claimPeer()
+		if !ok {
+			sleep(ctx, noPeerDelay)
+			continue
+		}
+		for ctx.Err() == nil && f.watchPeer(ctx, address) {
+			delay = minPeerRetryDelay
+		}
+		f.releasePeer(address)
+		sleep(ctx, delay)
+		delay = min(2*delay, maxPeerRetryDelay)
+	}
+}
+
+// claimPeer chooses the best entry that is not watched yet.
+func (f *Follower) claimPeer() (string, bool) {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	for _, address := range f.opts.Peers.Ranked(f.opts.Self) {
+		if !f.peers.watched[address] {
+			f.peers.watched[address] = true
+			return address, true
+		}
+	}
+	return "", false
+}
+
+func (f *Follower) releasePeer(address string) {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	delete(f.peers.watched, address)
+}
+
+// watchPeer waits for a newer configuration of an entry and makes it active. It reports
+// whether the entry is of use: it answers and is itself up to date.
+func (f *Follower) watchPeer(ctx context.Context, address string) bool {
+	have := f.Version()
+	reply, at, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1, Have: have, Wait: peerWait, DeltasOnly: true})
+	if ok && reply.Version > f.Version() {
+		ok = f.fetchWhole(ctx, address)
+	}
+	if ok {
+		f.confirm(reply.Version, at.Add(-reply.Age))
+	}
+	ok = ok && reply.Age <= confirmedFor
+	if ctx.Err() == nil {
+		f.opts.Peers.Record(address, ok)
+	}
+	return ok
+}
+
+// fetchWhole fetches the whole body, for which the deltas were unknown or did not fit.
+func (f *Follower) fetchWhole(ctx context.Context, address string) bool {
+	f.peers.fetching.Lock()
+	defer f.peers.fetching.Unlock()
+	_, _, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: f.Version() + 1})
+	return ok
+}
+
+// fetch requests the configuration of an entry and makes it active if it is newer. A
+// reply without content only states the version.
+func (f *Follower) fetch(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, time.Time, bool) {
+	start := time.Now()
+	reply, err := f.opts.Peers.FetchConfiguration(ctx, address, req)
+	now := time.Now()
+	if err != nil {
+		return reply, now, false
+	}
+	if len(reply.Body) == 0 && len(reply.Deltas) == 0 {
+		return reply, now, true
+	}
+	err = f.apply(received{Versioned: reply, source: address, took: now.Sub(start), at: now})
+	if err != nil {
+		f.opts.Logger.Warn().Err(err).Str("from", address).Uint64("version", uint64(reply.Version)).
+			Bool("whole", len(reply.Body) > 0).Msg("failed to decode configuration; keeping the active one")
+	}
+	return reply, now, err == nil || len(reply.Deltas) > 0
+}
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -240,18 +240,18 @@
 		Connect: func(address string) (*grpc.ClientConn, error) { return e.connect(host, address) },
 		OnError: func(string, error) {},
 	}
-	e.config = &configsync.Follower{
-		Source: e.store, Peers: peers, Decode: decode, Count: func(string) {},
+	e.config = configsync.NewFollower(configsync.Options{
+		Self: entryAddress(i), Source: e.store, Peers: peers, Decode: decode, Count: func(string) {},
 		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}},
-	}
+	})
 	listener, err := host.Listen(entryAddress(i))
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	rpc.RegisterEntryPeerServer(e.server, &peer.Server{Body: e.config.Body})
+	rpc.RegisterEntryPeerServer(e.server, &peer.Server{Configuration: e.config.Answer})
 	d.group.Go(func() { _ = e.server.Serve(listener) })
-	d.group.Go(func() { e.config.Run(ctx) })
-	d.group.Go(func() { e.config.PollPeers(ctx) })
+	d.group.Go(func() { e.config.WatchStore(ctx) })
+	d.group.Go(func() { e.config.WatchPeers(ctx) })
 	return e
 }
 
@@ -298,7 +298,8 @@
 		e.close()
 	}
 	d.group.Wait()
-	synctest.Wait()
+	// What the connections still send arrives within this time.
+	time.Sleep(10 * time.Second)
 }
 
 // Guards against a watch that resumes at an old version and never catches up,
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -10,12 +10,12 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/encoding/gzip"
 
-	"github.com/lacewingpier/lacewingpier/control/configsync"
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
-	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -27,13 +27,17 @@
 // between regions, with some margin for a busy host.
 const connectTimeout = 150 * time.Millisecond
 
+// bodyTimeout bounds the transfer of a whole configuration, whose size compresses to
+// some hundred kilobytes, over a link of 10 Mbit/s that several transfers share.
+const bodyTimeout = 2 * time.Second
+
 // Server serves the other entries.
 type Server struct {
 	rpc.UnimplementedEntryPeerServer
 	// Store is this entry's direct connection to the store, so relays do not chain.
 	Store rows.Store
-	// Body returns the configuration if it is newer than the given version.
-	Body func(newerThan ident.ConfigVersion) (ident.ConfigVersion, []byte)
+	// Configuration answers a request for this entry's configuration.
+	Configuration func(ctx context.Context, req exchange.FetchRequest) exchange.Versioned
 }
 
 // Commit commits a transaction for another entry.
@@ -69,11 +73,9 @@
 	return &rpc.ReadReply{Found: found, Row: rowMessage(row)}, nil
 }
 
-// Configuration returns the configuration to another entry if it is newer than the
-// other's.
-func (s *Server) Configuration(_ context.Context, m *rpc.ConfigurationRequest) (*rpc.ConfigurationReply, error) {
-	version, body := s.Body(ident.ConfigVersion(m.GetNewerThan()))
-	return &rpc.ConfigurationReply{Version: uint64(version), Body: body}, nil
+// FetchConfig returns this entry's configuration to another entry.
+func (s *Server) FetchConfig(ctx context.Context, m *rpc.FetchConfigRequest) (*rpc.Config, error) {
+	return s.Configuration(ctx, exchange.RequestFromProto(m)).Proto(), nil
 }
 
 func rowMessage(r rows.Row) *rpc.StoredRow {
@@ -92,10 +94,23 @@
 	// OnError is called for each failed call to an entry.
 	OnError func(address string, err error)
 
+	ranking ranking
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
+// Ranked returns the addresses of the other entries in the order in which a subject
+// prefers them; those that were of no use lately come last.
+func (c *Client) Ranked(subject string) []string {
+	return c.ranking.order(subject, c.Addresses(), time.Now())
+}
+
+// Record notes whether a call to an entry was of use, for the order of later calls.
+func (c *Client) Record(address string, useful bool) {
+	c.ranking.record(address, useful, time.Now())
+}
+
 // conn returns the connection to an entry, whatever its state.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
@@ -138,21 +153,12 @@
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
 	ambiguous := false
 	for _, address := range c.Addresses() {
-		client, err := c.readyClient(ctx, address)
-		if err != nil {
-			lastErr = err
-			c.OnError(address, err)
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-		err = call(callCtx, client)
-		cancel()
+		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
 			return nil
 		}
-		lastErr = rpc.ErrorFromStatus(err)
-		c.OnError(address, lastErr)
-		ambiguous = ambiguous || !errkind.Is(lastErr, errkind.StoreUnavailable)
+		lastErr = err
+		ambiguous = ambiguous || !errkind.Is(err, errkind.StoreUnavailable)
 	}
 	if ambiguous {
 		return errkind.Wrap(errkind.OutcomeUnknown, lastErr, "relayed call")
@@ -160,6 +166,20 @@
 	return lastErr
 }
 
+// callOne calls one entry. The timeout does not include connecting.
+func (c *Client) callOne(ctx context.Context, address string, timeout time.Duration, call func(context.Context, rpc.EntryPeerClient) error) error {
+	client, err := c.readyClient(ctx, address)
+	if err == nil {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		err = rpc.ErrorFromStatus(call(callCtx, client))
+	}
+	if err != nil {
+		c.OnError(address, err)
+	}
+	return err
+}
+
 // Commit commits a transaction through another entry.
 func (c *Client) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
 	m := &rpc.CommitRequest{}
@@ -200,33 +220,21 @@
 	return rowFromMessage(reply.GetRow()), reply.GetFound(), nil
 }
 
-// Configuration returns the configurations of the other entries that are newer than
-// the given version.
-func (c *Client) Configuration(ctx context.Context, newerThan ident.ConfigVersion) []configsync.Received {
-	var received []configsync.Received
-	for _, address := range c.Addresses() {
-		start := time.Now()
-		reply, err := c.configuration(ctx, address, newerThan)
-		if err != nil {
-			c.OnError(address, err)
-			continue
-		}
-		if len(reply.GetBody()) > 0 {
-			received = append(received, configsync.Received{
-				Source: address, Body: reply.GetBody(), ArrivedAt: time.Now(), Took: time.Since(start),
-			})
-		}
-	}
-	return received
-}
-
-func (c *Client) configuration(ctx context.Context, address string, newerThan ident.ConfigVersion) (*rpc.ConfigurationReply, error) {
-	client, err := c.readyClient(ctx, address)
+// FetchConfiguration requests the configuration of one entry.
+func (c *Client) FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error) {
+	timeout := relayTimeout + req.Wait
+	var options []grpc.CallOption
+	if !req.DeltasOnly {
+		timeout = bodyTimeout
+		options = append(options, grpc.UseCompressor(gzip.Name))
+	}
+	var reply *rpc.Config
+	err := c.callOne(ctx, address, timeout, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+		reply, err = peer.FetchConfig(ctx, req.Proto(), options...)
+		return err
+	})
 	if err != nil {
-		return nil, err
+		return exchange.Versioned{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	reply, err := client.Configuration(ctx, &rpc.ConfigurationRequest{NewerThan: uint64(newerThan)})
-	return reply, rpc.ErrorFromStatus(err)
+	return exchange.FromProto(reply), nil
 }
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -10,10 +10,11 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
-	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rendezvous"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -111,20 +112,48 @@
 	})
 }
 
-// Guards against entries that return outdated configurations.
-func TestOnlyNewerConfigurationsAreReturned(t *testing.T) {
-	Convey("Only a newer configuration is returned", t, func() {
-		address := serve(t, &Server{Body: func(newerThan ident.ConfigVersion) (ident.ConfigVersion, []byte) {
-			if newerThan >= 5 {
-				return 0, nil
-			}
-			return 5, []byte("five")
+// Guards against a request for a configuration that loses a field on the way, or whose
+// body is not transferred.
+func TestConfigurationIsFetchedAsRequested(t *testing.T) {
+	Convey("Request and reply arrive unchanged", t, func() {
+		var got exchange.FetchRequest
+		want := exchange.Versioned{
+			Version: 9, Digest: "d", Base: 5, Deltas: [][]byte{[]byte("a"), []byte("b")}, Body: []byte("body"), Age: 30 * time.Millisecond,
+		}
+		address := serve(t, &Server{Configuration: func(_ context.Context, req exchange.FetchRequest) exchange.Versioned {
+			got = req
+			return want
 		}})
-		client := newClient(closedAddress(t), address)
-		received := client.Configuration(context.Background(), 4)
-		So(received, ShouldHaveLength, 1)
-		So(received[0].Source, ShouldEqual, address)
-		So(string(received[0].Body), ShouldEqual, "five")
-		So(client.Configuration(context.Background(), 5), ShouldBeEmpty)
+		for _, req := range []exchange.FetchRequest{
+			{AtLeast: 6, Have: 5, Wait: 20 * time.Millisecond, DeltasOnly: true},
+			{AtLeast: 6},
+		} {
+			reply, err := newClient(address).FetchConfiguration(context.Background(), address, req)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, req)
+			So(reply, ShouldResemble, want)
+		}
+	})
+}
+
+// Guards against calls that wait again and again for entries that are of no use.
+func TestUselessEntriesComeLast(t *testing.T) {
+	Convey("The order depends on the subject, and entries of no use come last for a while", t, func() {
+		addresses := []string{"a:1", "b:1", "c:1", "d:1"}
+		var r ranking
+		now := time.Unix(1000, 0)
+		first := r.order("x", addresses, now)
+		So(first, ShouldResemble, rendezvous.Rank("x", addresses))
+		r.record(first[0], false, now)
+		r.record(first[1], false, now.Add(500*time.Millisecond))
+		now = now.Add(700 * time.Millisecond)
+		So(r.order("x", addresses, now), ShouldResemble, []string{first[2], first[3], first[0], first[1]})
+		now = now.Add(minDemotion)
+		So(r.order("x", addresses, now), ShouldResemble, first)
+		r.record(first[0], false, now)
+		now = now.Add(minDemotion)
+		So(r.order("x", addresses, now)[3], ShouldEqual, first[0])
+		r.record(first[0], true, now)
+		So(r.order("x", addresses, now), ShouldResemble, first)
 	})
 }
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -48,7 +48,9 @@
 			logger.Warn().Str("entry", address).Err(err).Msg("request to another entry failed")
 		},
 	}
-	e.config = &configsync.Follower{Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Logger: logger, Count: e.count}
+	e.config = configsync.NewFollower(configsync.Options{
+		Self: s.advertisedAddr(), Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Logger: logger, Count: e.count,
+	})
 	return e
 }
 
@@ -69,8 +71,8 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	e.group.Go(func() { jobstore.Follow(background, e.store, e.replica, e.storeAvailabilityChanged) })
-	e.group.Go(func() { e.config.Run(background) })
-	e.group.Go(func() { e.config.PollPeers(background) })
+	e.group.Go(func() { e.config.WatchStore(background) })
+	e.group.Go(func() { e.config.WatchPeers(background) })
 	e.group.Go(func() { e.publish(background) })
 	e.group.Go(func() { e.newCandidate().Run(ctx) })
 	<-ctx.Done()
@@ -87,7 +89,7 @@
 		Catalog: e.config.Current, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
 		Writer: &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
 	})
-	server := &peer.Server{Store: e.store, Body: e.config.Body}
+	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
 		return err
 	}
@@ -103,15 +105,15 @@
 	return e.serveMetrics()
 }
 
-// publishGauges publishes which configuration the entry serves and how long ago the
-// store confirmed it.
+// publishGauges publishes which configuration the entry serves and how long ago it was
+// known to be the newest one.
 func (e *Entry) publishGauges() error {
 	version := func() float64 { return float64(e.config.Version()) }
 	if err := e.metrics.GaugeFunc("config_version", "Version of the active configuration.", version); err != nil {
 		return err
 	}
 	age := func() float64 { return e.config.Age().Seconds() }
-	return e.metrics.GaugeFunc("config_age_seconds", "Time since the store confirmed the active configuration.", age)
+	return e.metrics.GaugeFunc("config_age_seconds", "Time since the active configuration was known to be the newest one.", age)
 }
 
 // ready reports whether the entry can serve callers.
