Remember entries that were of no use to relayed calls

Callers of entries that the store refused waited, and some got no answer in time: each relayed write or read began with the same addresses, of which unreachable ones cost 0.15 s and silent or refused ones up to 0.5 s each, and went on through all others after the caller had given up.

Relayed calls use the order of the configuration's watches: by rendezvous hashing of the calling entry, so that the calls spread, with entries of no use lately last. They end with their caller. TestRelayRemembersUselessEntries failed before (each useless entry called five times in five reads; two calls after the caller had left) and passes.

--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -88,6 +88,8 @@
 
 // Client calls the other entries and keeps its connections to them open.
 type Client struct {
+	// Self is the address of this entry.
+	Self string
 	// Addresses returns the addresses of the other entries.
 	Addresses func() []string
 	Connect   func(address string) (*grpc.ClientConn, error)
@@ -147,18 +149,23 @@
 	return rpc.NewEntryPeerClient(conn), nil
 }
 
-// callAny calls the other entries in turn until one succeeds. If a failed call may have
-// taken effect, the error has kind OutcomeUnknown.
+// callAny calls the other entries in turn until one succeeds, those that were of no use
+// lately last. If a failed call may have taken effect, the error has kind OutcomeUnknown.
 func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
 	ambiguous := false
-	for _, address := range c.Addresses() {
+	for _, address := range c.Ranked(c.Self) {
 		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
+			c.Record(address, true)
 			return nil
 		}
 		lastErr = err
 		ambiguous = ambiguous || !errkind.Is(err, errkind.StoreUnavailable)
+		if ctx.Err() != nil {
+			break
+		}
+		c.Record(address, false)
 	}
 	if ambiguous {
 		return errkind.Wrap(errkind.OutcomeUnknown, lastErr, "relayed call")
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -112,6 +112,54 @@
 	})
 }
 
+// Guards against relayed calls that each wait for the same unreachable or refused
+// entries, or that go on after the caller has given up.
+func TestRelayRemembersUselessEntries(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	Convey("An entry that was of no use is not called again while another one is", t, func() {
+		refused := serve(t, &Server{Store: &memoryStore{err: errkind.New(errkind.StoreUnavailable, "busy")}})
+		served := serve(t, &Server{Store: &memoryStore{row: rows.Row{Key: "j/1", Version: 4}}})
+		client := newClient(closedAddress(t), refused, closedAddress(t), served)
+		failed := make(map[string]int)
+		client.OnError = func(address string, _ error) { failed[address]++ }
+		for range 5 {
+			_, _, err := client.ReadRow(ctx, "j/1")
+			So(err, ShouldBeNil)
+		}
+		So(failed[served], ShouldEqual, 0)
+		for _, count := range failed {
+			So(count, ShouldEqual, 1)
+		}
+	})
+	Convey("A call ends with its caller", t, func() {
+		calling := make(chan struct{})
+		callCtx, giveUp := context.WithCancel(ctx)
+		client := newClient(serve(t, &Server{Store: &blockingStore{calling: calling}}), serve(t, &Server{Store: &blockingStore{calling: calling}}))
+		failures := 0
+		client.OnError = func(string, error) { failures++ }
+		go func() {
+			<-calling
+			giveUp()
+		}()
+		_, err := client.Commit(callCtx, create)
+		So(errkind.Of(err), ShouldEqual, errkind.OutcomeUnknown)
+		So(failures, ShouldEqual, 1)
+	})
+}
+
+// blockingStore reports its first call and answers none.
+type blockingStore struct {
+	rows.Store
+	calling chan struct{}
+}
+
+func (s *blockingStore) Commit(ctx context.Context, _ rows.Txn) (rows.Version, error) {
+	s.calling <- struct{}{}
+	<-ctx.Done()
+	return 0, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "commit")
+}
+
 // Guards against a request for a configuration that loses a field on the way, or whose
 // body is not transferred.
 func TestConfigurationIsFetchedAsRequested(t *testing.T) {
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -41,6 +41,7 @@
 		e.count("row_unreadable")
 	})
 	e.peers = &peer.Client{
+		Self:      s.advertisedAddr(),
 		Addresses: func() []string { return e.replica.Peers(ident.Entry(s.Node)) },
 		Connect:   connect,
 		OnError: func(address string, err error) {
