Let entries take turns at watching the configuration in the store

Only two entries now watch the store for the next version; the version determines which (rendezvous hashing), so all take their turn. The others form a tree of fan-out 8 below them and watch two entries above themselves. Replies state how long ago the sender last knew that its version was the newest, and from where in the store's history a watch can continue, so that a turn begins without reading the body again. An entry without a confirmation for 2 s watches the store itself, and one whose turn it is but that the store refuses says so at once, so that the next one takes its place.

--- a/control/config/exchange/exchange.go
+++ b/control/config/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
 // Versioned is a configuration as peers exchange it.
@@ -23,6 +24,10 @@
 	// Age is the time since the sender last confirmed that the version was in
 	// force.
 	Age time.Duration
+	// Position is the version of the store up to which the configuration has all
+	// changes. A watch of the store can continue from there. It is zero where the store
+	// keeps no versions.
+	Position rows.Version
 }
 
 // FetchRequest is a request for a peer's configuration.
--- a/control/config/exchange/wire.go
+++ b/control/config/exchange/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
 // FromProto converts a configuration received from a peer.
@@ -16,6 +17,8 @@
 		Base:    ident.ConfigVersion(m.GetBaseVersion()),
 		Deltas:  m.GetDeltas(),
 		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
+
+		Position: rows.Version(m.GetPosition()),
 	}
 }
 
@@ -28,6 +31,7 @@
 		BaseVersion: uint64(v.Base),
 		Deltas:      v.Deltas,
 		AgeMs:       AgeMillis(v.Age),
+		Position:    uint64(v.Position),
 	}
 }
 
--- /dev/null
+++ b/control/configsync/duty.go
@@ -0,0 +1,46 @@
+package configsync
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rendezvous"
+)
+
+// The entries form a tree for each version of the configuration. Its first entries watch
+// the store for the next version, and every other entry watches two entries above it. The
+// version determines the order, so that all entries take their turn in transferring whole
+// bodies from the store.
+const (
+	// storeReaders is the number of entries that watch the store; one of them may fail
+	// without a delay.
+	storeReaders = 2
+	// fanOut is the number of entries for each one above them. With two watched each,
+	// 16 entries watch one, at 2 requests a second and 0.3 KB for each.
+	fanOut = 8
+)
+
+// subject returns the subject by which the entries are ranked that look for the version
+// after the given one.
+func subject(version ident.ConfigVersion) string { return fmt.Sprintf("config/%d", version) }
+
+// position returns the place of an entry among the others that are of use to it.
+func position(subject, self string, useful []string) int {
+	return slices.Index(rendezvous.Rank(subject, append(slices.Clone(useful), self)), self)
+}
+
+// watchOrder returns which of the others, which are ranked, an entry at a position
+// prefers to watch: two above it, and then all from the top.
+func watchOrder(position int, useful []string) []string {
+	above := max(0, position-storeReaders) / fanOut
+	var preferred, rest []string
+	for i, address := range useful {
+		if position >= storeReaders && (i == above || i == above^1) {
+			preferred = append(preferred, address)
+		} else {
+			rest = append(rest, address)
+		}
+	}
+	return append(preferred, rest...)
+}
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -1,7 +1,7 @@
-// Package configsync keeps an entry's copy of the operator's configuration up to date,
-// from the store and from other entries. Whatever arrives first is used; the store sends
-// whole bodies, entries send each other deltas. An entry that the store does not serve
-// thus learns of a change one round trip after an entry that it does serve.
+// Package configsync keeps an entry's copy of the operator's configuration up to date. A
+// few entries, in turn, get whole bodies from the store; all entries watch others and get
+// deltas from them. An entry without a recent confirmation that its version is the newest
+// one watches the store itself.
 package configsync
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
 // Options configures a Follower.
@@ -45,8 +46,13 @@
 	chain   exchange.Chain
 	// changed is closed when a newer version becomes active.
 	changed chan struct{}
-	// confirmedAt is when the active version was last known to be the newest one.
+	// confirmedAt is when the active version was last known to be the newest one, and
+	// position the version of the store up to which it has all changes.
 	confirmedAt time.Time
+	position    rows.Version
+	// storeFailing is set while it is this entry's turn to watch the store, and the store
+	// does not serve it.
+	storeFailing bool
 }
 
 // snapshot is a version of the configuration. It is immutable.
@@ -58,9 +64,10 @@
 }
 
 // confirmedFor is how long a confirmation of the active version counts. An entry whose
-// last one is older tells the others so, who then turn to other entries. It covers the
-// wait of a watch of the store, or of a chain of two entries.
-const confirmedFor = 1500 * time.Millisecond
+// last one is older watches the store itself and tells the others so, who then turn to
+// other entries. It covers the waits of a watch of the store and of two watches of
+// entries, and leaves time to read the store within 2.5 s of a change.
+const confirmedFor = 2 * time.Second
 
 // NewFollower returns a Follower without a configuration.
 func NewFollower(opts Options) *Follower {
@@ -92,11 +99,24 @@
 	return time.Since(f.confirmedAt)
 }
 
-// confirm records that a version was the newest one at a time.
-func (f *Follower) confirm(version ident.ConfigVersion, at time.Time) {
+// confirmed reports whether the active version was known to be the newest one within a
+// time.
+func (f *Follower) confirmed(within time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version >= f.current.version && at.After(f.confirmedAt) {
+	return !f.confirmedAt.IsZero() && time.Since(f.confirmedAt) <= within
+}
+
+// confirm records that a version was the newest one at a time and at a version of the
+// store.
+func (f *Follower) confirm(version ident.ConfigVersion, at time.Time, position rows.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version != f.current.version {
+		return
+	}
+	f.position = max(f.position, position)
+	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
 }
@@ -221,14 +241,11 @@
 // version is below what the entry needs, deltas when they are known, or else the whole
 // body if the entry wants it.
 func (f *Follower) reply(req exchange.FetchRequest) (exchange.Versioned, chan struct{}) {
-	age := f.Age()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmedAt.IsZero() {
-		// Nothing was ever confirmed.
-		age = 2 * confirmedFor
+	out := exchange.Versioned{
+		Version: f.current.version, Digest: f.current.digest, Age: f.statedAgeLocked(), Position: f.position,
 	}
-	out := exchange.Versioned{Version: f.current.version, Digest: f.current.digest, Age: age}
 	if out.Version < req.AtLeast {
 		return out, f.changed
 	}
@@ -240,6 +257,22 @@
 	return out, f.changed
 }
 
+// statedAgeLocked returns the age that this entry states to others. It is above
+// confirmedFor if they can't rely on this entry, also when it has to watch the store for
+// them and can't.
+func (f *Follower) statedAgeLocked() time.Duration {
+	if f.confirmedAt.IsZero() || f.storeFailing {
+		return 2 * confirmedFor
+	}
+	return time.Since(f.confirmedAt)
+}
+
+func (f *Follower) setStoreFailing(failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeFailing = failing
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -62,8 +62,8 @@
 	return p.reply(ctx, req)
 }
 
-func (p *fakePeers) Ranked(string) []string { return []string{"peer"} }
-func (p *fakePeers) Record(string, bool)    {}
+func (p *fakePeers) Ranked(string) (useful, demoted []string) { return []string{"peer"}, nil }
+func (p *fakePeers) Record(string, bool)                      {}
 
 func whole(version string) exchange.Versioned {
 	n, err := strconv.Atoi(version)
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +15,9 @@
 type Peers interface {
 	// FetchConfiguration requests the configuration of one entry.
 	FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error)
-	// Ranked returns the addresses of the other entries in the order in which a subject
-	// prefers them; those that were of no use lately come last.
-	Ranked(subject string) []string
+	// Ranked returns the addresses of the other entries as all entries rank them for a
+	// subject. Those that were of no use to this entry lately are demoted.
+	Ranked(subject string) (useful, demoted []string)
 	// Record notes whether a call to an entry was of use.
 	Record(address string, useful bool)
 }
@@ -63,20 +64,39 @@
 			sleep(ctx, noPeerDelay)
 			continue
 		}
-		for ctx.Err() == nil && f.watchPeer(ctx, address) {
-			delay = minPeerRetryDelay
+		useful := true
+		for ctx.Err() == nil && useful && f.prefersPeer(address) {
+			useful = f.watchPeer(ctx, address)
 		}
 		f.releasePeer(address)
+		if useful {
+			delay = minPeerRetryDelay
+			continue
+		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxPeerRetryDelay)
 	}
 }
 
+// peerOrder returns the other entries in the order in which this one prefers to watch
+// them.
+func (f *Follower) peerOrder() []string {
+	s := subject(f.Version())
+	useful, demoted := f.opts.Peers.Ranked(s)
+	return append(watchOrder(position(s, f.opts.Self, useful), useful), demoted...)
+}
+
+// prefersPeer reports whether an entry is still among those that this one prefers.
+func (f *Follower) prefersPeer(address string) bool {
+	order := f.peerOrder()
+	return slices.Contains(order[:min(len(order), peerWatchCount)], address)
+}
+
 // claimPeer chooses the best entry that is not watched yet.
 func (f *Follower) claimPeer() (string, bool) {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
-	for _, address := range f.opts.Peers.Ranked(f.opts.Self) {
+	for _, address := range f.peerOrder() {
 		if !f.peers.watched[address] {
 			f.peers.watched[address] = true
 			return address, true
@@ -100,7 +120,7 @@
 		ok = f.fetchWhole(ctx, address)
 	}
 	if ok {
-		f.confirm(reply.Version, at.Add(-reply.Age))
+		f.confirm(reply.Version, at.Add(-reply.Age), reply.Position)
 	}
 	ok = ok && reply.Age <= confirmedFor
 	if ctx.Err() == nil {
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -66,6 +66,7 @@
 
 	mu      sync.Mutex
 	refused bool
+	bytes   int64
 }
 
 func (c *storeClient) setRefused(refused bool) {
@@ -90,7 +91,11 @@
 	for _, b := range bodies {
 		size += len(b)
 	}
-	err := c.net.Transfer(ctx, storeHost, c.ip, int(float64(size)*encodedShare))
+	size = int(float64(size) * encodedShare)
+	c.mu.Lock()
+	c.bytes += int64(size)
+	c.mu.Unlock()
+	err := c.net.Transfer(ctx, storeHost, c.ip, size)
 	if err != nil || len(bodies) == 0 {
 		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "transfer")
 	}
@@ -206,10 +211,11 @@
 	return raw
 }
 
+// decode reads the version only, which keeps the tests short.
 func decode(body []byte) (*catalog.Catalog, error) {
-	var content struct{ Version ident.ConfigVersion }
-	err := json.Unmarshal(body, &content)
-	return catalog.New(catalog.Catalog{Version: content.Version}), errkind.Wrap(errkind.Corrupt, err, "decode")
+	var version ident.ConfigVersion
+	_, err := fmt.Sscanf(string(body[:min(len(body), 40)]), `{"Version":%d,`, &version)
+	return catalog.New(catalog.Catalog{Version: version}), errkind.Wrap(errkind.Corrupt, err, "decode")
 }
 
 func newDeployment(t *testing.T, entries int) *deployment {
@@ -341,3 +347,53 @@
 		})
 	})
 }
+
+// traffic returns what each entry has sent and received, without headers below gRPC and
+// HTTP.
+func (d *deployment) traffic() []int64 {
+	total := make([]int64, len(d.entries))
+	for i, e := range d.entries {
+		e.store.mu.Lock()
+		total[i] = e.store.bytes
+		e.store.mu.Unlock()
+		for j := range d.entries {
+			total[i] += d.net.Bytes(entryIP(i), entryIP(j)) + d.net.Bytes(entryIP(j), entryIP(i))
+		}
+	}
+	return total
+}
+
+// Guards against configurations that exceed the traffic of a node, or come too late, at
+// the target size: 60 entries and 15,000 changes a day of 610 workspaces, 6 s and 14 KB/s.
+// The entries take turns, so the average of all is what each has over a day.
+func TestTargetTrafficFitsNode(t *testing.T) {
+	const (
+		changeInterval = 24 * time.Hour / 15000
+		changes        = 15
+		targetQueues   = 2140 // 462 KB, as much as 610 workspaces
+		nodeBudget     = 14_000
+	)
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The nodes stay within their traffic and get every version in time", t, func() {
+			d := newDeployment(t, 60)
+			defer d.close()
+			time.Sleep(5 * time.Second)
+			d.publish(targetQueues)
+			time.Sleep(changeInterval)
+			before := d.traffic()
+			for range changes {
+				d.publish(targetQueues)
+				time.Sleep(changeInterval)
+			}
+			var most, sum float64
+			for i, bytes := range d.traffic() {
+				rate := float64(bytes-before[i]) / (changes * changeInterval).Seconds()
+				most = max(most, rate)
+				sum += rate
+			}
+			t.Logf("body %d bytes; %.1f KB/s on the busiest node, %.1f KB/s on average", len(body(1, targetQueues)), most/1000, sum/1000/float64(len(d.entries)))
+			So(sum/float64(len(d.entries)), ShouldBeLessThan, nodeBudget)
+			So(d.lateVersions(), ShouldBeEmpty)
+		})
+	})
+}
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -18,11 +18,17 @@
 const (
 	// watchWait is how long the store may hold a watch request without a change. A
 	// request that is open while the store drops its history reports nothing until
-	// its wait is over, and a configuration must take effect within 2.5 s. A dead
-	// connection delays it by at most one second more.
-	watchWait = time.Second
+	// its wait is over. A dead connection delays it by at most one second more.
+	watchWait = 500 * time.Millisecond
 	// retryDelay is the time between two attempts to reach the store.
 	retryDelay = 250 * time.Millisecond
+	// dutyCheckInterval is the longest time until an entry notices that it has to watch
+	// the store in place of another one that is of no use.
+	dutyCheckInterval = 250 * time.Millisecond
+	// resumeWithin is how long after the last confirmation a watch may continue where the
+	// configuration was known to be complete. Later, the store might return many versions,
+	// whole, which can take longer than it keeps its history.
+	resumeWithin = 3 * time.Second
 	// failureLogInterval is the shortest time between two log lines about failed calls
 	// to the store.
 	failureLogInterval = time.Second
@@ -31,9 +37,8 @@
 
 // storeWatch is the state of the watch of the store. Only WatchStore uses it.
 type storeWatch struct {
-	// version is from where the watch continues; complete is set if it can.
-	version  rows.Version
-	complete bool
+	// historyLost is set until the configuration is read again.
+	historyLost bool
 	// failedSince is when the first of an unbroken series of failed calls ended, and
 	// failures their number.
 	failedSince     time.Time
@@ -41,45 +46,70 @@
 	failureLoggedAt time.Time
 }
 
-// WatchStore reads and watches the configuration in the store until ctx ends. After a
-// failure it reads again: a watch that resumed would get every version since, whole,
-// which can take longer than the store keeps its history.
+// WatchStore reads and watches the configuration in the store until ctx ends, while it is
+// this entry's turn or other entries do not confirm the active version.
 func (f *Follower) WatchStore(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.hasStoreDuty() {
+			f.setStoreFailing(false)
+			f.awaitStoreDuty(ctx)
+			continue
+		}
 		start := time.Now()
-		body, err := f.nextFromStore(ctx)
-		f.store.complete = err == nil
+		body, position, err := f.nextFromStore(ctx)
+		f.store.historyLost = errkind.Is(err, errkind.HistoryLost)
 		switch {
-		case errkind.Is(err, errkind.HistoryLost):
+		case f.store.historyLost:
 			continue
 		case err != nil:
+			f.setStoreFailing(true)
 			f.recordStoreFailure(ctx, err)
 			sleep(ctx, retryDelay)
 			continue
 		}
+		f.setStoreFailing(false)
 		f.recordStoreSuccess()
 		if body != nil {
 			f.applyFromStore(body, start)
 		}
 		// A response that waited in a buffer while the process was paused counts as new.
 		// That delays the use of other entries by confirmedFor at most.
-		f.confirm(f.Version(), time.Now())
+		f.confirm(f.Version(), time.Now(), position)
 	}
 }
 
-// nextFromStore returns the newest configuration, or the next change once it was read.
-func (f *Follower) nextFromStore(ctx context.Context) ([]byte, error) {
-	call := f.opts.Source.ReadConfiguration
-	if f.store.complete {
-		call = func(ctx context.Context) ([]byte, rows.Version, error) {
-			return f.opts.Source.WatchConfiguration(ctx, f.store.version, watchWait)
-		}
+// hasStoreDuty reports whether this entry has to watch the store.
+func (f *Follower) hasStoreDuty() bool {
+	if !f.confirmed(confirmedFor) {
+		return true
+	}
+	s := subject(f.Version())
+	useful, _ := f.opts.Peers.Ranked(s)
+	return position(s, f.opts.Self, useful) < storeReaders
+}
+
+// awaitStoreDuty waits until this entry may have to watch the store.
+func (f *Follower) awaitStoreDuty(ctx context.Context) {
+	f.mu.Lock()
+	changed := f.changed
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-time.After(min(dutyCheckInterval, max(time.Millisecond, confirmedFor-f.Age()))):
 	}
-	body, version, err := call(ctx)
-	if err == nil {
-		f.store.version = max(f.store.version, version)
+}
+
+// nextFromStore returns the next change, or nil without one, if the watch can continue,
+// and otherwise the newest configuration.
+func (f *Follower) nextFromStore(ctx context.Context) ([]byte, rows.Version, error) {
+	f.mu.Lock()
+	position := f.position
+	f.mu.Unlock()
+	if position == 0 || f.store.historyLost || !f.confirmed(resumeWithin) {
+		return f.opts.Source.ReadConfiguration(ctx)
 	}
-	return body, err
+	return f.opts.Source.WatchConfiguration(ctx, position, watchWait)
 }
 
 func (f *Follower) applyFromStore(body []byte, start time.Time) {
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,9 +103,9 @@
 	conns map[string]*grpc.ClientConn
 }
 
-// Ranked returns the addresses of the other entries in the order in which a subject
-// prefers them; those that were of no use lately come last.
-func (c *Client) Ranked(subject string) []string {
+// Ranked returns the addresses of the other entries as all entries rank them for a
+// subject. Those that were of no use to this entry lately are demoted.
+func (c *Client) Ranked(subject string) (useful, demoted []string) {
 	return c.ranking.order(subject, c.Addresses(), time.Now())
 }
 
@@ -154,7 +155,8 @@
 func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
 	ambiguous := false
-	for _, address := range c.Ranked(c.Self) {
+	useful, demoted := c.Ranked(c.Self)
+	for _, address := range slices.Concat(useful, demoted) {
 		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
 			c.Record(address, true)
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -166,7 +166,7 @@
 	Convey("Request and reply arrive unchanged", t, func() {
 		var got exchange.FetchRequest
 		want := exchange.Versioned{
-			Version: 9, Digest: "d", Base: 5, Deltas: [][]byte{[]byte("a"), []byte("b")}, Body: []byte("body"), Age: 30 * time.Millisecond,
+			Version: 9, Digest: "d", Base: 5, Deltas: [][]byte{[]byte("a"), []byte("b")}, Body: []byte("body"), Age: 30 * time.Millisecond, Position: 70,
 		}
 		address := serve(t, &Server{Configuration: func(_ context.Context, req exchange.FetchRequest) exchange.Versioned {
 			got = req
@@ -186,22 +186,28 @@
 
 // Guards against calls that wait again and again for entries that are of no use.
 func TestUselessEntriesComeLast(t *testing.T) {
-	Convey("The order depends on the subject, and entries of no use come last for a while", t, func() {
+	Convey("Entries of no use are demoted for a while, longer each time", t, func() {
 		addresses := []string{"a:1", "b:1", "c:1", "d:1"}
 		var r ranking
 		now := time.Unix(1000, 0)
-		first := r.order("x", addresses, now)
+		first, _ := r.order("x", addresses, now)
 		So(first, ShouldResemble, rendezvous.Rank("x", addresses))
 		r.record(first[0], false, now)
 		r.record(first[1], false, now.Add(500*time.Millisecond))
 		now = now.Add(700 * time.Millisecond)
-		So(r.order("x", addresses, now), ShouldResemble, []string{first[2], first[3], first[0], first[1]})
+		useful, demoted := r.order("x", addresses, now)
+		So(useful, ShouldResemble, []string{first[2], first[3]})
+		So(demoted, ShouldResemble, []string{first[0], first[1]})
 		now = now.Add(minDemotion)
-		So(r.order("x", addresses, now), ShouldResemble, first)
+		useful, demoted = r.order("x", addresses, now)
+		So(useful, ShouldResemble, first)
+		So(demoted, ShouldBeEmpty)
 		r.record(first[0], false, now)
 		now = now.Add(minDemotion)
-		So(r.order("x", addresses, now)[3], ShouldEqual, first[0])
+		_, demoted = r.order("x", addresses, now)
+		So(demoted, ShouldResemble, []string{first[0]})
 		r.record(first[0], true, now)
-		So(r.order("x", addresses, now), ShouldResemble, first)
+		_, demoted = r.order("x", addresses, now)
+		So(demoted, ShouldBeEmpty)
 	})
 }
--- a/control/peer/ranking.go
+++ b/control/peer/ranking.go
@@ -28,17 +28,21 @@
 	duration time.Duration
 }
 
-// order returns the addresses as a subject prefers them. Demoted ones come last, the one
-// first that was demoted the longest time ago.
-func (r *ranking) order(subject string, addresses []string, now time.Time) []string {
+// order returns the addresses as a subject ranks them, without the demoted ones, and the
+// demoted ones, of which the one comes first whose demotion ends first.
+func (r *ranking) order(subject string, addresses []string, now time.Time) (useful, demoted []string) {
 	ranked := rendezvous.Rank(subject, addresses)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slices.SortStableFunc(ranked, func(a, b string) int {
-		x, y := r.remaining(a, now), r.remaining(b, now)
-		return cmp.Compare(x, y)
-	})
-	return ranked
+	for _, address := range ranked {
+		if r.remaining(address, now) > 0 {
+			demoted = append(demoted, address)
+		} else {
+			useful = append(useful, address)
+		}
+	}
+	slices.SortStableFunc(demoted, func(a, b string) int { return cmp.Compare(r.remaining(a, now), r.remaining(b, now)) })
+	return useful, demoted
 }
 
 // remaining returns how much longer an address is demoted.
