Get one body at the initial load of a process, not one from each peer

It now asks the peers for their version, with deltas if they fit, and fetches the body from one that has the highest.

TestInitialLoadTransfersOneBody failed before (5 bodies from 5 peers) and passes, as do the tests of config, entry, e2e, agent and executor.

--- a/control/config/follower.go
+++ b/control/config/follower.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,8 +158,8 @@
 	}
 }
 
-// pollPeers requests a newer version than the current one from every peer and
-// reports whether any of them answered.
+// pollPeers asks every peer for its version, fetches the highest one above the current
+// one, and reports whether any peer answered. Only one peer sends a whole body.
 func (f *Follower) pollPeers(ctx context.Context, peers []string) bool {
 	if len(peers) == 0 || f.opts.Fetch == nil {
 		return false
@@ -166,15 +167,30 @@
 	answered := make([]bool, len(peers))
 	var wg conc.WaitGroup
 	for i, peer := range peers {
-		wg.Go(func() { answered[i] = f.fetch(ctx, peer) })
+		wg.Go(func() { answered[i] = f.askVersion(ctx, peer) })
 	}
 	wg.Wait()
-	for _, ok := range answered {
-		if ok {
-			return true
-		}
+	f.fetchHighest(ctx)
+	return slices.Contains(answered, true)
+}
+
+// askVersion requests a peer's version, with deltas if it has them, and reports whether
+// the peer answered.
+func (f *Follower) askVersion(ctx context.Context, peer string) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	have := f.Current().Version
+	got, _, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have, DeltasOnly: true})
+	if err != nil && !errkind.Is(err, errkind.Corrupt) {
+		f.opts.OnEvent(EventFetchFailed, err)
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if got.Version > f.current.Version {
+		f.announced[peer] = got.Version
 	}
-	return false
+	return true
 }
 
 // poll reads the table and reports whether the follower then holds its version or
@@ -276,13 +292,19 @@
 			return
 		case <-f.wake:
 		}
-		for ctx.Err() == nil {
-			peer, ok := f.takeHighestAnnounced()
-			if !ok {
-				break
-			}
-			f.fetch(ctx, peer)
+		f.fetchHighest(ctx)
+	}
+}
+
+// fetchHighest fetches announced versions, the highest one first, until none is above the
+// current one.
+func (f *Follower) fetchHighest(ctx context.Context) {
+	for ctx.Err() == nil {
+		peer, ok := f.takeHighestAnnounced()
+		if !ok {
+			return
 		}
+		f.fetch(ctx, peer)
 	}
 }
 
@@ -303,39 +325,41 @@
 	return best, found
 }
 
-// fetch requests a newer version from one peer and reports whether the peer gave
-// a valid answer. If deltas do not produce the stated digest, it fetches the full
-// body.
-func (f *Follower) fetch(ctx context.Context, peer string) bool {
+// fetch requests a newer version from one peer. If deltas do not produce the stated
+// digest, it fetches the full body.
+func (f *Follower) fetch(ctx context.Context, peer string) {
 	if f.opts.Fetch == nil {
-		return false
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	have := f.Current().Version
-	usedDeltas, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have})
+	_, usedDeltas, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have})
 	if usedDeltas && errkind.Is(err, errkind.Corrupt) {
-		_, err = f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1})
+		_, _, err = f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1})
 	}
 	if err != nil {
 		f.opts.OnEvent(EventFetchFailed, err)
 	}
-	return err == nil
 }
 
-// fetchOnce installs the answer of a peer. On an error, usedDeltas reports whether
-// the answer had deltas.
-func (f *Follower) fetchOnce(ctx context.Context, peer string, req exchange.FetchRequest) (usedDeltas bool, err error) {
+// fetchOnce installs and returns the answer of a peer. On an error, usedDeltas reports
+// whether the answer had deltas. An answer without content only announces a version.
+func (f *Follower) fetchOnce(ctx context.Context, peer string, req exchange.FetchRequest) (got exchange.Versioned, usedDeltas bool, err error) {
 	requestedAt := time.Now()
-	got, err := f.opts.Fetch(ctx, peer, req)
+	got, err = f.opts.Fetch(ctx, peer, req)
 	if err != nil {
-		return false, err
+		return got, false, err
+	}
+	if req.DeltasOnly && len(got.Body) == 0 && len(got.Deltas) == 0 {
+		f.confirm(got.Version, requestedAt.Add(-got.Age))
+		return got, false, nil
 	}
 	if err := f.Offer(got); err != nil {
-		return len(got.Deltas) > 0, err
+		return got, len(got.Deltas) > 0, err
 	}
 	f.confirm(got.Version, requestedAt.Add(-got.Age))
-	return false, nil
+	return got, false, nil
 }
 
 // Offer installs a version if it is higher than the current one and its content
@@ -414,7 +438,7 @@
 
 // Answer returns the reply to a peer's request: only version and digest when the
 // version is below what the peer needs, deltas when they are known, or else the
-// full body.
+// full body if the peer wants it.
 func (f *Follower) Answer(req exchange.FetchRequest) exchange.Versioned {
 	age := f.Age()
 	f.mu.Lock()
@@ -425,7 +449,7 @@
 	}
 	if deltas := f.chain.Since(req.Have); len(deltas) > 0 {
 		out.Base, out.Deltas = req.Have, deltas
-	} else {
+	} else if !req.DeltasOnly {
 		out.Body = f.current.Body
 	}
 	return out
--- a/control/config/follower_test.go
+++ b/control/config/follower_test.go
@@ -111,6 +111,36 @@
 	}
 }
 
+// Guards against a starting process that gets the whole body from every peer.
+func TestInitialLoadTransfersOneBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var bodies atomic.Int64
+		newest := versioned(t, 3)
+		fetch := func(_ context.Context, peer string, req exchange.FetchRequest) (exchange.Versioned, error) {
+			time.Sleep(10 * time.Millisecond)
+			source := NewFollower(Options{})
+			if err := source.Offer(newest); err != nil {
+				return exchange.Versioned{}, err
+			}
+			answer := source.Answer(req)
+			if len(answer.Body) > 0 {
+				bodies.Add(1)
+			}
+			return answer, nil
+		}
+		peers := []string{"a", "b", "c", "d", "e"}
+		f := NewFollower(Options{Fetch: fetch, Peers: func() []string { return peers }})
+		stop := startFollower(t, f)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		got := f.Status()
+		stop()
+		if !got.Ready || got.Version != 3 || bodies.Load() != 1 {
+			t.Errorf("%+v after %d bodies", got, bodies.Load())
+		}
+	})
+}
+
 // Guards against a disconnected or paused process that assumes its version is
 // current.
 func TestStaleAfterSixSecondsWithoutConfirmation(t *testing.T) {
