Read the newest configuration while a watch returns several

Callers would see configurations that come later and later: a watch of the store returns every version since the last one, whole. If a transfer takes longer than the time between two changes, the next response has more versions, takes longer, and so on.

The source now states how many older versions came with the newest one. While there are any, the follower reads the row, which has the newest version only, until a read brings no change.

--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -30,21 +30,21 @@
 	err  error
 }
 
-func (s *fakeSource) ReadConfiguration(context.Context) ([]byte, rows.Version, error) {
-	return []byte(s.initial), 1, nil
+func (s *fakeSource) ReadConfiguration(context.Context) (rows.Latest, error) {
+	return rows.Latest{Value: []byte(s.initial), At: 1}, nil
 }
 
-func (s *fakeSource) WatchConfiguration(ctx context.Context, after rows.Version, _ time.Duration) ([]byte, rows.Version, error) {
+func (s *fakeSource) WatchConfiguration(ctx context.Context, after rows.Version, _ time.Duration) (rows.Latest, error) {
 	if len(s.results) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return rows.Latest{}, ctx.Err()
 	}
 	next := s.results[0]
 	s.results = s.results[1:]
 	if next.err != nil {
-		return nil, 0, next.err
+		return rows.Latest{}, next.err
 	}
-	return []byte(next.body), after + 1, nil
+	return rows.Latest{Value: []byte(next.body), At: after + 1}, nil
 }
 
 // fakePeers is one other entry. It answers as reply says.
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -86,7 +86,7 @@
 }
 
 // transfer returns the last of the bodies once all have arrived.
-func (c *storeClient) transfer(ctx context.Context, bodies [][]byte) ([]byte, error) {
+func (c *storeClient) transfer(ctx context.Context, bodies [][]byte, at rows.Version) (rows.Latest, error) {
 	size := 0
 	for _, b := range bodies {
 		size += len(b)
@@ -95,28 +95,26 @@
 	c.mu.Lock()
 	c.bytes += int64(size)
 	c.mu.Unlock()
-	err := c.net.Transfer(ctx, storeHost, c.ip, size)
-	if err != nil || len(bodies) == 0 {
-		return nil, errkind.Wrap(errkind.StoreUnavailable, err, "transfer")
+	if err := c.net.Transfer(ctx, storeHost, c.ip, size); err != nil {
+		return rows.Latest{}, errkind.Wrap(errkind.StoreUnavailable, err, "transfer")
 	}
-	return bodies[len(bodies)-1], nil
+	return rows.Latest{Value: bodies[len(bodies)-1], At: at, Superseded: len(bodies) - 1}, nil
 }
 
-func (c *storeClient) ReadConfiguration(ctx context.Context) ([]byte, rows.Version, error) {
+func (c *storeClient) ReadConfiguration(ctx context.Context) (rows.Latest, error) {
 	if err := c.available(); err != nil {
-		return nil, 0, err
+		return rows.Latest{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	bodies, version, _ := c.since(0)
-	body, err := c.transfer(ctx, bodies[len(bodies)-1:])
-	return body, version, err
+	return c.transfer(ctx, bodies[len(bodies)-1:], version)
 }
 
 // WatchConfiguration returns every version after one, as the store does.
-func (c *storeClient) WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) ([]byte, rows.Version, error) {
+func (c *storeClient) WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) (rows.Latest, error) {
 	if err := c.available(); err != nil {
-		return nil, 0, err
+		return rows.Latest{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
@@ -124,15 +122,14 @@
 	for {
 		bodies, version, changed := c.since(after)
 		if len(bodies) > 0 {
-			body, err := c.transfer(ctx, bodies)
-			return body, version, err
+			return c.transfer(ctx, bodies, version)
 		}
 		select {
 		case <-changed:
 		case <-expired:
-			return nil, version, nil
+			return rows.Latest{At: version}, nil
 		case <-ctx.Done():
-			return nil, 0, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "watch")
+			return rows.Latest{}, errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "watch")
 		}
 	}
 }
@@ -363,6 +360,23 @@
 	return total
 }
 
+// Guards against a watch that falls behind further with each version, because the store
+// returns every version since the last one and transfers take longer than the changes.
+func TestLargeConfigurationsInQuickSuccession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Each version is in force everywhere in time while one comes each 100 ms for five seconds", t, func() {
+			d := newDeployment(t, 3)
+			defer d.close()
+			time.Sleep(2 * time.Second)
+			for range 50 {
+				d.publish(1400)
+				time.Sleep(100 * time.Millisecond)
+			}
+			So(d.lateVersions(), ShouldBeEmpty)
+		})
+	})
+}
+
 // Guards against configurations that exceed the traffic of a node, or come too late, at
 // the target size: 60 entries and 15,000 changes a day of 610 workspaces, 6 s and 14 KB/s.
 // The entries take turns, so the average of all is what each has over a day.
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -11,8 +11,8 @@
 
 // Source reads and watches the operator's configuration in the store.
 type Source interface {
-	ReadConfiguration(ctx context.Context) ([]byte, rows.Version, error)
-	WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) ([]byte, rows.Version, error)
+	ReadConfiguration(ctx context.Context) (rows.Latest, error)
+	WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) (rows.Latest, error)
 }
 
 const (
@@ -37,8 +37,10 @@
 
 // storeWatch is the state of the watch of the store. Only WatchStore uses it.
 type storeWatch struct {
-	// historyLost is set until the configuration is read again.
-	historyLost bool
+	// readNext is set if the next call reads instead of watching: after a lost history,
+	// and while the configuration changes faster than its bodies are transferred. A watch
+	// returns all versions since the last one, and would fall behind further each time.
+	readNext bool
 	// failedSince is when the first of an unbroken series of failed calls ended, and
 	// failures their number.
 	failedSince     time.Time
@@ -56,10 +58,11 @@
 			continue
 		}
 		start := time.Now()
-		body, position, err := f.nextFromStore(ctx)
-		f.store.historyLost = errkind.Is(err, errkind.HistoryLost)
+		watched := f.canWatch()
+		latest, err := f.nextFromStore(ctx, watched)
 		switch {
-		case f.store.historyLost:
+		case errkind.Is(err, errkind.HistoryLost):
+			f.store.readNext = true
 			continue
 		case err != nil:
 			f.setStoreFailing(true)
@@ -69,12 +72,14 @@
 		}
 		f.setStoreFailing(false)
 		f.recordStoreSuccess()
-		if body != nil {
-			f.applyFromStore(body, start)
+		before := f.Version()
+		if latest.Value != nil {
+			f.applyFromStore(latest.Value, start)
 		}
+		f.store.readNext = latest.Superseded > 0 || !watched && f.store.readNext && f.Version() != before
 		// A response that waited in a buffer while the process was paused counts as new.
 		// That delays the use of other entries by confirmedFor at most.
-		f.confirm(f.Version(), time.Now(), position)
+		f.confirm(f.Version(), time.Now(), latest.At)
 	}
 }
 
@@ -100,16 +105,24 @@
 	}
 }
 
-// nextFromStore returns the next change, or nil without one, if the watch can continue,
-// and otherwise the newest configuration.
-func (f *Follower) nextFromStore(ctx context.Context) ([]byte, rows.Version, error) {
+// canWatch reports whether a watch can continue where the configuration was last known to
+// be complete.
+func (f *Follower) canWatch() bool {
+	return !f.store.readNext && f.storePosition() != 0 && f.confirmed(resumeWithin)
+}
+
+func (f *Follower) storePosition() rows.Version {
 	f.mu.Lock()
-	position := f.position
-	f.mu.Unlock()
-	if position == 0 || f.store.historyLost || !f.confirmed(resumeWithin) {
-		return f.opts.Source.ReadConfiguration(ctx)
+	defer f.mu.Unlock()
+	return f.position
+}
+
+// nextFromStore waits for the next change, or returns the newest configuration.
+func (f *Follower) nextFromStore(ctx context.Context, watch bool) (rows.Latest, error) {
+	if watch {
+		return f.opts.Source.WatchConfiguration(ctx, f.storePosition(), watchWait)
 	}
-	return f.opts.Source.WatchConfiguration(ctx, position, watchWait)
+	return f.opts.Source.ReadConfiguration(ctx)
 }
 
 func (f *Follower) applyFromStore(body []byte, start time.Time) {
--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -68,6 +68,16 @@
 	Watch(ctx context.Context, after Version, wait time.Duration) (Page, error)
 }
 
+// Latest is the newest value of one row.
+type Latest struct {
+	// Value is nil if the row does not exist or has not changed.
+	Value []byte
+	// At is the version of the store at which Value was the newest one.
+	At Version
+	// Superseded is the number of older values that came with it.
+	Superseded int
+}
+
 // ConflictError reports that a condition of a transaction failed.
 type ConflictError struct {
 	// Current holds the current rows with the keys of the conditions.
