Take over only with all job states up to the owner's row

Callers would see a task run twice: an entry that took over could hold the newest owner's row without the job states that the same transaction had written, and gave runs to other workers that the former owner had started.

The takeover is conditional on the version of the owner's row, which proves that the replica is complete only if the row has come with all changes before it. Two paths brought the row alone: the read of all rows after the store has dropped its history, in which the job states come last (a second over a slow connection), and the read of the row after a lost campaign. The replica now records the version up to which it has all changes; the owner's row counts for a takeover once that has reached the row.

TestOwnerRowCountsAfterItsJobStates failed before (current during the read, and after a single read) and passes, as do the tests of batchowner and batche2e.

--- a/control/jobstore/follow.go
+++ b/control/jobstore/follow.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	f.handleSuccess()
-	f.replica.Apply(page.Rows)
+	f.replica.Advance(page.Rows, page.At)
 	f.version = max(f.version, page.At)
 	return nil
 }
--- a/control/jobstore/follow_test.go
+++ b/control/jobstore/follow_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
@@ -112,3 +113,71 @@
 		})
 	})
 }
+
+// ownerChangeStore drops its history once, and takes readTime to return the job states
+// when it is read again. Meanwhile the ownership was released.
+type ownerChangeStore struct {
+	rows.Store
+	readTime time.Duration
+	reads    int
+}
+
+func (s *ownerChangeStore) Read(_ context.Context, from, _ string) (rows.Page, error) {
+	s.reads++
+	again := s.reads > len(readOrder)
+	switch {
+	case from == "" && again:
+		return rows.Page{At: 9, Rows: []rows.Row{{Key: OwnerKey, Version: 9, Value: []byte(`{"epoch":1,"vacant":true}`)}}}, nil
+	case from == "":
+		return rows.Page{At: 5, Rows: []rows.Row{{Key: OwnerKey, Version: 5, Value: []byte(`{"epoch":1}`)}}}, nil
+	case from == statePrefix && again:
+		time.Sleep(s.readTime)
+		return rows.Page{At: 9, Rows: []rows.Row{{Key: StateKey("j1"), Version: 8, Value: []byte(`{"s":"running"}`)}}}, nil
+	default:
+		return rows.Page{At: 5}, nil
+	}
+}
+
+func (s *ownerChangeStore) Watch(ctx context.Context, after rows.Version, _ time.Duration) (rows.Page, error) {
+	if after < 9 {
+		return rows.Page{}, errkind.New(errkind.HistoryLost, "the history was dropped")
+	}
+	<-ctx.Done()
+	return rows.Page{}, ctx.Err()
+}
+
+// Guards against a takeover with job states that are older than the owner's row, after
+// which a task is started again that the former owner has started.
+func TestOwnerRowCountsAfterItsJobStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("While the job states are read again, the owner's row is not current", t, func() {
+			replica := NewReplica(func(string, error) {})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			store := &ownerChangeStore{readTime: time.Second}
+			go func() { Follow(ctx, store, replica, func(error) {}); close(done) }()
+			time.Sleep(store.readTime / 2)
+			reading := replica.Owner(time.Now())
+			time.Sleep(store.readTime)
+			complete := replica.Owner(time.Now())
+			cancel()
+			<-done
+			So(reading.Version, ShouldEqual, rows.Version(9))
+			So(reading.Current, ShouldBeFalse)
+			So(complete.Current, ShouldBeTrue)
+			So(complete.Owner.Released, ShouldBeTrue)
+		})
+		Convey("A single read of the owner's row makes it current only when the watch has come that far", t, func() {
+			replica := NewReplica(func(string, error) {})
+			owner := rows.Row{Key: OwnerKey, Version: 5, Value: []byte(`{"epoch":1}`)}
+			replica.Replace([]rows.Row{owner}, 5)
+			replica.SetConnected(true)
+			So(replica.Owner(time.Now()).Current, ShouldBeTrue)
+			owner.Version = 7
+			replica.Apply([]rows.Row{owner})
+			So(replica.Owner(time.Now()).Current, ShouldBeFalse)
+			replica.Advance([]rows.Row{{Key: StateKey("j1"), Version: 7, Value: []byte(`{"s":"running"}`)}}, 7)
+			So(replica.Owner(time.Now()).Current, ShouldBeTrue)
+		})
+	})
+}
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -43,6 +43,9 @@
 	entries      map[ident.Entry]Entry
 	owner        Owner
 	ownerVersion rows.Version
+	// completeTo is the version up to which the replica has all changes. Single rows may
+	// be newer.
+	completeTo rows.Version
 	// ownerChangedAt is when the owner's row last changed or, if later, when the
 	// connection to the store was last established.
 	ownerChangedAt time.Time
@@ -79,6 +82,18 @@
 func (r *Replica) Apply(list []rows.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applyNewerLocked(list)
+}
+
+// Advance stores the changes up to version at, which follow those that the replica has.
+func (r *Replica) Advance(changes []rows.Row, at rows.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applyNewerLocked(changes)
+	r.completeTo = max(r.completeTo, at)
+}
+
+func (r *Replica) applyNewerLocked(list []rows.Row) {
 	for _, row := range list {
 		if row.Version <= r.versions[row.Key] {
 			continue
@@ -184,14 +199,15 @@
 	for _, row := range list {
 		present[row.Key] = true
 	}
-	r.Apply(list)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applyNewerLocked(list)
 	for key, version := range r.versions {
 		if !present[key] && version <= at {
 			r.removeLocked(rows.Row{Key: key})
 		}
 	}
+	r.completeTo = max(r.completeTo, at)
 	r.synced = true
 }
 
@@ -253,8 +269,9 @@
 	// Unchanged is how long the row has not changed while the store was
 	// answering.
 	Unchanged time.Duration
-	// Current is set if the replica is fully loaded and the store answers.
-	// CurrentFor is how long it has been answering.
+	// Current is set if the store answers and the replica has all changes up to the
+	// owner's row. Without them, a new owner would repeat what the former one has done.
+	// CurrentFor is how long the store has been answering.
 	Current    bool
 	CurrentFor time.Duration
 }
@@ -265,7 +282,7 @@
 	defer r.mu.Unlock()
 	return OwnerView{
 		Owner: r.owner, Version: r.ownerVersion, Unchanged: now.Sub(r.ownerChangedAt),
-		Current: r.synced && r.connected, CurrentFor: now.Sub(r.connectedSince),
+		Current: r.synced && r.connected && r.ownerVersion <= r.completeTo, CurrentFor: now.Sub(r.connectedSince),
 	}
 }
 
