--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -37,9 +37,10 @@
 
 // storeWatch is the state of the watch of the store. Only WatchStore uses it.
 type storeWatch struct {
-	// readNext is set if the next call reads instead of watching: after a lost history,
-	// and while the configuration changes faster than its bodies are transferred. A watch
-	// returns all versions since the last one, and would fall behind further each time.
+	// readNext is set if the next call reads instead of watching: after a lost history, and
+	// after a watch returned several versions, until a read brings no change. A watch returns
+	// all versions since the last one, and would fall behind further each time if they come
+	// faster than they are transferred.
 	readNext bool
 	// failedSince is when the first of an unbroken series of failed calls ended, and
 	// failures their number.
@@ -58,8 +59,7 @@
 			continue
 		}
 		start := time.Now()
-		watched := f.canWatch()
-		latest, err := f.nextFromStore(ctx, watched)
+		latest, err := f.nextFromStore(ctx)
 		switch {
 		case errkind.Is(err, errkind.HistoryLost):
 			f.store.readNext = true
@@ -76,7 +76,7 @@
 		if latest.Value != nil {
 			f.applyFromStore(latest.Value, start)
 		}
-		f.store.readNext = latest.Superseded > 0 || !watched && f.store.readNext && f.Version() != before
+		f.store.readNext = latest.Superseded > 0 || f.store.readNext && f.Version() != before
 		// A response that waited in a buffer while the process was paused counts as new.
 		// That delays the use of other entries by confirmedFor at most.
 		f.confirm(f.Version(), time.Now(), latest.At)
@@ -105,10 +105,14 @@
 	}
 }
 
-// canWatch reports whether a watch can continue where the configuration was last known to
-// be complete.
-func (f *Follower) canWatch() bool {
-	return !f.store.readNext && f.storePosition() != 0 && f.confirmed(resumeWithin)
+// nextFromStore waits for the next change if a watch can continue where the configuration
+// was last known to be complete, and otherwise returns the newest configuration.
+func (f *Follower) nextFromStore(ctx context.Context) (rows.Latest, error) {
+	position := f.storePosition()
+	if f.store.readNext || position == 0 || !f.confirmed(resumeWithin) {
+		return f.opts.Source.ReadConfiguration(ctx)
+	}
+	return f.opts.Source.WatchConfiguration(ctx, position, watchWait)
 }
 
 func (f *Follower) storePosition() rows.Version {
@@ -117,14 +121,6 @@
 	return f.position
 }
 
-// nextFromStore waits for the next change, or returns the newest configuration.
-func (f *Follower) nextFromStore(ctx context.Context, watch bool) (rows.Latest, error) {
-	if watch {
-		return f.opts.Source.WatchConfiguration(ctx, f.storePosition(), watchWait)
-	}
-	return f.opts.Source.ReadConfiguration(ctx)
-}
-
 func (f *Follower) applyFromStore(body []byte, start time.Time) {
 	now := time.Now()
 	err := f.apply(received{
