Count the transfer of a configuration from the store as its age

Callers got 404 for an added queue for 4.0 to 4.2 s on 6 of 40 entries: a body that was under way for 1.2 s counted as confirmed when it had arrived, although the next version had been written meanwhile. The entry stated this to the others, and all of them relied on each other for 2 s from then, while the store refused the entries whose turn it was.

The start of the call is now the time of the confirmation if its response had a body. TestTransferTimeCountsAsAge failed before (1 ms instead of 1.2 s) and passes.

--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -23,6 +23,8 @@
 type fakeSource struct {
 	initial string
 	results []watchResult
+	// transferTime is how long a read takes.
+	transferTime time.Duration
 }
 
 type watchResult struct {
@@ -31,6 +33,7 @@
 }
 
 func (s *fakeSource) ReadConfiguration(context.Context) (rows.Latest, error) {
+	time.Sleep(s.transferTime)
 	return rows.Latest{Value: []byte(s.initial), At: 1}, nil
 }
 
@@ -109,6 +112,26 @@
 	}
 }
 
+// Guards against a slow transfer of an old version that counts as a proof that there is no
+// newer one, so that entries rely on each other for too long.
+func TestTransferTimeCountsAsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A version whose transfer took 1.2 s is 1.2 s old when it has arrived", t, func() {
+			s := &fakeSource{initial: "5", transferTime: 1200 * time.Millisecond}
+			unreachable := func(context.Context, exchange.FetchRequest) (exchange.Versioned, error) {
+				return exchange.Versioned{}, errkind.New(errkind.StoreUnavailable, "no connection")
+			}
+			f := newFollower(s, &fakePeers{reply: unreachable})
+			stop := run(f)
+			time.Sleep(s.transferTime + time.Millisecond)
+			age, version := f.Age(), f.Version()
+			stop()
+			So(version, ShouldEqual, ident.ConfigVersion(5))
+			So(age, ShouldBeGreaterThanOrEqualTo, s.transferTime)
+		})
+	})
+}
+
 // Guards against reverting to an older configuration, and missing one when the store
 // drops its history.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -77,12 +77,21 @@
 			f.applyFromStore(latest.Value, start)
 		}
 		f.store.readNext = latest.Superseded > 0 || f.store.readNext && f.Version() != before
-		// A response that waited in a buffer while the process was paused counts as new.
-		// That delays the use of other entries by confirmedFor at most.
-		f.confirm(f.Version(), time.Now(), latest.At)
+		f.confirm(f.Version(), confirmedBy(latest, start), latest.At)
 	}
 }
 
+// confirmedBy returns a time at which what a response states was still the newest. One
+// with a body may have been under way since the start of the call. One without, that
+// waited in a buffer while the process was paused, counts as new; that delays the use of
+// other entries by confirmedFor at most.
+func confirmedBy(latest rows.Latest, start time.Time) time.Time {
+	if latest.Value != nil {
+		return start
+	}
+	return time.Now()
+}
+
 // hasStoreDuty reports whether this entry has to watch the store.
 func (f *Follower) hasStoreDuty() bool {
 	if !f.confirmed(confirmedFor) {
