Call an entry's place in the order of watches its rank

The functions that decide who watches the store used "position" for the place of an entry among the others, while a position elsewhere in the package is a version of the store. No change of behavior; the tests of configsync pass.

--- a/control/configsync/duty.go
+++ b/control/configsync/duty.go
@@ -25,18 +25,18 @@
 // after the given one.
 func subject(version ident.ConfigVersion) string { return fmt.Sprintf("config/%d", version) }
 
-// position returns the place of an entry among the others that are of use to it.
-func position(subject, self string, useful []string) int {
+// rankOf returns the place of an entry among the others that are of use to it.
+func rankOf(subject, self string, useful []string) int {
 	return slices.Index(rendezvous.Rank(subject, append(slices.Clone(useful), self)), self)
 }
 
-// watchOrder returns which of the others, which are ranked, an entry at a position
+// watchOrder returns which of the others, which are ranked, an entry of a rank
 // prefers to watch: two above it, and then all from the top.
-func watchOrder(position int, useful []string) []string {
-	above := max(0, position-storeReaders) / fanOut
+func watchOrder(rank int, useful []string) []string {
+	above := max(0, rank-storeReaders) / fanOut
 	var preferred, rest []string
 	for i, address := range useful {
-		if position >= storeReaders && (i == above || i == above^1) {
+		if rank >= storeReaders && (i == above || i == above^1) {
 			preferred = append(preferred, address)
 		} else {
 			rest = append(rest, address)
--- a/control/configsync/duty_test.go
+++ b/control/configsync/duty_test.go
@@ -31,13 +31,13 @@
 			watchers := make(map[string]int)
 			for place, self := range all {
 				useful := others(s, n, self)
-				So(position(s, self, useful), ShouldEqual, place)
+				So(rankOf(s, self, useful), ShouldEqual, place)
 				order := watchOrder(place, useful)
 				So(order, ShouldHaveLength, n-1)
 				for _, a := range order[:min(2, n-1)] {
 					watchers[a]++
 					if place >= storeReaders {
-						So(position(s, a, others(s, n, a)), ShouldBeLessThan, place)
+						So(rankOf(s, a, others(s, n, a)), ShouldBeLessThan, place)
 					}
 				}
 			}
@@ -55,7 +55,7 @@
 		for v := range 1100 {
 			s := subject(ident.ConfigVersion(v))
 			for _, a := range others(s, 11, "") {
-				if position(s, a, others(s, 11, a)) < storeReaders {
+				if rankOf(s, a, others(s, 11, a)) < storeReaders {
 					turns[a]++
 				}
 			}
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -83,7 +83,7 @@
 func (f *Follower) peerOrder() []string {
 	s := subject(f.Version())
 	useful, demoted := f.opts.Peers.Ranked(s)
-	return append(watchOrder(position(s, f.opts.Self, useful), useful), demoted...)
+	return append(watchOrder(rankOf(s, f.opts.Self, useful), useful), demoted...)
 }
 
 // prefersPeer reports whether an entry is still among those that this one prefers.
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -99,7 +99,7 @@
 	}
 	s := subject(f.Version())
 	useful, _ := f.opts.Peers.Ranked(s)
-	return position(s, f.opts.Self, useful) < storeReaders
+	return rankOf(s, f.opts.Self, useful) < storeReaders
 }
 
 // awaitStoreDuty waits until this entry may have to watch the store.
