Fetch a configuration from a second entry when the first one is slow

Callers would get 404 for an added queue for up to two seconds more from an entry that holds neither the version nor a delta's base. It fetched the whole body from one entry at a time, and the second watch waited for the first one's fetch, until its deadline of 2 s, also when its own entry could have sent the body at once.

The second watch now waits 0.5 s for a body that is being fetched and then fetches it, too.

TestSlowBodyIsFetchedFromSecondEntry failed before (no version after 1 s) and passes, as does all of configsync.

--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -73,6 +73,7 @@
 func NewFollower(opts Options) *Follower {
 	f := &Follower{opts: opts, changed: make(chan struct{})}
 	f.peers.watched = make(map[string]bool)
+	f.peers.fetching = make(chan struct{}, 1)
 	return f
 }
 
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -176,6 +176,39 @@
 	})
 }
 
+// slowAndFastPeers are two other entries that hold version 9, without deltas. The first one
+// takes two seconds to fail to send its body.
+type slowAndFastPeers struct{ fakePeers }
+
+func (p *slowAndFastPeers) FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error) {
+	switch {
+	case address == "fast":
+		sleep(ctx, 10*time.Millisecond)
+	case !req.DeltasOnly:
+		sleep(ctx, 2*time.Second)
+		return exchange.Versioned{}, errkind.New(errkind.StoreUnavailable, "the deadline has passed")
+	}
+	return holding("9")(ctx, req)
+}
+
+func (p *slowAndFastPeers) Ranked(string) (useful, demoted []string) {
+	return []string{"slow", "fast"}, nil
+}
+
+// Guards against an entry that waits for a body from a slow entry while another has it.
+func TestSlowBodyIsFetchedFromSecondEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The body of the second entry is active within a second", t, func() {
+			f := newFollower(&fakeSource{initial: "5", transferTime: 5 * time.Second}, &slowAndFastPeers{})
+			stop := run(f)
+			time.Sleep(time.Second)
+			version := f.Version()
+			stop()
+			So(version, ShouldEqual, ident.ConfigVersion(9))
+		})
+	})
+}
+
 // Guards against whole bodies where a delta would do, and against an entry that gets
 // stuck when a delta does not fit.
 func TestDeltasAreUsedIfTheyFit(t *testing.T) {
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lacewingpier/lacewingpier/control/config/exchange"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 // Peers calls the other entries.
@@ -34,6 +35,9 @@
 	// second, so that one that is up to date is found in time.
 	minPeerRetryDelay = 20 * time.Millisecond
 	maxPeerRetryDelay = 400 * time.Millisecond
+	// slowFetchDelay is how long one entry has to send a whole body before it is fetched
+	// from a second one, too. A compressed body of 0.1 MB takes 0.1 s at 10 Mbit/s.
+	slowFetchDelay = 500 * time.Millisecond
 	// noPeerDelay is the time between two looks for another entry to watch.
 	noPeerDelay = 500 * time.Millisecond
 )
@@ -42,8 +46,8 @@
 type peerWatches struct {
 	mu      sync.Mutex
 	watched map[string]bool
-	// fetching is held while a whole body is fetched, so that only one is.
-	fetching sync.Mutex
+	// fetching has room for one whole body that is being fetched.
+	fetching chan struct{}
 }
 
 // WatchPeers watches the configurations of other entries until ctx ends.
@@ -117,7 +121,7 @@
 	have := f.Version()
 	reply, at, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1, Have: have, Wait: peerWait, DeltasOnly: true})
 	if ok && reply.Version > f.Version() {
-		ok = f.fetchWhole(ctx, address)
+		ok = f.fetchWhole(ctx, address, reply.Version)
 	}
 	if ok {
 		f.confirm(reply.Version, at.Add(-reply.Age), reply.Position)
@@ -129,11 +133,22 @@
 	return ok
 }
 
-// fetchWhole fetches the whole body, for which the deltas were unknown or did not fit.
-func (f *Follower) fetchWhole(ctx context.Context, address string) bool {
-	f.peers.fetching.Lock()
-	defer f.peers.fetching.Unlock()
-	_, _, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: f.Version() + 1})
+// fetchWhole fetches a version as a whole body, for which the deltas were unknown or did
+// not fit. It waits for a body that is being fetched from another entry, at most
+// slowFetchDelay.
+func (f *Follower) fetchWhole(ctx context.Context, address string, version ident.ConfigVersion) bool {
+	select {
+	case f.peers.fetching <- struct{}{}:
+		defer func() { <-f.peers.fetching }()
+	case <-time.After(slowFetchDelay):
+	case <-ctx.Done():
+		return false
+	}
+	have := f.Version()
+	if have >= version {
+		return true
+	}
+	_, _, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1})
 	return ok
 }
 
