Send large configurations in parts, in turn, and wait while they progress

Callers would see 404 for an added queue, or an old key accepted, for 5 s and longer after a change of most of a configuration, such as the rotation of all keys. The watch of another entry got its deltas in the reply to a call with the deadline of a small one (1 s); a delta of 154 KB to all watchers at once, from each of the two entries that they watch, does not fit into that time over 10 Mbit/s, was cut off, requested again, and filled the links. A whole body had 2 s in total. It also took entries that the store serves 2.4 s, until they no longer relied on others.

The reply to a watch now has deltas only up to 8 KB. Larger ones are fetched with a request of their own, from one entry, from a second one if the first is slow, and not any more when the version has come from elsewhere. They are sent in parts, so that the receiver waits as long as they progress, and by two transfers at a time, so that the first receivers can pass them on while the others wait for their turn. The time of the transfer counts as age. A body is compressed once for all receivers. The bound by progress is now shared with the client of the store (core/progress).

TestConfigurationIsFetchedAsRequested compared the age for equality; it now has to be at least the stated one, as the transfer counts.

--- a/control/config/exchange/delta.go
+++ b/control/config/exchange/delta.go
@@ -17,10 +17,17 @@
 
 // Delta returns the change from one body to another, for bodies without a structure
 // that the product knows. It is the new body, compressed with the old one as the
-// dictionary, so that unchanged parts cost next to nothing wherever they move.
+// dictionary, so that unchanged parts cost next to nothing wherever they move. The change
+// from an empty body is the compressed body.
 func Delta(before, after []byte) ([]byte, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(baseDictionary, before), zstd.WithEncoderConcurrency(1),
-		zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithWindowSize(deltaWindow), zstd.WithLowerEncoderMem(true))
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithWindowSize(deltaWindow), zstd.WithLowerEncoderMem(true),
+	}
+	if len(before) > 0 {
+		options = append(options, zstd.WithEncoderDictRaw(baseDictionary, before))
+	}
+	encoder, err := zstd.NewWriter(nil, options...)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode configuration delta")
 	}
@@ -31,8 +38,11 @@
 // result.
 func Patch(body []byte, deltas ...[]byte) ([]byte, error) {
 	for _, delta := range deltas {
-		decoder, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(baseDictionary, body), zstd.WithDecoderConcurrency(1),
-			zstd.WithDecoderMaxMemory(maxBodyBytes))
+		options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxBodyBytes)}
+		if len(body) > 0 {
+			options = append(options, zstd.WithDecoderDictRaw(baseDictionary, body))
+		}
+		decoder, err := zstd.NewReader(nil, options...)
 		if err != nil {
 			return nil, errkind.Wrap(errkind.Internal, err, "decode configuration delta")
 		}
--- a/control/config/exchange/exchange.go
+++ b/control/config/exchange/exchange.go
@@ -16,9 +16,10 @@
 	Version ident.ConfigVersion
 	Digest  string
 	// Body is empty when Deltas are set, or when the receiver requested a higher
-	// version or deltas only.
+	// version or limited the deltas.
 	Body []byte
-	// Base is the version that the first delta applies to.
+	// Base is the version that the first delta applies to. It is zero if that is the
+	// compressed body.
 	Base   ident.ConfigVersion
 	Deltas [][]byte
 	// Age is the time since the sender last confirmed that the version was in
@@ -38,9 +39,47 @@
 	Have ident.ConfigVersion
 	// Wait is how long the peer may wait for the version that the requester needs.
 	Wait time.Duration
-	// DeltasOnly is set if the requester fetches a whole body with a request of its
-	// own.
-	DeltasOnly bool
+	// DeltaLimit is the largest size, in bytes, of the deltas that the reply may have
+	// instead of a body. Zero means deltas of any size or else the body.
+	DeltaLimit int
+}
+
+// InlineDeltas is the limit for a process that asks several others for their versions. It
+// covers a chain of deltas of one record each. Larger content is requested from one of
+// them, so that it is transferred once.
+const InlineDeltas = 8 << 10
+
+// ContentSize returns the number of bytes of the body or the deltas.
+func (v Versioned) ContentSize() int {
+	n := len(v.Body)
+	for _, d := range v.Deltas {
+		n += len(d)
+	}
+	return n
+}
+
+// WithContent returns v with the content for a request: deltas if the chain has them,
+// otherwise the body, as far as the request allows.
+func (v Versioned) WithContent(req FetchRequest, chain *Chain, body []byte) Versioned {
+	if deltas := chain.Since(req.Have); len(deltas) > 0 {
+		v.Base, v.Deltas = req.Have, deltas
+	} else if req.DeltaLimit == 0 {
+		v.Body = body
+	}
+	if req.DeltaLimit > 0 && v.ContentSize() > req.DeltaLimit {
+		v.Base, v.Deltas = 0, nil
+	}
+	return v
+}
+
+// Pack returns v with its body compressed.
+func (v Versioned) Pack() (Versioned, error) {
+	packed, err := Delta(nil, v.Body)
+	if err != nil {
+		return v, err
+	}
+	v.Body, v.Base, v.Deltas = nil, 0, [][]byte{packed}
+	return v, nil
 }
 
 // Digest returns the hexadecimal SHA-256 of a body.
--- a/control/config/exchange/wire.go
+++ b/control/config/exchange/wire.go
@@ -46,13 +46,13 @@
 		AtLeast:    ident.ConfigVersion(m.GetAtLeast()),
 		Have:       ident.ConfigVersion(m.GetHave()),
 		Wait:       time.Duration(m.GetWaitMs()) * time.Millisecond,
-		DeltasOnly: m.GetDeltasOnly(),
+		DeltaLimit: int(m.GetDeltaLimit()),
 	}
 }
 
 // Proto converts the request to the message sent to a peer.
 func (r FetchRequest) Proto() *rpc.FetchConfigRequest {
 	return &rpc.FetchConfigRequest{
-		AtLeast: uint64(r.AtLeast), Have: uint64(r.Have), WaitMs: r.Wait.Milliseconds(), DeltasOnly: r.DeltasOnly,
+		AtLeast: uint64(r.AtLeast), Have: uint64(r.Have), WaitMs: r.Wait.Milliseconds(), DeltaLimit: uint32(r.DeltaLimit),
 	}
 }
--- a/control/config/follower.go
+++ b/control/config/follower.go
@@ -174,13 +174,13 @@
 	return slices.Contains(answered, true)
 }
 
-// askVersion requests a peer's version, with deltas if it has them, and reports whether
+// askVersion requests a peer's version, with deltas if they are small, and reports whether
 // the peer answered.
 func (f *Follower) askVersion(ctx context.Context, peer string) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	have := f.Current().Version
-	got, _, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have, DeltasOnly: true})
+	got, _, err := f.fetchOnce(ctx, peer, exchange.FetchRequest{AtLeast: have + 1, Have: have, DeltaLimit: exchange.InlineDeltas})
 	if err != nil && !errkind.Is(err, errkind.Corrupt) {
 		f.opts.OnEvent(EventFetchFailed, err)
 		return false
@@ -351,7 +351,7 @@
 	if err != nil {
 		return got, false, err
 	}
-	if req.DeltasOnly && len(got.Body) == 0 && len(got.Deltas) == 0 {
+	if req.DeltaLimit > 0 && got.ContentSize() == 0 {
 		f.confirm(got.Version, requestedAt.Add(-got.Age))
 		return got, false, nil
 	}
@@ -437,8 +437,7 @@
 }
 
 // Answer returns the reply to a peer's request: only version and digest when the
-// version is below what the peer needs, deltas when they are known, or else the
-// full body if the peer wants it.
+// version is below what the peer needs, otherwise also the content that it allows.
 func (f *Follower) Answer(req exchange.FetchRequest) exchange.Versioned {
 	age := f.Age()
 	f.mu.Lock()
@@ -447,12 +446,7 @@
 	if f.current.Version < req.AtLeast {
 		return out
 	}
-	if deltas := f.chain.Since(req.Have); len(deltas) > 0 {
-		out.Base, out.Deltas = req.Have, deltas
-	} else if !req.DeltasOnly {
-		out.Body = f.current.Body
-	}
-	return out
+	return out.WithContent(req, &f.chain, f.current.Body)
 }
 
 // Age returns the time since the current version was last confirmed to be in
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -36,6 +36,7 @@
 	opts  Options
 	store storeWatch
 	peers peerWatches
+	pack  packCache
 
 	// applying is held while a received configuration is decoded, so that the same
 	// version is decoded once.
@@ -100,6 +101,13 @@
 	return time.Since(f.confirmedAt)
 }
 
+// nextChange returns a channel that is closed when a newer version becomes active.
+func (f *Follower) nextChange() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // confirmed reports whether the active version was known to be the newest one within a
 // time.
 func (f *Follower) confirmed(within time.Duration) bool {
@@ -157,27 +165,18 @@
 	f.install(next, before.version, delta)
 	f.opts.Logger.Info().Uint64("version", uint64(next.version)).Str("from", r.source).
 		Int("queues", len(next.catalog.Queues)).Int("workspaces", len(next.catalog.Workspaces)).
-		Int("bytes", len(next.body)).Int("received_bytes", r.size()).Int64("took_ms", r.took.Milliseconds()).
+		Int("bytes", len(next.body)).Int("received_bytes", r.ContentSize()).Int64("took_ms", r.took.Milliseconds()).
 		Int64("waited_ms", start.Sub(r.at).Milliseconds()).Int64("decode_ms", decoded.Milliseconds()).
 		Msg("configuration is now active")
 	return nil
 }
 
-// size returns the number of bytes that were received.
-func (r received) size() int {
-	n := len(r.Body)
-	for _, d := range r.Deltas {
-		n += len(d)
-	}
-	return n
-}
-
 // decode returns the configuration that was received, and verifies its digest.
 func (f *Follower) decode(before snapshot, r received) (snapshot, error) {
 	next := snapshot{digest: r.Digest, body: r.Body}
 	var err error
 	if len(r.Deltas) > 0 {
-		next.body, err = exchange.Patch(before.body, r.Deltas...)
+		next.body, err = exchange.Patch(baseBody(before, r.Base), r.Deltas...)
 	}
 	if err == nil && exchange.Digest(next.body) != r.Digest {
 		err = errkind.New(errkind.Corrupt, "the content of configuration version %d does not have its digest", r.Version)
@@ -192,6 +191,14 @@
 	return next, nil
 }
 
+// baseBody returns the body that deltas from a version apply to.
+func baseBody(before snapshot, base ident.ConfigVersion) []byte {
+	if base == 0 {
+		return nil
+	}
+	return before.body
+}
+
 // deltaBetween returns the change from one version to the next one, which was decoded
 // from r, or nil if there was no version before.
 func deltaBetween(before, next snapshot, r received) ([]byte, error) {
@@ -225,22 +232,46 @@
 	for {
 		reply, changed := f.reply(req)
 		if reply.Version >= req.AtLeast || reply.Age > confirmedFor {
-			return reply
+			return f.packed(reply)
 		}
 		select {
 		case <-changed:
 		case <-expired:
 			reply, _ = f.reply(req)
-			return reply
+			return f.packed(reply)
 		case <-ctx.Done():
 			return reply
 		}
 	}
 }
 
+// packCache holds the compressed body of a version, which many entries may request.
+type packCache struct {
+	mu sync.Mutex
+	of exchange.Versioned
+}
+
+// packed returns the reply with its body compressed if that is large.
+func (f *Follower) packed(reply exchange.Versioned) exchange.Versioned {
+	if len(reply.Body) <= exchange.InlineDeltas {
+		return reply
+	}
+	f.pack.mu.Lock()
+	defer f.pack.mu.Unlock()
+	if f.pack.of.Digest != reply.Digest {
+		packed, err := reply.Pack()
+		if err != nil {
+			f.opts.Logger.Error().Err(err).Uint64("version", uint64(reply.Version)).Msg("failed to compress configuration; sending it as it is")
+			return reply
+		}
+		f.pack.of = packed
+	}
+	reply.Body, reply.Base, reply.Deltas = nil, 0, f.pack.of.Deltas
+	return reply
+}
+
 // reply returns the reply to a request at this moment: only version and digest when the
-// version is below what the entry needs, deltas when they are known, or else the whole
-// body if the entry wants it.
+// version is below what the entry needs, otherwise also the content that it allows.
 func (f *Follower) reply(req exchange.FetchRequest) (exchange.Versioned, chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -250,12 +281,7 @@
 	if out.Version < req.AtLeast {
 		return out, f.changed
 	}
-	if deltas := f.chain.Since(req.Have); len(deltas) > 0 {
-		out.Base, out.Deltas = req.Have, deltas
-	} else if !req.DeltasOnly {
-		out.Body = f.current.body
-	}
-	return out, f.changed
+	return out.WithContent(req, &f.chain, f.current.body), f.changed
 }
 
 // statedAgeLocked returns the age that this entry states to others. It is above
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -83,7 +83,7 @@
 		if v.Version < req.AtLeast {
 			sleep(ctx, req.Wait)
 		}
-		if v.Version < req.AtLeast || req.DeltasOnly {
+		if v.Version < req.AtLeast || req.DeltaLimit > 0 {
 			v.Body = nil
 		}
 		return v, nil
@@ -184,7 +184,7 @@
 	switch {
 	case address == "fast":
 		sleep(ctx, 10*time.Millisecond)
-	case !req.DeltasOnly:
+	case req.DeltaLimit == 0:
 		sleep(ctx, 2*time.Second)
 		return exchange.Versioned{}, errkind.New(errkind.StoreUnavailable, "the deadline has passed")
 	}
@@ -233,8 +233,8 @@
 				peers := &fakePeers{}
 				peers.reply = func(ctx context.Context, req exchange.FetchRequest) (exchange.Versioned, error) {
 					v, err := holding("9")(ctx, req)
-					if req.Have == 5 && req.DeltasOnly {
-						v.Base, v.Deltas = 5, deltas
+					if req.Have == 5 {
+						v.Body, v.Base, v.Deltas = nil, 5, deltas
 					}
 					return v, err
 				}
@@ -247,7 +247,7 @@
 				So(f.Current().Version, ShouldEqual, ident.ConfigVersion(9))
 				wholeCount := 0
 				for _, r := range peers.requests {
-					if !r.DeltasOnly {
+					if r.Have == 0 {
 						wholeCount++
 					}
 				}
@@ -266,7 +266,7 @@
 			f := newFollower(&fakeSource{initial: "5"}, &fakePeers{reply: holding("1")})
 			stop := run(f)
 			time.Sleep(100 * time.Millisecond)
-			request := exchange.FetchRequest{AtLeast: 6, Have: 5, Wait: peerWait, DeltasOnly: true}
+			request := exchange.FetchRequest{AtLeast: 6, Have: 5, Wait: peerWait, DeltaLimit: exchange.InlineDeltas}
 			start := time.Now()
 			So(f.Answer(context.Background(), request).Age, ShouldBeLessThan, confirmedFor)
 			So(time.Since(start), ShouldEqual, peerWait)
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -35,8 +35,8 @@
 	// second, so that one that is up to date is found in time.
 	minPeerRetryDelay = 20 * time.Millisecond
 	maxPeerRetryDelay = 400 * time.Millisecond
-	// slowFetchDelay is how long one entry has to send a whole body before it is fetched
-	// from a second one, too. A compressed body of 0.1 MB takes 0.1 s at 10 Mbit/s.
+	// slowFetchDelay is how long one entry has to send a large configuration before it is
+	// fetched from a second one, too. A compressed body of 0.1 MB takes 0.1 s at 10 Mbit/s.
 	slowFetchDelay = 500 * time.Millisecond
 	// noPeerDelay is the time between two looks for another entry to watch.
 	noPeerDelay = 500 * time.Millisecond
@@ -46,7 +46,7 @@
 type peerWatches struct {
 	mu      sync.Mutex
 	watched map[string]bool
-	// fetching has room for one whole body that is being fetched.
+	// fetching has room for one large configuration that is being fetched.
 	fetching chan struct{}
 }
 
@@ -119,12 +119,9 @@
 // whether the entry is of use: it answers and is itself up to date.
 func (f *Follower) watchPeer(ctx context.Context, address string) bool {
 	have := f.Version()
-	reply, at, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1, Have: have, Wait: peerWait, DeltasOnly: true})
+	reply, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1, Have: have, Wait: peerWait, DeltaLimit: exchange.InlineDeltas})
 	if ok && reply.Version > f.Version() {
-		ok = f.fetchWhole(ctx, address, reply.Version)
-	}
-	if ok {
-		f.confirm(reply.Version, at.Add(-reply.Age), reply.Position)
+		ok = f.fetchContent(ctx, address, reply.Version)
 	}
 	ok = ok && reply.Age <= confirmedFor
 	if ctx.Err() == nil {
@@ -133,41 +130,64 @@
 	return ok
 }
 
-// fetchWhole fetches a version as a whole body, for which the deltas were unknown or did
-// not fit. It waits for a body that is being fetched from another entry, at most
-// slowFetchDelay.
-func (f *Follower) fetchWhole(ctx context.Context, address string, version ident.ConfigVersion) bool {
+// fetchContent fetches a version that was too large for the reply to a watch, or whose
+// deltas did not fit. It waits for a fetch from another entry, at most slowFetchDelay, and
+// ends when the version has come from elsewhere. It reports whether the version or a newer
+// one is active.
+func (f *Follower) fetchContent(ctx context.Context, address string, version ident.ConfigVersion) bool {
+	ctx, cancel := f.untilActive(ctx, version)
+	defer cancel()
 	select {
 	case f.peers.fetching <- struct{}{}:
 		defer func() { <-f.peers.fetching }()
 	case <-time.After(slowFetchDelay):
 	case <-ctx.Done():
-		return false
+		return f.Version() >= version
 	}
 	have := f.Version()
-	if have >= version {
-		return true
+	_, answered := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1, Have: have})
+	if answered && f.Version() < version {
+		f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1})
 	}
-	_, _, ok := f.fetch(ctx, address, exchange.FetchRequest{AtLeast: have + 1})
-	return ok
+	return f.Version() >= version
+}
+
+// untilActive returns a context that ends when a version or a newer one is active.
+func (f *Follower) untilActive(ctx context.Context, version ident.ConfigVersion) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			changed := f.nextChange()
+			if f.Version() >= version {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return ctx, cancel
 }
 
 // fetch requests the configuration of an entry and makes it active if it is newer. A
-// reply without content only states the version.
-func (f *Follower) fetch(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, time.Time, bool) {
+// reply without content only states the version. ok is false if the entry did not answer
+// or its body is of no use.
+func (f *Follower) fetch(ctx context.Context, address string, req exchange.FetchRequest) (reply exchange.Versioned, ok bool) {
 	start := time.Now()
 	reply, err := f.opts.Peers.FetchConfiguration(ctx, address, req)
 	now := time.Now()
 	if err != nil {
-		return reply, now, false
+		return reply, false
 	}
-	if len(reply.Body) == 0 && len(reply.Deltas) == 0 {
-		return reply, now, true
+	if reply.ContentSize() > 0 {
+		err = f.apply(received{Versioned: reply, source: address, took: now.Sub(start), at: now})
 	}
-	err = f.apply(received{Versioned: reply, source: address, took: now.Sub(start), at: now})
+	f.confirm(reply.Version, now.Add(-reply.Age), reply.Position)
 	if err != nil {
 		f.opts.Logger.Warn().Err(err).Str("from", address).Uint64("version", uint64(reply.Version)).
-			Bool("whole", len(reply.Body) > 0).Msg("failed to decode configuration; keeping the active one")
+			Bool("whole", reply.Base == 0).Msg("failed to decode configuration; keeping the active one")
 	}
-	return reply, now, err == nil || len(reply.Deltas) > 0
+	return reply, err == nil || reply.Base != 0
 }
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,8 @@
 	// applyTimeout is how soon a configuration has to be in force at every entry that
 	// the store serves or that reaches such an entry.
 	applyTimeout = 4 * time.Second
+	// targetApplyTimeout is the same at the target size.
+	targetApplyTimeout = 6 * time.Second
 	// narrowLink is the bandwidth of the narrowest host, 10 Mbit/s.
 	narrowLink = 10_000_000 / 8
 	storeHost  = "store"
@@ -208,6 +211,36 @@
 	return raw
 }
 
+// rotatedKeys returns a configuration of the target size, 610 workspaces, in which each
+// version has other keys than the one before, so that a delta is as large as the body.
+func rotatedKeys(version ident.ConfigVersion) []byte {
+	type workspace struct {
+		Name, Description, Region, Owner string
+		Priority, Accelerators           int
+		KeyHashes                        []string
+	}
+	rng := rand.New(rand.NewPCG(2, uint64(version)))
+	content := struct {
+		Version    ident.ConfigVersion
+		Workspaces []workspace
+	}{Version: version}
+	for i := range 610 {
+		w := workspace{
+			Name: fmt.Sprintf("workspace-%d", i), Description: strings.Repeat("guaranteed shapes ", 8),
+			Region: "amman", Owner: "capacity-planning", Priority: i % 3, Accelerators: 32,
+		}
+		for range 7 {
+			w.KeyHashes = append(w.KeyHashes, fmt.Sprintf("%016x%016x%016x%016x", rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64()))
+		}
+		content.Workspaces = append(content.Workspaces, w)
+	}
+	raw, err := json.Marshal(content)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
 // decode reads the version only, which keeps the tests short.
 func decode(body []byte) (*catalog.Catalog, error) {
 	var version ident.ConfigVersion
@@ -264,12 +297,23 @@
 	d.operator.publish(body(d.version, queues))
 }
 
+// rotateKeys writes the next configuration, with other keys.
+func (d *deployment) rotateKeys() {
+	d.version += 3
+	d.operator.publish(rotatedKeys(d.version))
+}
+
 // publish writes the next configuration and checks it after applyTimeout.
 func (d *deployment) publish(queues int) {
 	d.write(queues)
+	d.checkWithin(applyTimeout)
+}
+
+// checkWithin checks after a time that the newest configuration is in force.
+func (d *deployment) checkWithin(timeout time.Duration) {
 	version := d.version
 	d.checks.Go(func() {
-		time.Sleep(applyTimeout)
+		time.Sleep(timeout)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		for i, e := range d.entries {
@@ -377,6 +421,42 @@
 	})
 }
 
+// Guards against large deltas that are cut off by the deadline of a small call, requested
+// again, and fill the links of the few entries that the store serves.
+func TestLargeChangeReachesRefusedEntriesInTime(t *testing.T) {
+	cases := []struct {
+		entries, refused int
+		timeout          time.Duration
+	}{{11, 4, applyTimeout}, {11, 9, applyTimeout}, {60, 0, targetApplyTimeout}, {60, 40, targetApplyTimeout}, {60, 50, targetApplyTimeout}}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("A change of all keys is in force in time while the store refuses %d of %d entries", c.refused, c.entries), t, func() {
+				d := newDeployment(t, c.entries)
+				defer d.close()
+				d.rotateKeys()
+				time.Sleep(10 * time.Second)
+				d.refuse(0, c.refused)
+				time.Sleep(3 * time.Second)
+				before := d.traffic()
+				d.rotateKeys()
+				d.checkWithin(c.timeout)
+				So(d.lateVersions(), ShouldBeEmpty)
+				most, sum := increase(before, d.traffic())
+				t.Logf("%d of %d refused: %d KB on the busiest node, %d KB on average", c.refused, c.entries, most/1000, sum/1000/int64(c.entries))
+			})
+		})
+	}
+}
+
+// increase returns by how much the highest of some counts has grown, and all of them.
+func increase(before, after []int64) (most, sum int64) {
+	for i := range after {
+		most = max(most, after[i]-before[i])
+		sum += after[i] - before[i]
+	}
+	return most, sum
+}
+
 // Guards against configurations that exceed the traffic of a node, or come too late, at
 // the target size: 60 entries and 15,000 changes a day of 610 workspaces, 6 s and 14 KB/s.
 // The entries take turns, so the average of all is what each has over a day.
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -104,12 +104,9 @@
 
 // awaitStoreDuty waits until this entry may have to watch the store.
 func (f *Follower) awaitStoreDuty(ctx context.Context) {
-	f.mu.Lock()
-	changed := f.changed
-	f.mu.Unlock()
 	select {
 	case <-ctx.Done():
-	case <-changed:
+	case <-f.nextChange():
 	case <-time.After(min(dutyCheckInterval, max(time.Millisecond, confirmedFor-f.Age()))):
 	}
 }
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
-	"google.golang.org/grpc/encoding/gzip"
 
 	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
@@ -28,10 +27,6 @@
 // between regions, with some margin for a busy host.
 const connectTimeout = 150 * time.Millisecond
 
-// bodyTimeout bounds the transfer of a whole configuration, whose size compresses to
-// some hundred kilobytes, over a link of 10 Mbit/s that several transfers share.
-const bodyTimeout = 2 * time.Second
-
 // Server serves the other entries.
 type Server struct {
 	rpc.UnimplementedEntryPeerServer
@@ -39,6 +34,8 @@
 	Store rows.Store
 	// Configuration answers a request for this entry's configuration.
 	Configuration func(ctx context.Context, req exchange.FetchRequest) exchange.Versioned
+
+	transfers turns
 }
 
 // Commit commits a transaction for another entry.
@@ -74,11 +71,6 @@
 	return &rpc.ReadReply{Found: found, Row: rowMessage(row)}, nil
 }
 
-// FetchConfig returns this entry's configuration to another entry.
-func (s *Server) FetchConfig(ctx context.Context, m *rpc.FetchConfigRequest) (*rpc.Config, error) {
-	return s.Configuration(ctx, exchange.RequestFromProto(m)).Proto(), nil
-}
-
 func rowMessage(r rows.Row) *rpc.StoredRow {
 	return &rpc.StoredRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version)}
 }
@@ -228,22 +220,3 @@
 	}
 	return rowFromMessage(reply.GetRow()), reply.GetFound(), nil
 }
-
-// FetchConfiguration requests the configuration of one entry.
-func (c *Client) FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error) {
-	timeout := relayTimeout + req.Wait
-	var options []grpc.CallOption
-	if !req.DeltasOnly {
-		timeout = bodyTimeout
-		options = append(options, grpc.UseCompressor(gzip.Name))
-	}
-	var reply *rpc.Config
-	err := c.callOne(ctx, address, timeout, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
-		reply, err = peer.FetchConfig(ctx, req.Proto(), options...)
-		return err
-	})
-	if err != nil {
-		return exchange.Versioned{}, err
-	}
-	return exchange.FromProto(reply), nil
-}
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -173,12 +173,14 @@
 			return want
 		}})
 		for _, req := range []exchange.FetchRequest{
-			{AtLeast: 6, Have: 5, Wait: 20 * time.Millisecond, DeltasOnly: true},
+			{AtLeast: 6, Have: 5, Wait: 20 * time.Millisecond, DeltaLimit: 70},
 			{AtLeast: 6},
 		} {
 			reply, err := newClient(address).FetchConfiguration(context.Background(), address, req)
 			So(err, ShouldBeNil)
 			So(got, ShouldResemble, req)
+			So(reply.Age, ShouldBeGreaterThanOrEqualTo, want.Age)
+			reply.Age = want.Age
 			So(reply, ShouldResemble, want)
 		}
 	})
