Find the few entries that the store serves within the time of a change

Callers of a large deployment would see 404 for an added queue for 12 s and longer while the store serves only a few entries. Found when the time until a change is in force everywhere was measured for the target size, in the virtual network: with 5 or 2 of 60 entries served, the first of the others had the version after 12.4 s. Two causes, each a path through other entries:

- An entry that watches the store only because no confirmation comes stopped as soon as it had its own, for the 2 s of its validity.
For a quarter of the time it stated that it was not up to date, and was demoted by all others, up to 16 s.
- A search preferred entries whose demotion had ended to those that had never been tried.
With five tries a second it tried the same ones again before it reached the rest of 60.

A reply now states which entry confirmed the version from the store. An entry that has begun to watch the store goes on until an entry that precedes it in the order of the readers does, so the served entry with the highest rank stays. A search tries the entry first whose last failure is the longest ago; the entries above come first once for each version.

--- a/control/config/exchange/exchange.go
+++ b/control/config/exchange/exchange.go
@@ -29,6 +29,9 @@
 	// changes. A watch of the store can continue from there. It is zero where the store
 	// keeps no versions.
 	Position rows.Version
+	// ConfirmedBy is the address of the entry that knew from the store, Age ago, that the
+	// version was in force. It is empty where other processes do not need it.
+	ConfirmedBy string
 }
 
 // FetchRequest is a request for a peer's configuration.
--- a/control/config/exchange/wire.go
+++ b/control/config/exchange/wire.go
@@ -18,7 +18,8 @@
 		Deltas:  m.GetDeltas(),
 		Age:     time.Duration(m.GetAgeMs()) * time.Millisecond,
 
-		Position: rows.Version(m.GetPosition()),
+		Position:    rows.Version(m.GetPosition()),
+		ConfirmedBy: m.GetConfirmedBy(),
 	}
 }
 
@@ -32,6 +33,7 @@
 		Deltas:      v.Deltas,
 		AgeMs:       AgeMillis(v.Age),
 		Position:    uint64(v.Position),
+		ConfirmedBy: v.ConfirmedBy,
 	}
 }
 
--- a/control/configsync/duty.go
+++ b/control/configsync/duty.go
@@ -30,17 +30,14 @@
 	return slices.Index(rendezvous.Rank(subject, append(slices.Clone(useful), self)), self)
 }
 
-// watchOrder returns which of the others, which are ranked, an entry of a rank
-// prefers to watch: two above it, and then all from the top.
-func watchOrder(rank int, useful []string) []string {
-	above := max(0, rank-storeReaders) / fanOut
-	var preferred, rest []string
-	for i, address := range useful {
-		if rank >= storeReaders && (i == above || i == above^1) {
-			preferred = append(preferred, address)
-		} else {
-			rest = append(rest, address)
-		}
-	}
-	return append(preferred, rest...)
+// precedes reports whether one entry comes before another in the order of the readers.
+func precedes(subject, one, other string) bool {
+	return one != "" && one != other && rendezvous.Rank(subject, []string{one, other})[0] == one
+}
+
+// entriesAbove returns which of the others, which are ranked, an entry of a rank prefers to
+// watch: two above it, and the first two if it is one of those that watch the store.
+func entriesAbove(rank int, useful []string) []string {
+	first := max(0, rank-storeReaders) / fanOut &^ 1
+	return slices.Clone(useful[min(first, len(useful)):min(first+2, len(useful))])
 }
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -47,10 +47,15 @@
 	chain   exchange.Chain
 	// changed is closed when a newer version becomes active.
 	changed chan struct{}
-	// confirmedAt is when the active version was last known to be the newest one, and
-	// position the version of the store up to which it has all changes.
+	// confirmedAt is when the active version was last known to be the newest one, by the
+	// entry confirmedBy, and position the version of the store up to which it has all
+	// changes.
 	confirmedAt time.Time
+	confirmedBy string
 	position    rows.Version
+	// relieved is when an entry that precedes this one in the order of the readers last
+	// knew so.
+	relieved time.Time
 	// storeFailing is set while it is this entry's turn to watch the store, and the store
 	// does not serve it.
 	storeFailing bool
@@ -116,9 +121,9 @@
 	return !f.confirmedAt.IsZero() && time.Since(f.confirmedAt) <= within
 }
 
-// confirm records that a version was the newest one at a time and at a version of the
-// store.
-func (f *Follower) confirm(version ident.ConfigVersion, at time.Time, position rows.Version) {
+// confirm records that an entry knew, at a time and at a version of the store, that a
+// version was the newest one.
+func (f *Follower) confirm(version ident.ConfigVersion, at time.Time, by string, position rows.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version != f.current.version {
@@ -126,7 +131,10 @@
 	}
 	f.position = max(f.position, position)
 	if at.After(f.confirmedAt) {
-		f.confirmedAt = at
+		f.confirmedAt, f.confirmedBy = at, by
+	}
+	if at.After(f.relieved) && precedes(subject(version), by, f.opts.Self) {
+		f.relieved = at
 	}
 }
 
@@ -277,6 +285,7 @@
 	defer f.mu.Unlock()
 	out := exchange.Versioned{
 		Version: f.current.version, Digest: f.current.digest, Age: f.statedAgeLocked(), Position: f.position,
+		ConfirmedBy: f.confirmedBy,
 	}
 	if out.Version < req.AtLeast {
 		return out, f.changed
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rendezvous"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -50,10 +52,13 @@
 	return rows.Latest{Value: []byte(next.body), At: after + 1}, nil
 }
 
-// fakePeers is one other entry. It answers as reply says.
+// fakePeers are the other entries. They answer as reply says.
 type fakePeers struct {
 	reply func(ctx context.Context, req exchange.FetchRequest) (exchange.Versioned, error)
-	mu    sync.Mutex
+	// others are the addresses of the other entries, one by default.
+	others []string
+
+	mu sync.Mutex
 	// requests are the requests that were answered.
 	requests []exchange.FetchRequest
 }
@@ -65,8 +70,16 @@
 	return p.reply(ctx, req)
 }
 
-func (p *fakePeers) Ranked(string) (useful, demoted []string) { return []string{"peer"}, nil }
-func (p *fakePeers) Record(string, bool)                      {}
+func (p *fakePeers) Useful(subject string) []string { return rendezvous.Rank(subject, p.SearchOrder()) }
+
+func (p *fakePeers) SearchOrder() []string {
+	if p.others == nil {
+		return []string{"peer"}
+	}
+	return p.others
+}
+
+func (p *fakePeers) Record(string, bool) {}
 
 func whole(version string) exchange.Versioned {
 	n, err := strconv.Atoi(version)
@@ -191,9 +204,8 @@
 	return holding("9")(ctx, req)
 }
 
-func (p *slowAndFastPeers) Ranked(string) (useful, demoted []string) {
-	return []string{"slow", "fast"}, nil
-}
+func (p *slowAndFastPeers) Useful(string) []string { return []string{"slow", "fast"} }
+func (p *slowAndFastPeers) SearchOrder() []string  { return []string{"slow", "fast"} }
 
 // Guards against an entry that waits for a body from a slow entry while another has it.
 func TestSlowBodyIsFetchedFromSecondEntry(t *testing.T) {
@@ -259,6 +271,33 @@
 	})
 }
 
+// Guards against an entry that stops watching the store while no other one does it for
+// the entries that rely on it.
+func TestReaderGoesOnUntilItIsRelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Only a confirmation by an entry that precedes it relieves an entry", t, func() {
+			order := rendezvous.Rank(subject(5), []string{"a", "b", "c", "d", "e"})
+			peers := &fakePeers{reply: holding("1"), others: append(slices.Clone(order[:3]), order[4])}
+			f := newFollower(&fakeSource{initial: "5"}, peers)
+			f.opts.Self = order[3]
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { f.WatchStore(ctx); close(done) }()
+			time.Sleep(10 * confirmedFor)
+			So(f.hasStoreDuty(), ShouldBeTrue)
+			f.confirm(5, time.Now(), order[4], 0)
+			f.confirm(5, time.Now(), order[3], 0)
+			So(f.hasStoreDuty(), ShouldBeTrue)
+			f.confirm(5, time.Now(), order[2], 0)
+			So(f.hasStoreDuty(), ShouldBeFalse)
+			time.Sleep(confirmedFor + time.Millisecond)
+			So(f.hasStoreDuty(), ShouldBeTrue)
+			cancel()
+			<-done
+		})
+	})
+}
+
 // Guards against requests that are held by an entry that would not learn of a change.
 func TestAnswerWaitsOnlyWhileConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,9 +15,12 @@
 type Peers interface {
 	// FetchConfiguration requests the configuration of one entry.
 	FetchConfiguration(ctx context.Context, address string, req exchange.FetchRequest) (exchange.Versioned, error)
-	// Ranked returns the addresses of the other entries as all entries rank them for a
-	// subject. Those that were of no use to this entry lately are demoted.
-	Ranked(subject string) (useful, demoted []string)
+	// Useful returns the addresses of the other entries as all entries rank them for a
+	// subject, without those that were of no use to this entry lately.
+	Useful(subject string) []string
+	// SearchOrder returns the addresses of the other entries in the order in which this
+	// entry looks for one that is of use.
+	SearchOrder() []string
 	// Record notes whether a call to an entry was of use.
 	Record(address string, useful bool)
 }
@@ -59,17 +61,21 @@
 	group.Wait()
 }
 
-// watchPeersInTurn watches one entry as long as it is of use, and then another one.
+// watchPeersInTurn watches one entry as long as it is of use, and then another one. The
+// entries above this one come first for each version, and again only for the next one, so
+// that it returns to an entry that is of use when they are not.
 func (f *Follower) watchPeersInTurn(ctx context.Context) {
 	delay := minPeerRetryDelay
+	useful := true
 	for ctx.Err() == nil {
-		address, ok := f.claimPeer()
+		address, ok := f.claimPeer(useful)
 		if !ok {
 			sleep(ctx, noPeerDelay)
 			continue
 		}
-		useful := true
-		for ctx.Err() == nil && useful && f.prefersPeer(address) {
+		version := f.Version()
+		useful = f.watchPeer(ctx, address)
+		for ctx.Err() == nil && useful && f.Version() == version {
 			useful = f.watchPeer(ctx, address)
 		}
 		f.releasePeer(address)
@@ -82,25 +88,16 @@
 	}
 }
 
-// peerOrder returns the other entries in the order in which this one prefers to watch
-// them.
-func (f *Follower) peerOrder() []string {
-	s := subject(f.Version())
-	useful, demoted := f.opts.Peers.Ranked(s)
-	return append(watchOrder(rankOf(s, f.opts.Self, useful), useful), demoted...)
-}
-
-// prefersPeer reports whether an entry is still among those that this one prefers.
-func (f *Follower) prefersPeer(address string) bool {
-	order := f.peerOrder()
-	return slices.Contains(order[:min(len(order), peerWatchCount)], address)
-}
-
-// claimPeer chooses the best entry that is not watched yet.
-func (f *Follower) claimPeer() (string, bool) {
+// claimPeer chooses the best entry that is not watched yet, with aboveFirst one of those
+// above this one if possible.
+func (f *Follower) claimPeer(aboveFirst bool) (string, bool) {
+	order := f.opts.Peers.SearchOrder()
+	if aboveFirst {
+		order = append(f.entriesAbove(), order...)
+	}
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
-	for _, address := range f.peerOrder() {
+	for _, address := range order {
 		if !f.peers.watched[address] {
 			f.peers.watched[address] = true
 			return address, true
@@ -109,6 +106,13 @@
 	return "", false
 }
 
+// entriesAbove returns the entries that this one prefers to watch.
+func (f *Follower) entriesAbove() []string {
+	s := subject(f.Version())
+	useful := f.opts.Peers.Useful(s)
+	return entriesAbove(rankOf(s, f.opts.Self, useful), useful)
+}
+
 func (f *Follower) releasePeer(address string) {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
@@ -184,7 +188,7 @@
 	if reply.ContentSize() > 0 {
 		err = f.apply(received{Versioned: reply, source: address, took: now.Sub(start), at: now})
 	}
-	f.confirm(reply.Version, now.Add(-reply.Age), reply.Position)
+	f.confirm(reply.Version, now.Add(-reply.Age), reply.ConfirmedBy, reply.Position)
 	if err != nil {
 		f.opts.Logger.Warn().Err(err).Str("from", address).Uint64("version", uint64(reply.Version)).
 			Bool("whole", reply.Base == 0).Msg("failed to decode configuration; keeping the active one")
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -264,6 +264,7 @@
 	host := d.net.Host(entryIP(i))
 	e := &entry{store: &storeClient{operator: d.operator, net: d.net, ip: entryIP(i)}, server: transport.NewGRPCServer()}
 	peers := &peer.Client{
+		Self: entryAddress(i),
 		Addresses: func() []string {
 			var others []string
 			for j := range entries {
@@ -427,7 +428,7 @@
 	cases := []struct {
 		entries, refused int
 		timeout          time.Duration
-	}{{11, 4, applyTimeout}, {11, 9, applyTimeout}, {60, 0, targetApplyTimeout}, {60, 40, targetApplyTimeout}, {60, 50, targetApplyTimeout}}
+	}{{11, 4, applyTimeout}, {11, 9, applyTimeout}, {60, 0, targetApplyTimeout}, {60, 40, targetApplyTimeout}, {60, 50, targetApplyTimeout}, {60, 58, targetApplyTimeout}}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("A change of all keys is in force in time while the store refuses %d of %d entries", c.refused, c.entries), t, func() {
@@ -448,6 +449,28 @@
 	}
 }
 
+// Guards against entries that search for the few that the store serves for longer than a
+// change may take, because these stop watching the store in between, or because entries
+// of no use are tried again before others are tried once.
+func TestRefusedEntriesFindTheFewThatTheStoreServes(t *testing.T) {
+	for _, served := range []int{1, 2, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("A change is in force in time while the store serves %d of 60 entries", served), t, func() {
+				d := newDeployment(t, 60)
+				defer d.close()
+				time.Sleep(10 * time.Second)
+				d.refuse(0, 60-served)
+				for range 5 {
+					time.Sleep(3 * time.Second)
+					d.write(1400)
+					d.checkWithin(targetApplyTimeout)
+				}
+				So(d.lateVersions(), ShouldBeEmpty)
+			})
+		})
+	}
+}
+
 // increase returns by how much the highest of some counts has grown, and all of them.
 func increase(before, after []int64) (most, sum int64) {
 	for i := range after {
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -77,29 +77,29 @@
 			f.applyFromStore(latest.Value, start)
 		}
 		f.store.readNext = latest.Superseded > 0 || f.store.readNext && f.Version() != before
-		f.confirm(f.Version(), confirmedBy(latest, start), latest.At)
+		f.confirm(f.Version(), confirmedAt(latest, start), f.opts.Self, latest.At)
 	}
 }
 
-// confirmedBy returns a time at which what a response states was still the newest. One
+// confirmedAt returns a time at which what a response states was still the newest. One
 // with a body may have been under way since the start of the call. One without, that
 // waited in a buffer while the process was paused, counts as new; that delays the use of
 // other entries by confirmedFor at most.
-func confirmedBy(latest rows.Latest, start time.Time) time.Time {
+func confirmedAt(latest rows.Latest, start time.Time) time.Time {
 	if latest.Value != nil {
 		return start
 	}
 	return time.Now()
 }
 
-// hasStoreDuty reports whether this entry has to watch the store.
+// hasStoreDuty reports whether this entry has to watch the store. One that has begun goes
+// on until an entry that precedes it does, so that the others can rely on it.
 func (f *Follower) hasStoreDuty() bool {
-	if !f.confirmed(confirmedFor) {
+	if f.unrelievedFor() > confirmedFor {
 		return true
 	}
 	s := subject(f.Version())
-	useful, _ := f.opts.Peers.Ranked(s)
-	return rankOf(s, f.opts.Self, useful) < storeReaders
+	return rankOf(s, f.opts.Self, f.opts.Peers.Useful(s)) < storeReaders
 }
 
 // awaitStoreDuty waits until this entry may have to watch the store.
@@ -107,10 +107,18 @@
 	select {
 	case <-ctx.Done():
 	case <-f.nextChange():
-	case <-time.After(min(dutyCheckInterval, max(time.Millisecond, confirmedFor-f.Age()))):
+	case <-time.After(min(dutyCheckInterval, max(time.Millisecond, confirmedFor-f.unrelievedFor()))):
 	}
 }
 
+// unrelievedFor returns for how long no entry that precedes this one is known to have
+// watched the store.
+func (f *Follower) unrelievedFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.relieved)
+}
+
 // nextFromStore waits for the next change if a watch can continue where the configuration
 // was last known to be complete, and otherwise returns the newest configuration.
 func (f *Follower) nextFromStore(ctx context.Context) (rows.Latest, error) {
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -95,12 +94,16 @@
 	conns map[string]*grpc.ClientConn
 }
 
-// Ranked returns the addresses of the other entries as all entries rank them for a
-// subject. Those that were of no use to this entry lately are demoted.
-func (c *Client) Ranked(subject string) (useful, demoted []string) {
-	return c.ranking.order(subject, c.Addresses(), time.Now())
+// Useful returns the addresses of the other entries as all entries rank them for a
+// subject, without those that were of no use to this entry lately.
+func (c *Client) Useful(subject string) []string {
+	return c.ranking.useful(subject, c.Addresses(), time.Now())
 }
 
+// SearchOrder returns the addresses of the other entries in the order in which this entry
+// looks for one that is of use.
+func (c *Client) SearchOrder() []string { return c.ranking.searchOrder(c.Self, c.Addresses()) }
+
 // Record notes whether a call to an entry was of use, for the order of later calls.
 func (c *Client) Record(address string, useful bool) {
 	c.ranking.record(address, useful, time.Now())
@@ -147,8 +150,7 @@
 func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
 	ambiguous := false
-	useful, demoted := c.Ranked(c.Self)
-	for _, address := range slices.Concat(useful, demoted) {
+	for _, address := range c.SearchOrder() {
 		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
 			c.Record(address, true)
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -186,30 +186,40 @@
 	})
 }
 
-// Guards against calls that wait again and again for entries that are of no use.
+// Guards against calls that wait again and again for entries that are of no use, and
+// against such entries that are tried again before others are tried once.
 func TestUselessEntriesComeLast(t *testing.T) {
-	Convey("Entries of no use are demoted for a while, longer each time", t, func() {
-		addresses := []string{"a:1", "b:1", "c:1", "d:1"}
+	addresses := []string{"a:1", "b:1", "c:1", "d:1"}
+	Convey("Entries of no use are not ranked for a while, longer each time", t, func() {
 		var r ranking
 		now := time.Unix(1000, 0)
-		first, _ := r.order("x", addresses, now)
+		first := r.useful("x", addresses, now)
 		So(first, ShouldResemble, rendezvous.Rank("x", addresses))
 		r.record(first[0], false, now)
 		r.record(first[1], false, now.Add(500*time.Millisecond))
 		now = now.Add(700 * time.Millisecond)
-		useful, demoted := r.order("x", addresses, now)
-		So(useful, ShouldResemble, []string{first[2], first[3]})
-		So(demoted, ShouldResemble, []string{first[0], first[1]})
+		So(r.useful("x", addresses, now), ShouldResemble, []string{first[2], first[3]})
 		now = now.Add(minDemotion)
-		useful, demoted = r.order("x", addresses, now)
-		So(useful, ShouldResemble, first)
-		So(demoted, ShouldBeEmpty)
+		So(r.useful("x", addresses, now), ShouldResemble, first)
 		r.record(first[0], false, now)
 		now = now.Add(minDemotion)
-		_, demoted = r.order("x", addresses, now)
-		So(demoted, ShouldResemble, []string{first[0]})
+		So(r.useful("x", addresses, now), ShouldResemble, first[1:])
 		r.record(first[0], true, now)
-		_, demoted = r.order("x", addresses, now)
-		So(demoted, ShouldBeEmpty)
+		So(r.useful("x", addresses, now), ShouldResemble, first)
+	})
+	Convey("A search tries every entry before it tries one again", t, func() {
+		var r ranking
+		now := time.Unix(1000, 0)
+		first := r.searchOrder("x", addresses)
+		So(first, ShouldResemble, rendezvous.Rank("x", addresses))
+		for range 3 {
+			for _, address := range first {
+				So(r.searchOrder("x", addresses)[0], ShouldEqual, address)
+				now = now.Add(2 * minDemotion)
+				r.record(address, false, now)
+			}
+		}
+		r.record(first[2], true, now)
+		So(r.searchOrder("x", addresses), ShouldResemble, []string{first[2], first[0], first[1], first[3]})
 	})
 }
--- a/control/peer/ranking.go
+++ b/control/peer/ranking.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -9,8 +8,8 @@
 	"github.com/lacewingpier/lacewingpier/core/rendezvous"
 )
 
-// Bounds of the time for which an entry that was of no use comes after the others. It
-// doubles with each further time.
+// Bounds of the time for which an entry that was of no use is not ranked. It doubles with
+// each further time.
 const (
 	minDemotion = time.Second
 	maxDemotion = 16 * time.Second
@@ -19,35 +18,36 @@
 // ranking remembers which entries were of use, so that a call does not wait again for
 // those that can't be reached or that the store refuses. It is safe for concurrent use.
 type ranking struct {
-	mu      sync.Mutex
-	demoted map[string]demotion
+	mu     sync.Mutex
+	failed map[string]failure
 }
 
-type demotion struct {
+// failure describes an entry that was of no use since it last was.
+type failure struct {
+	last time.Time
+	// The entry is demoted until a time, for a duration.
 	until    time.Time
 	duration time.Duration
 }
 
-// order returns the addresses as a subject ranks them, without the demoted ones, and the
-// demoted ones, of which the one comes first whose demotion ends first.
-func (r *ranking) order(subject string, addresses []string, now time.Time) (useful, demoted []string) {
-	ranked := rendezvous.Rank(subject, addresses)
+// useful returns the addresses as a subject ranks them, without the demoted ones.
+func (r *ranking) useful(subject string, addresses []string, now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, address := range ranked {
-		if r.remaining(address, now) > 0 {
-			demoted = append(demoted, address)
-		} else {
-			useful = append(useful, address)
-		}
-	}
-	slices.SortStableFunc(demoted, func(a, b string) int { return cmp.Compare(r.remaining(a, now), r.remaining(b, now)) })
-	return useful, demoted
+	return slices.DeleteFunc(rendezvous.Rank(subject, addresses), func(address string) bool {
+		return now.Before(r.failed[address].until)
+	})
 }
 
-// remaining returns how much longer an address is demoted.
-func (r *ranking) remaining(address string, now time.Time) time.Duration {
-	return max(0, r.demoted[address].until.Sub(now))
+// searchOrder returns the addresses in the order in which to look for one that is of use:
+// as the subject ranks them, then those that were of no use, the longest ago first. So
+// every entry is tried before one is tried again.
+func (r *ranking) searchOrder(subject string, addresses []string) []string {
+	ranked := rendezvous.Rank(subject, addresses)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.SortStableFunc(ranked, func(a, b string) int { return r.failed[a].last.Compare(r.failed[b].last) })
+	return ranked
 }
 
 // record notes whether a call to an entry was of use.
@@ -55,17 +55,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if useful {
-		delete(r.demoted, address)
+		delete(r.failed, address)
 		return
 	}
-	if r.demoted == nil {
-		r.demoted = make(map[string]demotion)
+	if r.failed == nil {
+		r.failed = make(map[string]failure)
 	}
-	d := r.demoted[address]
-	if now.Before(d.until) {
-		return
+	f := r.failed[address]
+	f.last = now
+	if !now.Before(f.until) {
+		f.duration = min(max(2*f.duration, minDemotion), maxDemotion)
+		f.until = now.Add(f.duration)
 	}
-	d.duration = min(max(2*d.duration, minDemotion), maxDemotion)
-	d.until = now.Add(d.duration)
-	r.demoted[address] = d
+	r.failed[address] = f
 }
