Watch the store from where a slow read of the configuration ended

An entry with a narrow or busy link would transfer the whole configuration without end, and leave no room for jobs and newer versions. After a call to the store it watched from there only if the active version had been confirmed in the last 3 s; a read counts as a confirmation from its start, so one that takes longer was followed by the next read, without any change in between.

A watch now continues where the last call ended, however long that took. Versions that have come meanwhile are few, and a response with several leads to a read as before.

TestSlowReadIsNotRepeatedWithoutChange (1 Mbit/s, 453 KB) failed before (7.9 MB in a minute) and passes (less than 0.9 MB).

--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -67,6 +67,9 @@
 	net *standin.Network
 	ip  string
 
+	// patient is set if a response may take any time as long as it progresses.
+	patient bool
+
 	mu      sync.Mutex
 	refused bool
 	bytes   int64
@@ -88,6 +91,13 @@
 	return nil
 }
 
+func (c *storeClient) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if c.patient {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, timeout)
+}
+
 // transfer returns the last of the bodies once all have arrived.
 func (c *storeClient) transfer(ctx context.Context, bodies [][]byte, at rows.Version) (rows.Latest, error) {
 	size := 0
@@ -108,7 +118,7 @@
 	if err := c.available(); err != nil {
 		return rows.Latest{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := c.withTimeout(ctx, 2*time.Second)
 	defer cancel()
 	bodies, version, _ := c.since(0)
 	return c.transfer(ctx, bodies[len(bodies)-1:], version)
@@ -119,7 +129,7 @@
 	if err := c.available(); err != nil {
 		return rows.Latest{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	ctx, cancel := c.withTimeout(ctx, wait+time.Second)
 	defer cancel()
 	expired := time.After(wait)
 	for {
@@ -422,6 +432,23 @@
 	})
 }
 
+// Guards against an entry that reads the same configuration again and again, because the
+// transfer takes longer than a confirmation is valid.
+func TestSlowReadIsNotRepeatedWithoutChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An entry with 1 Mbit/s reads 453 KB once, and watches from there", t, func() {
+			d := newDeployment(t, 1)
+			defer d.close()
+			d.net.SetBandwidth(entryIP(0), narrowLink/10)
+			d.entries[0].store.patient = true
+			d.write(2140)
+			time.Sleep(time.Minute)
+			So(d.entries[0].config.Version(), ShouldEqual, d.version)
+			So(d.traffic()[0], ShouldBeLessThan, 2*len(body(d.version, 2140)))
+		})
+	})
+}
+
 // Guards against large deltas that are cut off by the deadline of a small call, requested
 // again, and fill the links of the few entries that the store serves.
 func TestLargeChangeReachesRefusedEntriesInTime(t *testing.T) {
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -42,6 +42,8 @@
 	// all versions since the last one, and would fall behind further each time if they come
 	// faster than they are transferred.
 	readNext bool
+	// succeeded is set if the last call succeeded, however long it took.
+	succeeded bool
 	// failedSince is when the first of an unbroken series of failed calls ended, and
 	// failures their number.
 	failedSince     time.Time
@@ -55,6 +57,7 @@
 	for ctx.Err() == nil {
 		if !f.hasStoreDuty() {
 			f.setStoreFailing(false)
+			f.store.succeeded = false
 			f.awaitStoreDuty(ctx)
 			continue
 		}
@@ -66,11 +69,13 @@
 			continue
 		case err != nil:
 			f.setStoreFailing(true)
+			f.store.succeeded = false
 			f.recordStoreFailure(ctx, err)
 			sleep(ctx, retryDelay)
 			continue
 		}
 		f.setStoreFailing(false)
+		f.store.succeeded = true
 		f.recordStoreSuccess()
 		before := f.Version()
 		if latest.Value != nil {
@@ -119,11 +124,13 @@
 	return time.Since(f.relieved)
 }
 
-// nextFromStore waits for the next change if a watch can continue where the configuration
-// was last known to be complete, and otherwise returns the newest configuration.
+// nextFromStore waits for the next change if a watch can continue where the last call ended
+// or the configuration was known to be complete lately, and otherwise returns the newest
+// configuration.
 func (f *Follower) nextFromStore(ctx context.Context) (rows.Latest, error) {
 	position := f.storePosition()
-	if f.store.readNext || position == 0 || !f.confirmed(resumeWithin) {
+	canWatch := f.store.succeeded || f.confirmed(resumeWithin)
+	if f.store.readNext || position == 0 || !canWatch {
 		return f.opts.Source.ReadConfiguration(ctx)
 	}
 	return f.opts.Source.WatchConfiguration(ctx, position, watchWait)
