Go on with the page that failed when all rows are read

An entry that starts, or returns after the store has dropped its history, would take no part for long while single responses of the store are lost: it reads all rows in pages, and began again with the first one after any failure. With every third response lost, a read of more than two pages never ended.

The read now goes on with the page that is missing. The watch still starts at the version of the first page, so changes to the pages that were read before the failure arrive through it, or the read begins again if the store has dropped that history.

TestReadGoesOnAfterFailedPage failed before (not ready after 10 s) and passes with one read of each page, as do the tests of jobstore, batchowner and batche2e.

--- a/control/jobstore/follow.go
+++ b/control/jobstore/follow.go
@@ -40,6 +40,7 @@
 	onAvailability func(error)
 	version        rows.Version
 	complete       bool
+	read           fullRead
 	unavailable    bool
 }
 
@@ -77,46 +78,51 @@
 	{statePrefix, stateEnd},
 }
 
-// readAll reads all rows. Changes made during the read arrive through the watch,
-// which starts at the version of the first page.
+// fullRead is a read of all rows that is under way.
+type fullRead struct {
+	// rangeIndex is the range of readOrder that is being read, and next the key from
+	// which on its rows are missing, if not its first one.
+	rangeIndex int
+	next       string
+	rows       []rows.Row
+	// at is the version of the first page.
+	at rows.Version
+}
+
+// readAll reads all rows, and goes on after a failure with the page that is missing.
+// Changes made during the read arrive through the watch, which starts at the version of
+// the first page.
 func (f *follower) readAll(ctx context.Context) error {
-	var all []rows.Row
-	var first rows.Version
-	for _, r := range readOrder {
-		list, version, err := f.readRange(ctx, r.from, r.to)
-		if err != nil {
+	for f.read.rangeIndex < len(readOrder) {
+		if err := f.readPage(ctx, &f.read); err != nil {
 			return err
 		}
-		if first == 0 {
-			first = version
-		}
-		f.replica.Apply(list)
-		all = append(all, list...)
 	}
-	f.replica.Replace(all, first)
-	f.version, f.complete = first, true
+	f.replica.Replace(f.read.rows, f.read.at)
+	f.version, f.complete = f.read.at, true
+	f.read = fullRead{}
 	f.handleSuccess()
 	return nil
 }
 
-// readRange reads all pages of a range and returns the version of the first page.
-func (f *follower) readRange(ctx context.Context, from, to string) ([]rows.Row, rows.Version, error) {
-	var list []rows.Row
-	var first rows.Version
-	for {
-		page, err := f.store.Read(ctx, from, to)
-		if err != nil {
-			return nil, 0, err
-		}
-		if first == 0 {
-			first = page.At
-		}
-		list = append(list, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return list, first, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+// readPage reads the next page and advances the read.
+func (f *follower) readPage(ctx context.Context, r *fullRead) error {
+	keys := readOrder[r.rangeIndex]
+	page, err := f.store.Read(ctx, max(keys.from, r.next), keys.to)
+	if err != nil {
+		return err
+	}
+	if r.at == 0 {
+		r.at = page.At
 	}
+	f.replica.Apply(page.Rows)
+	r.rows = append(r.rows, page.Rows...)
+	if page.More && len(page.Rows) > 0 {
+		r.next = page.Rows[len(page.Rows)-1].Key + "\x00"
+		return nil
+	}
+	r.rangeIndex, r.next = r.rangeIndex+1, ""
+	return nil
 }
 
 func (f *follower) handleSuccess() {
--- a/control/jobstore/follow_test.go
+++ b/control/jobstore/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
@@ -181,3 +183,52 @@
 		})
 	})
 }
+
+// pagedStore has one row in each page, and every third read fails.
+type pagedStore struct {
+	rows.Store
+	pages, reads, failures int
+}
+
+func (s *pagedStore) Read(_ context.Context, from, to string) (rows.Page, error) {
+	s.reads++
+	if s.reads%3 == 0 {
+		s.failures++
+		return rows.Page{}, errkind.New(errkind.StoreUnavailable, "the response was lost")
+	}
+	for i := range s.pages {
+		key := StateKey(ident.Job(fmt.Sprintf("j%03d", i)))
+		if key >= from && (to == "" || key < to) {
+			page := rows.Page{At: rows.Version(10 + s.reads), More: true}
+			page.Rows = []rows.Row{{Key: key, Version: 5, Value: []byte(`{"s":"running"}`)}}
+			return page, nil
+		}
+	}
+	return rows.Page{At: rows.Version(10 + s.reads)}, nil
+}
+
+func (s *pagedStore) Watch(ctx context.Context, _ rows.Version, _ time.Duration) (rows.Page, error) {
+	<-ctx.Done()
+	return rows.Page{}, ctx.Err()
+}
+
+// Guards against a read of many pages that begins again after each failure, and never ends
+// while single responses are lost.
+func TestReadGoesOnAfterFailedPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A read of 20 pages, of which every third fails, needs each page once", t, func() {
+			replica := NewReplica(func(string, error) {})
+			store := &pagedStore{pages: 20}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { Follow(ctx, store, replica, func(error) {}); close(done) }()
+			time.Sleep(10 * time.Second)
+			cancel()
+			<-done
+			So(replica.Ready(), ShouldBeTrue)
+			So(replica.jobs, ShouldHaveLength, store.pages)
+			So(store.reads-store.failures, ShouldEqual, store.pages+len(readOrder))
+			So(replica.completeTo, ShouldEqual, rows.Version(11))
+		})
+	})
+}
