Remember use for relayed calls apart from use for configurations

A caller of an entry that the store refuses would wait for other refused entries at each request: an entry that has the newest configuration through others counts as useful to those that watch it, and that cleared the memory of its failures as a relay. The other way round, a failed relay took an entry out of the order of the readers. Since entries watch each other both kinds of calls shared one memory; found by reading the code.

Each kind has its own now.

--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -88,25 +88,27 @@
 	// OnError is called for each failed call to an entry.
 	OnError func(address string, err error)
 
-	ranking ranking
+	// An entry may have the newest configuration although the store refuses it, so its use
+	// for relayed calls is remembered apart.
+	configSources, relays ranking
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
 // Useful returns the addresses of the other entries as all entries rank them for a
-// subject, without those that were of no use to this entry lately.
+// subject, without those that were of no use as sources of configurations lately.
 func (c *Client) Useful(subject string) []string {
-	return c.ranking.useful(subject, c.Addresses(), time.Now())
+	return c.configSources.useful(subject, c.Addresses(), time.Now())
 }
 
 // SearchOrder returns the addresses of the other entries in the order in which this entry
-// looks for one that is of use.
-func (c *Client) SearchOrder() []string { return c.ranking.searchOrder(c.Self, c.Addresses()) }
+// looks for a source of configurations.
+func (c *Client) SearchOrder() []string { return c.configSources.searchOrder(c.Self, c.Addresses()) }
 
-// Record notes whether a call to an entry was of use, for the order of later calls.
+// Record notes whether an entry was of use as a source of configurations.
 func (c *Client) Record(address string, useful bool) {
-	c.ranking.record(address, useful, time.Now())
+	c.configSources.record(address, useful, time.Now())
 }
 
 // conn returns the connection to an entry, whatever its state.
@@ -150,10 +152,10 @@
 func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
 	ambiguous := false
-	for _, address := range c.SearchOrder() {
+	for _, address := range c.relays.searchOrder(c.Self, c.Addresses()) {
 		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
-			c.Record(address, true)
+			c.relays.record(address, true, time.Now())
 			return nil
 		}
 		lastErr = err
@@ -161,7 +163,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		c.Record(address, false)
+		c.relays.record(address, false, time.Now())
 	}
 	if ambiguous {
 		return errkind.Wrap(errkind.OutcomeUnknown, lastErr, "relayed call")
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -132,6 +132,20 @@
 			So(count, ShouldEqual, 1)
 		}
 	})
+	Convey("An entry that has the configuration, but that the store refuses, is of no use", t, func() {
+		refused := serve(t, &Server{Store: &memoryStore{err: errkind.New(errkind.StoreUnavailable, "busy")}})
+		served := serve(t, &Server{Store: &memoryStore{row: rows.Row{Key: "j/1", Version: 4}}})
+		client := newClient(refused, served)
+		failures := 0
+		client.OnError = func(string, error) { failures++ }
+		for range 5 {
+			client.Record(refused, true)
+			_, _, err := client.ReadRow(ctx, "j/1")
+			So(err, ShouldBeNil)
+			client.Record(served, false)
+		}
+		So(failures, ShouldBeLessThanOrEqualTo, 1)
+	})
 	Convey("A call ends with its caller", t, func() {
 		calling := make(chan struct{})
 		callCtx, giveUp := context.WithCancel(ctx)
