Abandon a response with several whole configurations and read the newest one

Callers would see 404 for an added queue for longer than 4 s after a burst of changes. A watch of the store returns every version since the last one, whole, and is decoded at its end; versions that come while one is transferred are all in the next response.

A response to a watch may now have at most one and a half times the active configuration and 64 KB. So versions in between cost at most one and a half transfers, however many there are.

--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -39,7 +39,7 @@
 	return rows.Latest{Value: []byte(s.initial), At: 1}, nil
 }
 
-func (s *fakeSource) WatchConfiguration(ctx context.Context, after rows.Version, _ time.Duration) (rows.Latest, error) {
+func (s *fakeSource) WatchConfiguration(ctx context.Context, after rows.Version, _ time.Duration, _ int) (rows.Latest, error) {
 	if len(s.results) == 0 {
 		<-ctx.Done()
 		return rows.Latest{}, ctx.Err()
--- a/control/configsync/propagation_test.go
+++ b/control/configsync/propagation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -124,8 +125,9 @@
 	return c.transfer(ctx, bodies[len(bodies)-1:], version)
 }
 
-// WatchConfiguration returns every version after one, as the store does.
-func (c *storeClient) WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) (rows.Latest, error) {
+// WatchConfiguration returns every version after one, as the store does. More content than
+// maxContent is not received to its end.
+func (c *storeClient) WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration, maxContent int) (rows.Latest, error) {
 	if err := c.available(); err != nil {
 		return rows.Latest{}, err
 	}
@@ -134,6 +136,10 @@
 	expired := time.After(wait)
 	for {
 		bodies, version, changed := c.since(after)
+		if received := slices.Concat(bodies...); len(received) > maxContent {
+			_, _ = c.transfer(ctx, [][]byte{received[:maxContent]}, version)
+			return rows.Latest{}, errkind.New(errkind.HistoryLost, "the response is too large")
+		}
 		if len(bodies) > 0 {
 			return c.transfer(ctx, bodies, version)
 		}
@@ -432,6 +438,26 @@
 	})
 }
 
+// Guards against a response with so many whole versions that the newest one is late.
+func TestBurstOfLargeConfigurations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Twelve versions of 453 KB within half a second are in force in time", t, func() {
+			d := newDeployment(t, 3)
+			defer d.close()
+			for _, e := range d.entries {
+				e.store.patient = true
+			}
+			d.write(2140)
+			time.Sleep(5 * time.Second)
+			for range 12 {
+				d.publish(2140)
+				time.Sleep(40 * time.Millisecond)
+			}
+			So(d.lateVersions(), ShouldBeEmpty)
+		})
+	})
+}
+
 // Guards against an entry that reads the same configuration again and again, because the
 // transfer takes longer than a confirmation is valid.
 func TestSlowReadIsNotRepeatedWithoutChange(t *testing.T) {
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -12,7 +12,9 @@
 // Source reads and watches the operator's configuration in the store.
 type Source interface {
 	ReadConfiguration(ctx context.Context) (rows.Latest, error)
-	WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration) (rows.Latest, error)
+	// WatchConfiguration returns the newest configuration after those in between. If they
+	// have more than maxContent bytes, the error has kind HistoryLost.
+	WatchConfiguration(ctx context.Context, after rows.Version, wait time.Duration, maxContent int) (rows.Latest, error)
 }
 
 const (
@@ -32,7 +34,10 @@
 	// failureLogInterval is the shortest time between two log lines about failed calls
 	// to the store.
 	failureLogInterval = time.Second
-	sourceStore        = "store"
+	// growthAllowance is what the response to a watch may have, in bytes, beyond one and a
+	// half times the active configuration.
+	growthAllowance = 64 << 10
+	sourceStore     = "store"
 )
 
 // storeWatch is the state of the watch of the store. Only WatchStore uses it.
@@ -65,6 +70,7 @@
 		latest, err := f.nextFromStore(ctx)
 		switch {
 		case errkind.Is(err, errkind.HistoryLost):
+			f.opts.Count("config_watch_replaced")
 			f.store.readNext = true
 			continue
 		case err != nil:
@@ -133,9 +139,13 @@
 	if f.store.readNext || position == 0 || !canWatch {
 		return f.opts.Source.ReadConfiguration(ctx)
 	}
-	return f.opts.Source.WatchConfiguration(ctx, position, watchWait)
+	return f.opts.Source.WatchConfiguration(ctx, position, watchWait, maxContent(f.snapshot()))
 }
 
+// maxContent returns how much the response to a watch may have. More are several versions,
+// of which a read returns only the newest one.
+func maxContent(active snapshot) int { return len(active.body)*3/2 + growthAllowance }
+
 func (f *Follower) storePosition() rows.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
