Log when an entry watches the store although it is not its turn

The logs did not tell whether an entry reads configurations from the store by turn or because no other entry confirms them, which are the normal case and a fault. The latter is now logged and counted once when it begins. The receipt of a configuration's parts is a function of its own, and one that exceeds its bound keeps its kind of error.

--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -49,6 +49,9 @@
 	readNext bool
 	// succeeded is set if the last call succeeded, however long it took.
 	succeeded bool
+	// alone is set while this entry watches the store only because no entry that precedes
+	// it does.
+	alone bool
 	// failedSince is when the first of an unbroken series of failed calls ended, and
 	// failures their number.
 	failedSince     time.Time
@@ -60,6 +63,7 @@
 // this entry's turn or other entries do not confirm the active version.
 func (f *Follower) WatchStore(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.recordReason()
 		if !f.hasStoreDuty() {
 			f.setStoreFailing(false)
 			f.store.succeeded = false
@@ -106,13 +110,28 @@
 // hasStoreDuty reports whether this entry has to watch the store. One that has begun goes
 // on until an entry that precedes it does, so that the others can rely on it.
 func (f *Follower) hasStoreDuty() bool {
-	if f.unrelievedFor() > confirmedFor {
-		return true
-	}
+	return f.unrelievedFor() > confirmedFor || f.isReader()
+}
+
+// isReader reports whether it is this entry's turn to watch the store.
+func (f *Follower) isReader() bool {
 	s := subject(f.Version())
 	return rankOf(s, f.opts.Self, f.opts.Peers.Useful(s)) < storeReaders
 }
 
+// recordReason counts and logs when this entry begins to watch the store although it is
+// not its turn.
+func (f *Follower) recordReason() {
+	before := f.store.alone
+	f.store.alone = f.unrelievedFor() > confirmedFor && !f.isReader()
+	if !f.store.alone || before {
+		return
+	}
+	f.opts.Count("config_watch_alone")
+	f.opts.Logger.Info().Uint64("version", uint64(f.Version())).Int64("age_ms", f.Age().Milliseconds()).
+		Msg("no other entry confirms the configuration; watching the store")
+}
+
 // awaitStoreDuty waits until this entry may have to watch the store.
 func (f *Follower) awaitStoreDuty(ctx context.Context) {
 	select {
--- a/control/peer/configuration.go
+++ b/control/peer/configuration.go
@@ -114,24 +114,12 @@
 	if err != nil {
 		return exchange.Versioned{}, rpc.ErrorFromStatus(err)
 	}
-	var raw []byte
-	var begun time.Time
-	for {
-		part, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return exchange.Versioned{}, receiveError(ctx, err, len(raw))
-		}
-		if begun.IsZero() {
-			begun = time.Now()
-		}
-		advance()
-		raw = append(raw, part.GetData()...)
-		if len(raw) > maxConfigBytes {
-			return exchange.Versioned{}, errkind.New(errkind.Corrupt, "the configuration exceeds %d bytes", maxConfigBytes)
-		}
+	raw, begun, err := receiveParts(stream.Recv, advance)
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return exchange.Versioned{}, errkind.New(errkind.DeadlineExceeded, "the transfer stalled after %d bytes", len(raw))
+	case err != nil:
+		return exchange.Versioned{}, err
 	}
 	var m rpc.Config
 	if err := proto.Unmarshal(raw, &m); err != nil {
@@ -142,10 +130,24 @@
 	return reply, nil
 }
 
-// receiveError returns the error for a transfer that ended after some bytes.
-func receiveError(ctx context.Context, err error, bytes int) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return errkind.New(errkind.DeadlineExceeded, "the transfer stalled after %d bytes", bytes)
+// receiveParts returns the parts put together, and when the first one had arrived. It calls
+// advance for each one.
+func receiveParts(receive func() (*rpc.ConfigPart, error), advance func()) (raw []byte, begun time.Time, err error) {
+	for {
+		part, err := receive()
+		if begun.IsZero() {
+			begun = time.Now()
+		}
+		if errors.Is(err, io.EOF) {
+			return raw, begun, nil
+		}
+		if err != nil {
+			return raw, begun, rpc.ErrorFromStatus(err)
+		}
+		advance()
+		raw = append(raw, part.GetData()...)
+		if len(raw) > maxConfigBytes {
+			return raw, begun, errkind.New(errkind.Corrupt, "the configuration exceeds %d bytes", maxConfigBytes)
+		}
 	}
-	return rpc.ErrorFromStatus(err)
 }
