--- a/control/peer/configuration_test.go
+++ b/control/peer/configuration_test.go
@@ -65,31 +65,27 @@
 // Guards against large configurations that are cut off by the deadline of a small call
 // although they progress, and against transfers that never end.
 func TestSlowTransferIsReceivedAsLongAsItProgresses(t *testing.T) {
-	request := exchange.FetchRequest{AtLeast: 6, Have: 5}
+	fetch := func(bandwidth int64) (reply exchange.Versioned, took time.Duration, err error) {
+		net := standin.NewNetwork()
+		stop := sender(t, net, bandwidth, incompressible(300_000))
+		client := receiver(net, 1)
+		start := time.Now()
+		reply, err = client.FetchConfiguration(context.Background(), senderAddress, exchange.FetchRequest{AtLeast: 6, Have: 5})
+		took = time.Since(start)
+		client.close()
+		stop()
+		return reply, took, err
+	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Three seconds of transfer are allowed, and count as age", t, func() {
-			net := standin.NewNetwork()
-			stop := sender(t, net, 100_000, incompressible(300_000))
-			client := receiver(net, 1)
-			start := time.Now()
-			reply, err := client.FetchConfiguration(context.Background(), senderAddress, request)
-			took := time.Since(start)
-			client.close()
-			stop()
+			reply, took, err := fetch(100_000)
 			So(err, ShouldBeNil)
 			So(reply.ContentSize(), ShouldEqual, 300_000)
 			So(took, ShouldBeGreaterThan, 3*time.Second)
 			So(reply.Age, ShouldBeGreaterThan, 2*time.Second)
 		})
 		Convey("A transfer without progress ends", t, func() {
-			net := standin.NewNetwork()
-			stop := sender(t, net, 5_000, incompressible(300_000))
-			client := receiver(net, 1)
-			start := time.Now()
-			_, err := client.FetchConfiguration(context.Background(), senderAddress, request)
-			took := time.Since(start)
-			client.close()
-			stop()
+			_, took, err := fetch(5_000)
 			So(errkind.Of(err), ShouldEqual, errkind.DeadlineExceeded)
 			So(took, ShouldBeLessThan, 10*time.Second)
 		})
