--- a/control/configsync/duty_test.go
+++ b/control/configsync/duty_test.go
@@ -32,9 +32,9 @@
 			for place, self := range all {
 				useful := others(s, n, self)
 				So(rankOf(s, self, useful), ShouldEqual, place)
-				above := entriesAbove(place, useful)
-				So(above, ShouldHaveLength, min(2, n-1))
-				for _, a := range above {
+				parents := parentsOf(place, useful)
+				So(parents, ShouldHaveLength, min(2, n-1))
+				for _, a := range parents {
 					watchers[a]++
 					if place >= storeReaders {
 						So(rankOf(s, a, others(s, n, a)), ShouldBeLessThan, place)
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -36,7 +36,7 @@
 	opts  Options
 	store storeWatch
 	peers peerWatches
-	pack  packCache
+	packs packCache
 
 	// applying is held while a received configuration is decoded, so that the same
 	// version is decoded once.
@@ -53,8 +53,8 @@
 	confirmedAt time.Time
 	confirmedBy string
 	position    rows.Version
-	// relieved is when an entry that precedes this one in the order of the readers last
-	// knew so.
+	// relieved is when an entry that ranks above this one last knew so. Then this one need
+	// not watch the store.
 	relieved time.Time
 	// storeFailing is set while it is this entry's turn to watch the store, and the store
 	// does not serve it.
@@ -255,8 +255,8 @@
 
 // packCache holds the compressed body of a version, which many entries may request.
 type packCache struct {
-	mu sync.Mutex
-	of exchange.Versioned
+	mu     sync.Mutex
+	cached exchange.Versioned
 }
 
 // packed returns the reply with its body compressed if that is large.
@@ -264,17 +264,17 @@
 	if len(reply.Body) <= exchange.InlineDeltas {
 		return reply
 	}
-	f.pack.mu.Lock()
-	defer f.pack.mu.Unlock()
-	if f.pack.of.Digest != reply.Digest {
+	f.packs.mu.Lock()
+	defer f.packs.mu.Unlock()
+	if f.packs.cached.Digest != reply.Digest {
 		packed, err := reply.Pack()
 		if err != nil {
 			f.opts.Logger.Error().Err(err).Uint64("version", uint64(reply.Version)).Msg("failed to compress configuration; sending it as it is")
 			return reply
 		}
-		f.pack.of = packed
+		f.packs.cached = packed
 	}
-	reply.Body, reply.Base, reply.Deltas = nil, 0, f.pack.of.Deltas
+	reply.Body, reply.Base, reply.Deltas = nil, 0, f.packs.cached.Deltas
 	return reply
 }
 
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -62,8 +62,8 @@
 }
 
 // watchPeersInTurn watches one entry as long as it is of use, and then another one. The
-// entries above this one come first for each version, and again only for the next one, so
-// that it returns to an entry that is of use when they are not.
+// parents come first for each version, and again only for the next one, so that this entry
+// returns to one that is of use when they are not.
 func (f *Follower) watchPeersInTurn(ctx context.Context) {
 	delay := minPeerRetryDelay
 	useful := true
@@ -88,12 +88,12 @@
 	}
 }
 
-// claimPeer chooses the best entry that is not watched yet, with aboveFirst one of those
-// above this one if possible.
-func (f *Follower) claimPeer(aboveFirst bool) (string, bool) {
+// claimPeer chooses the best entry that is not watched yet, with parentsFirst a parent if
+// possible.
+func (f *Follower) claimPeer(parentsFirst bool) (string, bool) {
 	order := f.opts.Peers.SearchOrder()
-	if aboveFirst {
-		order = append(f.entriesAbove(), order...)
+	if parentsFirst {
+		order = append(f.parents(), order...)
 	}
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
@@ -106,11 +106,11 @@
 	return "", false
 }
 
-// entriesAbove returns the entries that this one prefers to watch.
-func (f *Follower) entriesAbove() []string {
+// parents returns the entries that this one prefers to watch.
+func (f *Follower) parents() []string {
 	s := subject(f.Version())
 	useful := f.opts.Peers.Useful(s)
-	return entriesAbove(rankOf(s, f.opts.Self, useful), useful)
+	return parentsOf(rankOf(s, f.opts.Self, useful), useful)
 }
 
 func (f *Follower) releasePeer(address string) {
