--- a/control/config/follower_test.go
+++ b/control/config/follower_test.go
@@ -300,12 +300,13 @@
 		st := standin.NewStore()
 		store := NewStore(st.Table("e"), st.Objects("e"))
 		entry := NewFollower(Options{Source: store})
-		bodies, deltas, corruptDelta := 0, 0, false
+		var bodies, deltas atomic.Int64
+		var corruptDelta atomic.Bool
 		agent := NewFollower(Options{Peers: func() []string { return []string{"entry"} }, Fetch: func(_ context.Context, _ string, req exchange.FetchRequest) (exchange.Versioned, error) {
 			v := entry.Answer(req)
-			bodies += min(1, len(v.Body))
-			deltas += len(v.Deltas)
-			if corruptDelta && len(v.Deltas) > 0 {
+			bodies.Add(int64(min(1, len(v.Body))))
+			deltas.Add(int64(len(v.Deltas)))
+			if corruptDelta.Load() && len(v.Deltas) > 0 {
 				v.Deltas[0] = []byte("+workspace,other,,,,,,1,0,0,,,,,\n")
 			}
 			return v, nil
@@ -319,7 +320,7 @@
 		synctest.Wait()
 		st.SetObjectFaults("e", standin.Faults{})
 		for v := 1; v <= 4; v++ {
-			corruptDelta = v == 4
+			corruptDelta.Store(v == 4)
 			if _, err := apply(t.Context(), store, ident.ConfigVersion(v), sheetOf(t, v+1), "op"); err != nil {
 				t.Fatal(err)
 			}
@@ -336,8 +337,8 @@
 		if string(entry.Current().Body) != string(want) || string(agent.Current().Body) != string(want) {
 			t.Fatalf("entry %+v\nagent %+v", entry.Current(), agent.Current())
 		}
-		if bodies != 2 || deltas != 4 {
-			t.Fatalf("%d bodies and %d deltas sent, want the first body, the body after the corrupt delta and 1+2+1 deltas", bodies, deltas)
+		if bodies.Load() != 2 || deltas.Load() != 4 {
+			t.Fatalf("%d bodies and %d deltas sent, want the first body, the body after the corrupt delta and 1+2+1 deltas", bodies.Load(), deltas.Load())
 		}
 	})
 }
