Wait for all handlers before the log of a process is closed

Cause: grpc.Server.Stop cancels its handlers without waiting for them. A stream's handler logged that its owner had detached after main had closed the log's queue. HTTP calls that outlast the shutdown timeout, and every goroutine after a second signal, could do the same.

--- a/cmd/lacewingd/main.go
+++ b/cmd/lacewingd/main.go
@@ -27,7 +27,7 @@
 	var c commands
 	parsed := kong.Parse(&c, kong.Name("lacewingd"),
 		kong.Description("Schedules multi-accelerator jobs on the platform."))
-	writer := &log.AsyncWriter{ChannelSize: logQueueLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	writer := telemetry.NewQueuedWriter(os.Stdout, logQueueLines)
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	run := runEntry
 	if parsed.Command() == "agent" {
@@ -61,8 +61,7 @@
 	})
 }
 
-// logQueueLines bounds the log lines that are queued for standard output. Further
-// lines are dropped, because logging must never delay a decision.
+// logQueueLines bounds the log lines that are queued for standard output.
 const logQueueLines = 2048
 
 // configureLogger sets the log level and adds the process's identity to every log
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -24,6 +25,8 @@
 	servers  []*http.Server
 	grpc     *grpc.Server
 	group    conc.WaitGroup
+	// calls are the HTTP calls in flight.
+	calls sync.WaitGroup
 }
 
 // Timeouts of the HTTP servers.
@@ -61,7 +64,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: p.trackCalls(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.servers = append(p.servers, server)
 	p.group.Go(func() {
 		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
@@ -71,6 +74,15 @@
 	return nil
 }
 
+// trackCalls counts the calls in flight, for which stop waits.
+func (p *process) trackCalls(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.calls.Add(1)
+		defer p.calls.Done()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // serveGRPC serves the project's other processes until stop is called.
 func (p *process) serveGRPC(register func(*grpc.Server)) error {
 	listener, err := net.Listen("tcp", p.settings.GRPCAddr)
@@ -93,16 +105,19 @@
 	return p.serveHTTP(p.settings.MetricsAddr, router)
 }
 
-// stop shuts the servers down. HTTP calls in flight get shutdownTimeout to finish;
-// gRPC calls are canceled.
+// stop shuts the servers down and waits for everything that they run. HTTP calls in
+// flight get shutdownTimeout to finish, then they are canceled; gRPC calls are canceled at
+// once.
 func (p *process) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range p.servers {
 		if err := s.Shutdown(ctx); err != nil {
 			p.logger.Warn().Err(err).Msg("HTTP server did not shut down cleanly")
+			s.Close()
 		}
 	}
+	p.calls.Wait()
 	p.grpc.Stop()
 	p.group.Wait()
 	if err := p.metrics.Close(); err != nil {
--- a/control/transport/transport.go
+++ b/control/transport/transport.go
@@ -66,9 +66,11 @@
 	return conn, nil
 }
 
-// NewGRPCServer returns a server that tolerates the clients' keepalive pings.
+// NewGRPCServer returns a server that tolerates the clients' keepalive pings. Its Stop
+// returns after all handlers, so that none uses what its process releases next.
 func NewGRPCServer() *grpc.Server {
 	return grpc.NewServer(
+		grpc.WaitForHandlers(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
