Take a submission as accepted once the entry has received its row

Cause: while the store answers late or with 429, the writer waits for a response that was lost, although its own watch delivered the row a second earlier; and its last attempts end at the caller's deadline, so the answer leaves after it. Ruled out: the relay (it reached two entries, which the store refused), the row (written once). Change: a write also ends when the replica has the row, at once if it has it already; it ends responseMargin before the caller's deadline. Tests: TestArrivedRowSettlesLostResponse (on the former code the write without a response ends only with its deadline, and the repeated one writes again until the test's time is over), TestUnknownOutcomeIsReportedBeforeDeadline.

--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -55,6 +55,8 @@
 	connectedSince time.Time
 	onChange       func(Change)
 	onError        func(key string, err error)
+	// arrivals holds the rows that callers wait for.
+	arrivals map[string]*arrival
 }
 
 // Change is the decoded content of a changed row.
@@ -75,6 +77,7 @@
 		workers:  make(map[ident.Worker]Worker),
 		entries:  make(map[ident.Entry]Entry),
 		onError:  onError,
+		arrivals: make(map[string]*arrival),
 	}
 }
 
@@ -108,6 +111,7 @@
 		return
 	}
 	r.versions[row.Key] = row.Version
+	r.noteArrivalLocked(row.Key)
 	prefix, name := splitKey(row.Key)
 	var err error
 	switch prefix {
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -45,12 +45,21 @@
 // of kind StoreUnavailable means that the row has not been written and will not be.
 // OutcomeUnknown means that it may have been or may still be written. The writes are
 // hedged: an attempt without a response continues while the next one takes the other
-// path. The condition that the row is absent lets only one of them succeed.
+// path. The condition that the row is absent lets only one of them succeed. The result
+// also counts as known as soon as the replica has the row, because its watch often
+// delivers what a lost or slow response did not. It comes responseMargin before the
+// deadline of ctx, while the caller still waits.
 func (w *Writer) Create(ctx context.Context, key string, value []byte) (bool, error) {
 	c := rowCreation{writer: w, key: key, value: value, results: make(chan error, maxWriteAttempts)}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := beforeDeadline(ctx)
 	defer c.group.Wait()
 	defer cancel()
+	arrived, release := w.Replica.Arrival(key)
+	defer release()
+	c.arrived = arrived
+	if c.hasArrived() {
+		return false, nil
+	}
 	for c.started < maxWriteAttempts || c.inFlight > 0 {
 		if c.started < maxWriteAttempts {
 			c.startAttempt(ctx)
@@ -66,12 +75,24 @@
 	return false, c.failure()
 }
 
+// beforeDeadline returns a context that ends responseMargin before the deadline of ctx,
+// or after three quarters of a time that is too short for that.
+func beforeDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(responseMargin, time.Until(deadline)/4)))
+}
+
 // rowCreation is the state of one Create call.
 type rowCreation struct {
-	writer   *Writer
-	key      string
-	value    []byte
-	results  chan error
+	writer  *Writer
+	key     string
+	value   []byte
+	results chan error
+	// arrived is closed when the replica has the row.
+	arrived  <-chan struct{}
 	group    conc.WaitGroup
 	started  int
 	inFlight int
@@ -109,6 +130,8 @@
 	case err := <-c.results:
 		c.inFlight--
 		return c.handleResult(ctx, err)
+	case <-c.arrived:
+		return true, true
 	case <-time.After(hedgeDelay):
 		return false, false
 	case <-ctx.Done():
@@ -133,11 +156,20 @@
 	return false, false
 }
 
+func (c *rowCreation) hasArrived() bool {
+	select {
+	case <-c.arrived:
+		return true
+	default:
+		return false
+	}
+}
+
 // timeForRetry reports whether the caller's deadline leaves time for another attempt.
 // If not, the caller gets the error at once, while it is still waiting.
 func timeForRetry(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
-	return !ok || time.Until(deadline) > writeRetryDelay+responseMargin
+	return !ok || time.Until(deadline) > writeRetryDelay
 }
 
 // failure returns OutcomeUnknown if an attempt may have written the row, and otherwise
--- a/control/jobstore/write_test.go
+++ b/control/jobstore/write_test.go
@@ -155,3 +155,55 @@
 		})
 	})
 }
+
+// Guards against a caller that is told that the outcome is unknown, or waits until its
+// deadline, although the entry has received the row that it wrote.
+func TestArrivedRowSettlesLostResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A write without any response is settled when the watch delivers the row", t, func() {
+			w := newWriter(&fakeStore{commit: commitTimesOut}, &fakeStore{commit: commitTimesOut}, true)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			time.AfterFunc(300*time.Millisecond, func() { w.Replica.Advance([]rows.Row{{Key: "j/1", Version: 8, Value: []byte("{}")}}, 8) })
+			start := time.Now()
+			created, err := w.Create(ctx, "j/1", []byte("{}"))
+			So(err, ShouldBeNil)
+			So(created, ShouldBeTrue)
+			So(time.Since(start), ShouldEqual, 300*time.Millisecond)
+		})
+		Convey("A repeated submission of a row that has arrived needs no write", t, func() {
+			store := &fakeStore{commit: commitTimesOut}
+			w := newWriter(store, store, true)
+			w.Replica.Apply([]rows.Row{{Key: "j/1", Version: 8, Value: []byte("{}")}})
+			created, err := w.Create(context.Background(), "j/1", []byte("{}"))
+			So(err, ShouldBeNil)
+			So(created, ShouldBeFalse)
+			So(store.commits.Load(), ShouldEqual, 0)
+		})
+		Convey("Nothing is kept of callers that no longer wait", t, func() {
+			w := newWriter(&fakeStore{commit: commitRefused}, &fakeStore{commit: commitRefused}, true)
+			for _, key := range []string{"j/1", "j/2", "j/2"} {
+				_, err := w.Create(context.Background(), key, nil)
+				So(err, ShouldNotBeNil)
+			}
+			So(w.Replica.arrivals, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against the answer about an unknown outcome coming after the caller's deadline.
+func TestUnknownOutcomeIsReportedBeforeDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Writes without a response end responseMargin before the deadline", t, func() {
+			for _, remaining := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+				w := newWriter(&fakeStore{commit: commitTimesOut}, &fakeStore{commit: commitTimesOut}, true)
+				ctx, cancel := context.WithTimeout(context.Background(), remaining)
+				start := time.Now()
+				_, err := w.Create(ctx, "j/1", []byte("{}"))
+				So(errkind.Of(err), ShouldEqual, errkind.OutcomeUnknown)
+				So(time.Since(start), ShouldBeLessThanOrEqualTo, remaining-min(responseMargin, remaining/4))
+				cancel()
+			}
+		})
+	})
+}
