Check what is decoded, and let one odd entry cost only itself

Report of another operator: one odd entry among those of the workers ended every process that read the list, or stopped it from following the list. It could happen here: - A job with the task counts 2^62 and 2^62 (their sum is negative), or with 400 tasks and 2^60 repetitions (the product is zero), was accepted. The owner then ended by a panic (makeslice: cap out of range) or ran out of memory, and so would each next owner, because the job is durable. - One row of the store with an unreadable field failed its whole page, so an entry could not follow the table any more. One odd entry of a worker's report failed the report, so the worker got no lease. - A worker's row could describe another worker; amounts, start times and sequences beyond reason were believed, and a heartbeat with the largest sequence or start time would have made an agent ignore its worker from then on. A port out of range was only dialed. - A job whose state could not be read counted as new, and would have run again. An owner's row that could not be read lost the epoch. Change: jobs, workers and records are checked by Validate where they enter (submission, heartbeat, row, message), rows and entries are decoded one by one, an unreadable state sets its job aside, waves and objectives are bounded. The rows of one test had no steps, which no submission has; they have one now.

--- a/control/batchowner/agentconn.go
+++ b/control/batchowner/agentconn.go
@@ -138,8 +138,9 @@
 	scheduler := c.loop.scheduler
 	switch {
 	case m.GetWorker() != nil:
-		var info batch.WorkerInfo
-		if err := json.Unmarshal(m.GetWorker().GetInfo(), &info); err != nil {
+		info, err := c.decodeInfo(m.GetWorker().GetInfo())
+		if err != nil {
+			c.loop.candidate.opts.Count("worker_info_unreadable")
 			c.loop.candidate.opts.Logger.Error().Str("worker", string(c.worker)).Err(err).Msg("failed to decode worker info")
 			return
 		}
@@ -156,6 +157,18 @@
 	}
 }
 
+// decodeInfo decodes what the agent says of its worker. An error has kind Corrupt.
+func (c *agentConn) decodeInfo(raw []byte) (batch.WorkerInfo, error) {
+	var info batch.WorkerInfo
+	if err := json.Unmarshal(raw, &info); err != nil {
+		return info, errkind.Wrap(errkind.Corrupt, err, "decode worker info")
+	}
+	if info.ID != c.worker {
+		return info, errkind.New(errkind.Corrupt, "the info is about worker %q", info.ID)
+	}
+	return info, errkind.Wrap(errkind.Corrupt, info.Validate(), "worker info")
+}
+
 // renewLease extends the worker's lease while the ownership is valid.
 func (c *agentConn) renewLease() {
 	if c.sendQueue == nil || !c.loop.writer.valid() {
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -94,7 +94,11 @@
 	if err != nil {
 		return err
 	}
-	value, err := jobstore.Encode(newJob(t, submission, time.Now()))
+	job := newJob(t, submission, time.Now())
+	if err := job.Validate(); err != nil {
+		return err
+	}
+	value, err := jobstore.Encode(job)
 	if err != nil {
 		return err
 	}
--- a/control/jobstore/follow_test.go
+++ b/control/jobstore/follow_test.go
@@ -41,7 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A replica with a registered callback uses the shorter wait", t, func() {
 			reportDelay := func(watched bool) time.Duration {
-				store := &delayedWatchStore{changes: []rows.Row{{Key: JobKey("j1"), Version: 5, Value: []byte(`{"id":"j1"}`)}}}
+				store := &delayedWatchStore{changes: []rows.Row{{Key: JobKey("j1"), Version: 5, Value: []byte(`{"id":"j1","st":[{"n":1,"r":{}}]}`)}}}
 				replica := NewReplica(func(string, error) {})
 				start := time.Now()
 				var delay time.Duration
@@ -72,7 +72,7 @@
 }
 
 func (s *slowReadStore) Read(_ context.Context, from, to string) (rows.Page, error) {
-	job := rows.Row{Key: JobKey("j1"), Version: 5, Value: []byte(`{"id":"j1"}`)}
+	job := rows.Row{Key: JobKey("j1"), Version: 5, Value: []byte(`{"id":"j1","st":[{"n":1,"r":{}}]}`)}
 	switch {
 	case from == statePrefix:
 		time.Sleep(s.readTime)
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
@@ -17,6 +18,9 @@
 	// Record is the durable state, zero until the owner first writes it.
 	Record   batch.Record
 	Canceled bool
+	// Unreadable reports that the durable state could not be read. Such a job must not
+	// be scheduled.
+	Unreadable bool
 }
 
 // State returns the job's state as callers see it.
@@ -120,9 +124,7 @@
 	case jobPrefix:
 		err = r.applyJobLocked(row)
 	case statePrefix:
-		j := r.jobLocked(ident.Job(name))
-		j.Record = batch.Record{}
-		err = decode(row, &j.Record)
+		err = r.applyStateLocked(row, ident.Job(name))
 	case cancelPrefix:
 		j := r.jobLocked(ident.Job(name))
 		j.Canceled = true
@@ -130,9 +132,7 @@
 	case workerPrefix:
 		err = r.applyWorkerLocked(row, ident.Worker(name))
 	case entryPrefix:
-		var entry Entry
-		err = decode(row, &entry)
-		r.entries[ident.Entry(name)] = entry
+		err = r.applyEntryLocked(row, ident.Entry(name))
 	}
 	if err != nil {
 		r.onError(row.Key, err)
@@ -140,10 +140,15 @@
 }
 
 func (r *Replica) applyOwnerLocked(row rows.Row) error {
-	r.owner = Owner{}
 	r.ownerVersion = row.Version
 	r.ownerChangedAt = time.Now()
-	return decode(row, &r.owner)
+	var owner Owner
+	if err := decode(row, &owner); err != nil {
+		// The epoch of the last readable row stays: workers reject orders of a lower one.
+		return err
+	}
+	r.owner = owner
+	return nil
 }
 
 func (r *Replica) applyJobLocked(row rows.Row) error {
@@ -152,17 +157,54 @@
 	if err := decode(row, spec); err != nil {
 		return err
 	}
+	if err := spec.Validate(); err != nil {
+		return errkind.Wrap(errkind.Corrupt, err, "job row "+row.Key)
+	}
+	if string(spec.ID) != name {
+		return errkind.New(errkind.Corrupt, "job row %s names job %q", row.Key, spec.ID)
+	}
 	j := r.jobLocked(ident.Job(name))
 	j.Spec = spec
 	r.notifyLocked(Change{Job: j})
 	return nil
 }
 
+// applyStateLocked sets a job aside if its state can't be read: without it, what has run
+// would run again.
+func (r *Replica) applyStateLocked(row rows.Row, id ident.Job) error {
+	j := r.jobLocked(id)
+	var record batch.Record
+	err := decode(row, &record)
+	if err == nil {
+		err = record.Validate()
+	}
+	j.Unreadable = err != nil
+	if err == nil {
+		j.Record = record
+	}
+	return err
+}
+
+func (r *Replica) applyEntryLocked(row rows.Row, id ident.Entry) error {
+	var entry Entry
+	if err := decode(row, &entry); err != nil {
+		return err
+	}
+	if err := checkAddress(entry.Address); err != nil {
+		return err
+	}
+	r.entries[id] = entry
+	return nil
+}
+
 func (r *Replica) applyWorkerLocked(row rows.Row, id ident.Worker) error {
 	var w Worker
 	if err := decode(row, &w); err != nil {
 		return err
 	}
+	if err := w.validate(id); err != nil {
+		return err
+	}
 	r.workers[id] = w
 	r.notifyLocked(Change{WorkerID: id, Worker: w})
 	return nil
@@ -316,7 +358,7 @@
 	defer r.mu.Unlock()
 	snapshot := Snapshot{Workers: maps.Clone(r.workers)}
 	for _, j := range r.jobs {
-		if j.Spec != nil {
+		if j.Spec != nil && !j.Unreadable {
 			snapshot.Jobs = append(snapshot.Jobs, *j)
 		}
 	}
--- a/control/jobstore/rows.go
+++ b/control/jobstore/rows.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strings"
 
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -65,6 +66,26 @@
 	Info    batch.WorkerInfo `json:"info"`
 }
 
+// validate returns an error of kind Corrupt if the row of a worker cannot be true.
+func (w *Worker) validate(id ident.Worker) error {
+	if w.Info.ID != id {
+		return errkind.New(errkind.Corrupt, "the row of worker %s names %q", id, w.Info.ID)
+	}
+	if err := w.Info.Validate(); err != nil {
+		return errkind.Wrap(errkind.Corrupt, err, "row of worker "+string(id))
+	}
+	return checkAddress(w.Address)
+}
+
+// checkAddress returns an error of kind Corrupt for anything but an IP address and port.
+func checkAddress(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return errkind.New(errkind.Corrupt, "%q is not an IP address and port", address)
+	}
+	return nil
+}
+
 // Entry is the content of an entry's row.
 type Entry struct {
 	// Address is the IP address and port for other entries.
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -149,6 +149,10 @@
 		}
 		refusals = 0
 		wait = renewWait
+		if report.Unreadable > 0 {
+			s.runner.opts.Count("report_entry_unreadable")
+			s.runner.opts.Logger.Warn().Int("entries", report.Unreadable).Msg("entries of the worker's report could not be decoded; they are ignored")
+		}
 		s.send(rpc.ReportMessage(report))
 		s.awaitAck(ctx, report)
 	}
--- a/sched/batch/urgency.go
+++ b/sched/batch/urgency.go
@@ -101,11 +101,19 @@
 	return slices.ContainsFunc(j.spec.Steps, func(s Step) bool { return s.LongRunning })
 }
 
+const (
+	// maxSlack bounds the slack factor and maxObjective the objective, so that times
+	// computed from a configuration beyond reason cannot overflow.
+	maxSlack     = 1000
+	maxObjective = 10 * 365 * 24 * time.Hour
+)
+
 // objective returns the time from the acceptance of the job, or from the due time of
 // an occurrence, within which it should end.
 func (s *Scheduler) objective(j *job) time.Duration {
-	slack := max(j.spec.SlackFactor, 1)
-	return time.Duration(slack*float64(s.criticalPath(j, 0, true))) + time.Duration(j.spec.TargetMs)*time.Millisecond
+	slack := min(max(j.spec.SlackFactor, 1), maxSlack)
+	target := float64(min(max(j.spec.TargetMs, 0), maxDuration.Milliseconds())) * float64(time.Millisecond)
+	return time.Duration(min(slack*float64(s.criticalPath(j, 0, true))+target, float64(maxObjective)))
 }
 
 // criticalPath returns the expected duration of the longest chain of dependent
@@ -149,7 +157,7 @@
 	} {
 		share = max(share, float64(step.Tasks*d[0])/float64(max(d[1], 1)))
 	}
-	return max(1, int(math.Ceil(share/maxWaveShare)))
+	return max(1, int(min(math.Ceil(share/maxWaveShare), float64(step.Tasks))))
 }
 
 // compareUrgency orders units of one tier by their latest start. Units that can
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -72,6 +72,8 @@
 	ClockMs int64
 	Running []RunningTask
 	Ended   []EndedTask
+	// Unreadable counts the entries that named no run and were left out.
+	Unreadable int
 }
 
 // worker is the scheduler's view of one worker.
