Contain panics in requests, rows, jobs, orders and background loops

It could happen here: a panic in a gRPC handler ended the process; one in the owner's loop, in the replica or in a watch of the configuration ended that loop without a line in the log, while the process went on without it; one caused by a stored job would have come again under each next owner. A panic of the scheduler releases the ownership, and the job that it was working on is set aside: the next owner starts from the durable state. Every contained panic is logged with its stack and counted (panic, job_set_aside, order_panicked).

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
+	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -76,10 +77,19 @@
 	opts Options
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
+	guard     panicguard.Guard
+	// setAside holds the jobs whose handling has panicked in this process. It does not
+	// schedule them again: the next owner or a restart may.
+	setAside map[ident.Job]bool
 }
 
 // New returns a candidate.
-func New(opts Options) *Candidate { return &Candidate{opts: opts} }
+func New(opts Options) *Candidate {
+	return &Candidate{
+		opts: opts, setAside: make(map[ident.Job]bool),
+		guard: panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
+	}
+}
 
 // Run campaigns and schedules until ctx ends, and then releases the ownership.
 func (c *Candidate) Run(ctx context.Context) {
@@ -92,11 +102,28 @@
 		case <-ticker.C:
 		}
 		if loop := c.campaign(ctx); loop != nil {
-			loop.run(ctx)
+			c.runLoop(ctx, loop)
 		}
 	}
 }
 
+// runLoop schedules until the ownership ends. If that panics, it releases the ownership,
+// because the state in memory may be inconsistent, and sets the job aside whose handling
+// panicked. The next owner, which may be this entry, starts from the durable state.
+func (c *Candidate) runLoop(ctx context.Context, loop *ownerLoop) {
+	if c.guard.Run("scheduler", func() { loop.run(ctx) }) == nil {
+		return
+	}
+	job := loop.jobAtWork()
+	c.opts.Logger.Error().Str("job", string(job)).Uint64("epoch", uint64(loop.epoch)).Msg("scheduler panicked; the job is set aside")
+	if job != "" {
+		c.opts.Count("job_set_aside")
+		c.setAside[job] = true
+	}
+	c.opts.Replica.Unwatch()
+	loop.releaseUnchanged()
+}
+
 // campaign tries to acquire the ownership if it is available to this entry. It
 // returns the loop that uses the ownership, or nil without one.
 func (c *Candidate) campaign(ctx context.Context) *ownerLoop {
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -40,6 +40,8 @@
 	// draining is set on shutdown, when nothing more is started.
 	draining    bool
 	lastCleanup time.Time
+	// loading is the job that is being handed to the scheduler, or empty.
+	loading ident.Job
 }
 
 const (
@@ -121,12 +123,32 @@
 		l.connectAgent(id, w)
 	}
 	for _, j := range snapshot.Jobs {
-		l.scheduler.Load(j.Spec, j.Record, j.Canceled, now)
+		l.loadJob(j, j.Record, now)
 	}
 	l.candidate.opts.Logger.Info().Uint64("epoch", uint64(l.epoch)).Int("jobs", len(snapshot.Jobs)).
 		Int("workers", len(snapshot.Workers)).Msg("ownership acquired, scheduler started")
 }
 
+// loadJob hands a job to the scheduler unless it is set aside. It returns false if the
+// scheduler does not take it as new.
+func (l *ownerLoop) loadJob(j jobstore.Job, record batch.Record, now time.Time) bool {
+	if l.candidate.setAside[j.Spec.ID] {
+		return false
+	}
+	l.loading = j.Spec.ID
+	added := l.scheduler.Load(j.Spec, record, j.Canceled, now)
+	l.loading = ""
+	return added
+}
+
+// jobAtWork returns the job whose handling panicked, or nothing.
+func (l *ownerLoop) jobAtWork() ident.Job {
+	if l.loading != "" {
+		return l.loading
+	}
+	return l.scheduler.Handling()
+}
+
 // onChange queues a change. The replica calls it with its lock held.
 func (l *ownerLoop) onChange(change jobstore.Change) {
 	var job jobstore.Job
@@ -149,7 +171,7 @@
 		l.connectAgent(change.WorkerID, change.Worker)
 		l.scheduler.Registered(change.Worker.Info, now)
 	case job.Spec != nil:
-		if l.scheduler.Load(job.Spec, batch.Record{}, job.Canceled, now) {
+		if l.loadJob(job, batch.Record{}, now) {
 			l.logNewJob(job.Spec, now)
 		} else if job.Canceled {
 			l.scheduler.Cancel(job.Spec.ID, now)
@@ -186,7 +208,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	conn := &agentConn{loop: l, worker: id, address: w.Address, cancel: cancel}
 	l.conns[id] = conn
-	l.group.Go(func() { conn.run(ctx) })
+	l.group.Go(func() { l.candidate.guard.Loop(ctx, "connection to "+string(id), conn.run) })
 }
 
 // runCycle runs one scheduling cycle and starts a transaction for its results.
@@ -209,7 +231,12 @@
 	for _, request := range requests {
 		l.group.Go(func() {
 			sent := time.Now()
-			tickets, valid, err := l.callAdvisor(request)
+			var tickets []batch.Ticket
+			var valid time.Duration
+			var err error
+			if panicked := l.candidate.guard.Run("advice", func() { tickets, valid, err = l.callAdvisor(request) }); panicked != nil {
+				err = panicked
+			}
 			l.post(func() { l.handleAdvice(request, tickets, valid, sent, err) })
 		})
 	}
@@ -263,7 +290,10 @@
 	}
 	l.inFlight, l.lastCommitStart = c, now
 	l.group.Go(func() {
-		err := l.writer.commit(l.ctx, puts, removeKeys)
+		var err error
+		if panicked := l.candidate.guard.Run("owner transaction", func() { err = l.writer.commit(l.ctx, puts, removeKeys) }); panicked != nil {
+			err = panicked
+		}
 		l.post(func() { l.handleCommitted(c, err, now) })
 	})
 }
@@ -384,9 +414,16 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
+	l.commitRelease(l.ctx, puts)
+}
+
+// releaseUnchanged marks the ownership as released and writes nothing else.
+func (l *ownerLoop) releaseUnchanged() { l.commitRelease(context.Background(), nil) }
+
+func (l *ownerLoop) commitRelease(ctx context.Context, puts []rows.Put) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	l.writer.owner.Released = true
 	err := l.writer.commit(ctx, puts, nil)
-	l.candidate.opts.Logger.Info().Uint64("epoch", uint64(l.epoch)).Err(err).Msg("ownership released on shutdown")
+	l.candidate.opts.Logger.Info().Uint64("epoch", uint64(l.epoch)).Err(err).Msg("ownership released")
 }
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -177,3 +177,43 @@
 		So(grantedUntil(reasonLowCPU, now), ShouldEqual, now.Add(ownerValidity))
 	})
 }
+
+// Guards against a job that ends the process of every owner, one after the other.
+func TestJobThatPanicsIsSetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The ownership is released, and the next one goes on without the job", t, func() {
+			b := newLoopbed()
+			replica := b.candidate.opts.Replica
+			for _, id := range []ident.Job{"j1", "j2"} {
+				value := []byte(`{"id":"` + string(id) + `","sv":"svc","st":[{"n":1,"r":{}}]}`)
+				replica.Apply([]rows.Row{{Key: jobstore.JobKey(id), Version: 1, Value: value}})
+			}
+			planted, ok := replica.Job("j1")
+			So(ok, ShouldBeTrue)
+			planted.Spec.Steps[0].Tasks = -1
+			So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
+
+			b.candidate.runLoop(context.Background(), b.ownerLoop)
+			So(b.candidate.setAside, ShouldContainKey, ident.Job("j1"))
+			So(b.events["job_set_aside"], ShouldEqual, 1)
+			So(string(b.store.row.Value), ShouldContainSubstring, `"vacant":true`)
+
+			writer := &fencedWriter{store: b.store, rowVersion: b.store.row.Version, owner: jobstore.Owner{Epoch: 2, Entry: "e1"}, clock: b.candidate.opts.Clock}
+			next := newOwnerLoop(b.candidate, writer, time.Now())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			b.candidate.runLoop(ctx, next)
+			So(b.events["panic"], ShouldEqual, 1)
+			other, _ := replica.Job("j2")
+			So(next.scheduler.Load(other.Spec, batch.Record{}, false, time.Now()), ShouldBeFalse)
+		})
+		Convey("A panic that no job caused releases the ownership, too", t, func() {
+			b := newLoopbed()
+			So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
+			b.candidate.opts.Catalog = func() *catalog.Catalog { panic("planted") }
+			b.candidate.runLoop(context.Background(), b.ownerLoop)
+			So(b.candidate.setAside, ShouldBeEmpty)
+			So(string(b.store.row.Value), ShouldContainSubstring, `"vacant":true`)
+		})
+	})
+}
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/lacewingpier/lacewingpier/control/config/exchange"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
@@ -190,7 +191,7 @@
 		err = errkind.New(errkind.Corrupt, "the content of configuration version %d does not have its digest", r.Version)
 	}
 	if err == nil {
-		next.catalog, err = f.opts.Decode(next.body)
+		next.catalog, err = f.decodeBody(next.body)
 	}
 	if err != nil {
 		return snapshot{}, err
@@ -199,6 +200,15 @@
 	return next, nil
 }
 
+// decodeBody decodes a configuration. One whose decoding panics counts as Corrupt, so that
+// the active one stays in use.
+func (f *Follower) decodeBody(body []byte) (decoded *catalog.Catalog, err error) {
+	if recovered := panics.Try(func() { decoded, err = f.opts.Decode(body) }); recovered != nil {
+		return nil, errkind.Wrap(errkind.Corrupt, recovered.AsError(), "panic in the decoding of a configuration")
+	}
+	return decoded, err
+}
+
 // baseBody returns the body that deltas from a version apply to.
 func baseBody(before snapshot, base ident.ConfigVersion) []byte {
 	if base == 0 {
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -317,3 +317,27 @@
 		})
 	})
 }
+
+// Guards against a configuration that ends the process, or stops it from following later
+// ones, because its decoding panics.
+func TestConfigurationThatPanicsIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The active configuration stays, and the next one is used", t, func() {
+			source := &fakeSource{initial: "1", results: []watchResult{{body: "2"}, {body: "3"}}}
+			f := newFollower(source, &fakePeers{others: []string{}})
+			f.opts.Decode = func(body []byte) (*catalog.Catalog, error) {
+				if string(body) == "2" {
+					panic("planted")
+				}
+				return decode(body)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { f.WatchStore(ctx); close(done) }()
+			time.Sleep(time.Second)
+			So(f.Version(), ShouldEqual, ident.ConfigVersion(3))
+			cancel()
+			<-done
+		})
+	})
+}
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
@@ -116,27 +118,35 @@
 	}
 	r.versions[row.Key] = row.Version
 	r.noteArrivalLocked(row.Key)
-	prefix, name := splitKey(row.Key)
 	var err error
+	if recovered := panics.Try(func() { err = r.decodeLocked(row) }); recovered != nil {
+		err = errkind.Wrap(errkind.Internal, recovered.AsError(), "panic in row "+row.Key)
+	}
+	if err != nil {
+		r.onError(row.Key, err)
+	}
+}
+
+// decodeLocked applies the content of a row.
+func (r *Replica) decodeLocked(row rows.Row) error {
+	prefix, name := splitKey(row.Key)
 	switch prefix {
 	case OwnerKey:
-		err = r.applyOwnerLocked(row)
+		return r.applyOwnerLocked(row)
 	case jobPrefix:
-		err = r.applyJobLocked(row)
+		return r.applyJobLocked(row)
 	case statePrefix:
-		err = r.applyStateLocked(row, ident.Job(name))
+		return r.applyStateLocked(row, ident.Job(name))
 	case cancelPrefix:
 		j := r.jobLocked(ident.Job(name))
 		j.Canceled = true
 		r.notifyLocked(Change{Job: j})
 	case workerPrefix:
-		err = r.applyWorkerLocked(row, ident.Worker(name))
+		return r.applyWorkerLocked(row, ident.Worker(name))
 	case entryPrefix:
-		err = r.applyEntryLocked(row, ident.Entry(name))
-	}
-	if err != nil {
-		r.onError(row.Key, err)
+		return r.applyEntryLocked(row, ident.Entry(name))
 	}
+	return nil
 }
 
 func (r *Replica) applyOwnerLocked(row rows.Row) error {
--- a/control/jobstore/replica_test.go
+++ b/control/jobstore/replica_test.go
@@ -152,3 +152,20 @@
 		}
 	})
 }
+
+// Guards against a row whose handling panics and that ends or stops the process which
+// follows the table.
+func TestRowThatPanicsCostsOnlyItself(t *testing.T) {
+	Convey("The other rows are applied, and the replica can be used", t, func() {
+		var unreadable []string
+		r := NewReplica(func(key string, _ error) { unreadable = append(unreadable, key) })
+		r.Watch(func(c Change) {
+			if c.WorkerID == "w1" {
+				panic("planted")
+			}
+		})
+		r.Apply([]rows.Row{workerRow("w1", "10.0.0.1:7000", validInfo), workerRow("w2", "10.0.0.2:7000", `{"id":"w2"}`)})
+		So(unreadable, ShouldResemble, []string{"w/w1"})
+		So(r.workers, ShouldContainKey, ident.Worker("w2"))
+	})
+}
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
-	a.group.Go(func() { a.runner.Publish(background) })
+	a.runBackground(background, "publication of the worker", a.runner.Publish)
 	<-ctx.Done()
 	cancel()
 	a.stop()
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -71,11 +71,13 @@
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
-	e.group.Go(func() { jobstore.Follow(background, e.store, e.replica, e.storeAvailabilityChanged) })
-	e.group.Go(func() { e.config.WatchStore(background) })
-	e.group.Go(func() { e.config.WatchPeers(background) })
-	e.group.Go(func() { e.publish(background) })
-	e.group.Go(func() { e.newCandidate().Run(ctx) })
+	e.runBackground(background, "replica of the store", func(ctx context.Context) {
+		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
+	})
+	e.runBackground(background, "configuration from the store", e.config.WatchStore)
+	e.runBackground(background, "configuration from entries", e.config.WatchPeers)
+	e.runBackground(background, "publication of the entry", e.publish)
+	e.runBackground(ctx, "candidate", e.newCandidate().Run)
 	<-ctx.Done()
 	e.draining.Store(true)
 	e.logger.Info().Msg("entry is draining")
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/telemetry"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -25,6 +26,7 @@
 	servers  []*http.Server
 	grpc     *grpc.Server
 	group    conc.WaitGroup
+	guard    panicguard.Guard
 	// calls are the HTTP calls in flight.
 	calls sync.WaitGroup
 }
@@ -41,7 +43,15 @@
 
 func newProcess(role string, s CommonSettings, logger *log.Logger) *process {
 	identity := telemetry.Identity{Process: role, ID: s.Node, Zone: s.Zone, Region: s.Region}
-	return &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity)}
+	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity)}
+	p.guard = panicguard.Guard{Logger: logger, Count: p.count}
+	return p
+}
+
+// runBackground runs fn, which works until ctx ends, until stop is called. A panic of fn
+// restarts it.
+func (p *process) runBackground(ctx context.Context, part string, fn func(context.Context)) {
+	p.group.Go(func() { p.guard.Loop(ctx, part, fn) })
 }
 
 // count increments the counter of an event.
@@ -64,7 +74,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	server := &http.Server{Handler: p.trackCalls(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: p.trackCalls(p.guard.HTTP(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.servers = append(p.servers, server)
 	p.group.Go(func() {
 		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
@@ -89,7 +99,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	p.grpc = transport.NewGRPCServer()
+	p.grpc = transport.NewGRPCServer(p.guard.GRPCOptions()...)
 	register(p.grpc)
 	p.group.Go(func() {
 		if err := p.grpc.Serve(listener); err != nil {
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -14,6 +14,20 @@
 // while the process is draining.
 func (s *session) forwardOrder(ctx context.Context, m *rpc.TaskOrder) {
 	o := rpc.OrderOf(m)
+	result := orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "panic"}}
+	// After a panic the order may have been carried out, as if its answer had been lost.
+	if s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) }) != nil {
+		s.runner.opts.Count("order_panicked")
+	}
+	s.logOrder(o, result.OrderResult)
+	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
+		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
+	}}})
+	notify(s.wakeup)
+}
+
+// carryOut sends an order to the upstream process unless it must not be carried out.
+func (s *session) carryOut(ctx context.Context, o batch.Order) orderOutcome {
 	announced := s.runner.currentAnnouncement()
 	var result orderOutcome
 	switch {
@@ -33,11 +47,7 @@
 		})
 		result.Kind = startAnswer(result)
 	}
-	s.logOrder(o, result.OrderResult)
-	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
-		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
-	}}})
-	notify(s.wakeup)
+	return result
 }
 
 const (
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -47,11 +48,15 @@
 	session *session
 	// publishWakeup wakes Publish.
 	publishWakeup chan struct{}
+	guard         panicguard.Guard
 }
 
 // New returns a runner without an announced upstream process.
 func New(opts Options) *Runner {
-	return &Runner{opts: opts, publishWakeup: make(chan struct{}, 1)}
+	return &Runner{
+		opts: opts, publishWakeup: make(chan struct{}, 1),
+		guard: panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
+	}
 }
 
 // Announce records an announcement of the upstream process. It ignores
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// panickingTasks panics when it is asked to start a task.
+type panickingTasks struct{ batchapi.Tasks }
+
+func (panickingTasks) Start(context.Context, string, ident.Epoch, batch.Order) batchapi.OrderResult {
+	panic("planted")
+}
+
+// Guards against an order that ends the agent, or that never gets an answer, so that its
+// run counts as active for ever.
+func TestOrderThatPanicsHasUnknownOutcome(t *testing.T) {
+	Convey("The owner is told that the order may have been carried out", t, func() {
+		So(answerTo(panickingTasks{}, batch.OrderStart), ShouldEqual, batch.AnswerUnknown)
+	})
+}
+
 // deadTasks refuses every connection after the first reports.
 type deadTasks struct {
 	batchapi.Tasks
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -60,7 +60,11 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer s.cancel()
-	group.Go(func() { s.renewLoop(ctx) })
+	group.Go(func() {
+		if s.runner.guard.Run("lease renewals", func() { s.renewLoop(ctx) }) != nil {
+			s.cancel() // the owner attaches again
+		}
+	})
 	in := make(chan *rpc.FromOwner)
 	// Recv returns only after serve has returned, so serve does not wait for it.
 	go s.receive(ctx, stream, in)
--- a/control/transport/transport.go
+++ b/control/transport/transport.go
@@ -68,12 +68,12 @@
 
 // NewGRPCServer returns a server that tolerates the clients' keepalive pings. Its Stop
 // returns after all handlers, so that none uses what its process releases next.
-func NewGRPCServer() *grpc.Server {
-	return grpc.NewServer(
+func NewGRPCServer(options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(options,
 		grpc.WaitForHandlers(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	)
+	)...)
 }
 
 // NewHTTPTransport returns an HTTP transport over the network that keeps up to
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -32,7 +32,9 @@
 func (s *Scheduler) Prepare(limit int) *Commit {
 	c := &Commit{Records: make(map[ident.Job]Record), acked: make(map[ident.Worker]ackedEnds)}
 	ids := slices.SortedFunc(maps.Keys(s.dirty), func(a, b ident.Job) int { return strings.Compare(string(a), string(b)) })
+	s.handling = ""
 	for _, id := range ids[:min(limit, len(ids))] {
+		s.handling = id
 		c.Records[id] = s.jobs[id].snapshot()
 		delete(s.dirty, id)
 	}
@@ -79,6 +81,7 @@
 // Committed applies a commit that has become durable: it advances the cursors of
 // acknowledged ends and returns the starts that may now be sent.
 func (s *Scheduler) Committed(c *Commit, now time.Time) []Order {
+	s.handling = ""
 	for id, ends := range c.acked {
 		if w := s.workers[id]; w != nil && w.info.Incarnation == ends.incarnation {
 			w.acked = max(w.acked, ends.cursor)
@@ -86,6 +89,7 @@
 	}
 	var out []Order
 	for _, o := range c.starts {
+		s.handling = o.Run.Task.Job
 		if start, ok := s.releaseStart(o, now); ok {
 			out = append(out, start)
 		}
--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -115,3 +115,27 @@
 		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(2))
 	})
 }
+
+// Guards against a panic whose job is not known, so that it comes again under each owner.
+func TestHandlingNamesJobThatPanics(t *testing.T) {
+	Convey("After a panic the scheduler names the job", t, func() {
+		newPlanted := func() *testbed {
+			b := newTestbed()
+			b.addWorker("w1", "r1")
+			b.submit(testJob("j1", 1, testStep(1, 1)))
+			b.submit(testJob("j2", 1, testStep(1, 1)))
+			return b
+		}
+		b := newPlanted()
+		b.scheduler.jobs["j2"].tasks = nil
+		So(func() { b.scheduler.Schedule(b.now) }, ShouldPanic)
+		So(b.scheduler.Handling(), ShouldEqual, ident.Job("j2"))
+
+		b = newPlanted()
+		So(b.runCycle(), ShouldHaveLength, 2)
+		b.acceptStarts()
+		b.scheduler.jobs["j2"].tasks[0].job = nil
+		So(func() { b.scheduler.Tick(b.now) }, ShouldPanic)
+		So(b.scheduler.Handling(), ShouldEqual, ident.Job("j2"))
+	})
+}
--- a/sched/batch/interference.go
+++ b/sched/batch/interference.go
@@ -23,6 +23,7 @@
 // there has exceeded its target for too long.
 func (s *Scheduler) checkInterference(w *worker, now time.Time) {
 	for _, t := range w.active {
+		s.handling = t.id.Job
 		if t.isServing() && !t.overTargetSince.IsZero() && now.Sub(t.overTargetSince) >= interferenceTimeout {
 			s.stopBestEffort(w, now)
 			return
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -70,6 +70,7 @@
 		return
 	}
 	s.needsPlan, s.plannedAt = false, now
+	s.handling = ""
 	s.totalCapacity = Resources{}
 	for _, w := range s.workers {
 		s.totalCapacity = s.totalCapacity.plus(w.info.Capacity)
@@ -89,6 +90,7 @@
 	slices.SortFunc(p.workers, func(a, b *workerCapacity) int { return cmp.Compare(a.worker.info.ID, b.worker.info.ID) })
 	p.headroom = s.headroom(now)
 	for _, u := range p.units() {
+		s.handling = u.job.spec.ID
 		p.place(u)
 	}
 }
@@ -132,6 +134,7 @@
 		if len(p.scheduler.services) > 0 && !p.scheduler.services[j.spec.Service] {
 			continue
 		}
+		p.scheduler.handling = j.spec.ID
 		for k := range j.spec.occurrences() {
 			units = append(units, p.waitingUnits(j, k, t)...)
 		}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -88,6 +88,7 @@
 
 // Reported applies a worker's report, which was made under this owner's epoch.
 func (s *Scheduler) Reported(id ident.Worker, r Report, now time.Time) {
+	s.handling = ""
 	w := s.workers[id]
 	if w == nil || w.info.Incarnation != r.Incarnation || r.ClockMs < w.clockMs {
 		return
@@ -105,6 +106,7 @@
 			continue
 		}
 		w.processed = end.Number
+		s.handling = end.Run.Task.Job
 		delete(w.orphans, end.Run)
 		t := s.activeTask(end.Run)
 		switch {
@@ -162,6 +164,7 @@
 func (s *Scheduler) reconcileRunning(w *worker, r Report, now time.Time) {
 	listed := make(map[TaskID]bool, len(r.Running))
 	for _, row := range r.Running {
+		s.handling = row.Run.Task.Job
 		t := s.activeTask(row.Run)
 		if t == nil || t.Worker != w.info.ID {
 			s.stopOrphan(w, row.Run, now)
@@ -171,6 +174,7 @@
 		s.updateProgress(t, row, r.ClockMs, now)
 	}
 	for _, t := range w.active {
+		s.handling = t.id.Job
 		if listed[t.id] || !t.absenceProvesEnd(r.ClockMs) {
 			continue
 		}
@@ -366,6 +370,7 @@
 // Answered applies the answer to an order. clockMs is the worker's clock at the
 // answer.
 func (s *Scheduler) Answered(o Order, kind AnswerKind, clockMs int64, now time.Time) {
+	s.handling = o.Run.Task.Job
 	t := s.activeTask(o.Run)
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return
@@ -427,10 +432,12 @@
 // those without an answer.
 func (s *Scheduler) Tick(now time.Time) {
 	s.noteTick(now)
+	s.handling = ""
 	for _, w := range s.workers {
 		s.expireLeases(w, now)
 		s.checkInterference(w, now)
 		for _, t := range w.active {
+			s.handling = t.id.Job
 			s.checkProgress(w, t, now)
 			s.queueStop(w, t, now)
 		}
@@ -444,6 +451,7 @@
 		return
 	}
 	for _, t := range w.active {
+		s.handling = t.id.Job
 		s.logRun("lease expired", t, now)
 		s.requeue(t, now)
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -176,8 +176,14 @@
 	// tickedAt is when Tick was last called, and resumedAt when it was last called after
 	// a gap of more than maxTickGap.
 	tickedAt, resumedAt time.Time
+	// handling is the job that the latest call has worked on last, or empty.
+	handling ident.Job
 }
 
+// Handling returns the job that the scheduler was working on when a call of it panicked,
+// or nothing. After a panic no other method may be called.
+func (s *Scheduler) Handling() ident.Job { return s.handling }
+
 // New returns a scheduler. Earlier owners granted no leases after grantedUntil.
 func New(timing Timing, grantedUntil time.Time) *Scheduler {
 	return &Scheduler{
@@ -216,6 +222,7 @@
 	if s.jobs[spec.ID] != nil {
 		return false
 	}
+	s.handling = spec.ID
 	j := &job{spec: spec, record: record, canceled: canceled, lastFailedRun: make(map[int]int)}
 	s.jobs[spec.ID] = j
 	s.needsPlan = true
@@ -278,6 +285,7 @@
 
 // Cancel cancels a job. The cancellation is already durable.
 func (s *Scheduler) Cancel(id ident.Job, now time.Time) {
+	s.handling = id
 	j := s.jobs[id]
 	if j == nil || j.canceled || j.record.State.Final() {
 		return
@@ -321,10 +329,12 @@
 // ids.
 func (s *Scheduler) Forget(now time.Time, limit int) []ident.Job {
 	var removed []ident.Job
+	s.handling = ""
 	for id, j := range s.jobs {
 		if len(removed) >= limit {
 			break
 		}
+		s.handling = id
 		ended := time.UnixMilli(j.record.EndedMs)
 		if j.record.State.Final() && !s.dirty[id] && !j.hasActive() && now.Sub(ended) > s.timing.Retention {
 			removed = append(removed, id)
--- a/sched/batch/urgency.go
+++ b/sched/batch/urgency.go
@@ -36,6 +36,7 @@
 		if j.record.State.Final() {
 			continue
 		}
+		s.handling = j.spec.ID
 		tiers[j] = s.tierOf(j, now)
 		if j.spec.Priority == 0 {
 			urgent = append(urgent, j)
