Decide requests only by a configuration confirmed since the last pause

Reports of other operators: a paused process acted on a permission that had run out, and after a restart a withdrawn key was in use again. Both could happen here: an entry that was frozen answered the requests in its sockets by the configuration that it held before, and an entry that restarted while the store refused it became ready with the configuration of any other entry, also of one that was cut off itself. Change: a process notes every 0.25 s on the boot-time clock that it runs. After a gap of 2 s, and at its start, calls are refused (not ready, come back in 1 s) until a call that began later confirms the version; after a pause for 3 s at most, because an outage of the store must not end the service. The scheduler goes on with the active configuration. Tests, which failed first (there was no such state): TestConfigurationIsNotTrustedAfterPause (3, 10, 60 s), TestRestartedEntryNeedsConfirmation.

--- a/control/configsync/deployment_test.go
+++ b/control/configsync/deployment_test.go
@@ -299,7 +299,7 @@
 		OnError: func(string, error) {},
 	}
 	e.config = configsync.NewFollower(configsync.Options{
-		Self: entryAddress(i), Source: e.store, Peers: peers, Decode: decode, Count: func(string) {},
+		Self: entryAddress(i), Source: e.store, Peers: peers, Decode: decode, Count: func(string) {}, Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}},
 	})
 	listener, err := host.Listen(entryAddress(i))
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/lacewingpier/lacewingpier/control/config/exchange"
+	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -26,6 +27,8 @@
 	Source Source
 	Peers  Peers
 	Decode func([]byte) (*catalog.Catalog, error)
+	// Clock also counts the time for which the machine was suspended.
+	Clock  boottime.Clock
 	Logger *log.Logger
 	// Count is called with the name of each event.
 	Count func(event string)
@@ -60,6 +63,11 @@
 	// storeFailing is set while it is this entry's turn to watch the store, and the store
 	// does not serve it.
 	storeFailing bool
+	// trusted is set when the active version is confirmed, and reset by a pause.
+	trusted bool
+	// aliveAt is when the process last noted that it was running, and resumedAt when it
+	// first did after a pause.
+	aliveAt, resumedAt time.Duration
 }
 
 // snapshot is a version of the configuration. It is immutable.
@@ -122,20 +130,31 @@
 	return !f.confirmedAt.IsZero() && time.Since(f.confirmedAt) <= within
 }
 
-// confirm records that an entry knew, at a time and at a version of the store, that a
-// version was the newest one.
-func (f *Follower) confirm(version ident.ConfigVersion, at time.Time, by string, position rows.Version) {
+// confirmation is what a call tells about the newest version.
+type confirmation struct {
+	version ident.ConfigVersion
+	// at is when the entry by knew that version was the newest one; the call began at
+	// began.
+	at, began time.Time
+	by        string
+	// position is the version of the store up to which that entry had all changes.
+	position rows.Version
+}
+
+// confirm records that a version was the newest one.
+func (f *Follower) confirm(c confirmation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version != f.current.version {
+	if c.version != f.current.version {
 		return
 	}
-	f.position = max(f.position, position)
-	if at.After(f.confirmedAt) {
-		f.confirmedAt, f.confirmedBy = at, by
+	f.position = max(f.position, c.position)
+	f.noteTrustLocked(c)
+	if c.at.After(f.confirmedAt) {
+		f.confirmedAt, f.confirmedBy = c.at, c.by
 	}
-	if at.After(f.relieved) && precedes(subject(version), by, f.opts.Self) {
-		f.relieved = at
+	if c.at.After(f.relieved) && precedes(subject(c.version), c.by, f.opts.Self) {
+		f.relieved = c.at
 	}
 }
 
--- a/control/configsync/follower_test.go
+++ b/control/configsync/follower_test.go
@@ -109,7 +109,7 @@
 }
 
 func newFollower(s Source, p Peers) *Follower {
-	return NewFollower(Options{Source: s, Peers: p, Decode: decode, Count: func(string) {},
+	return NewFollower(Options{Source: s, Peers: p, Decode: decode, Count: func(string) {}, Clock: virtualClock,
 		Logger: &log.Logger{Level: log.ErrorLevel + 1, Writer: &log.IOWriter{Writer: io.Discard}}})
 }
 
@@ -285,10 +285,10 @@
 			go func() { f.WatchStore(ctx); close(done) }()
 			time.Sleep(10 * confirmedFor)
 			So(f.hasStoreDuty(), ShouldBeTrue)
-			f.confirm(5, time.Now(), order[4], 0)
-			f.confirm(5, time.Now(), order[3], 0)
+			f.confirm(confirmation{version: 5, at: time.Now(), began: time.Now(), by: order[4]})
+			f.confirm(confirmation{version: 5, at: time.Now(), began: time.Now(), by: order[3]})
 			So(f.hasStoreDuty(), ShouldBeTrue)
-			f.confirm(5, time.Now(), order[2], 0)
+			f.confirm(confirmation{version: 5, at: time.Now(), began: time.Now(), by: order[2]})
 			So(f.hasStoreDuty(), ShouldBeFalse)
 			time.Sleep(confirmedFor + time.Millisecond)
 			So(f.hasStoreDuty(), ShouldBeTrue)
--- a/control/configsync/peerwatch.go
+++ b/control/configsync/peerwatch.go
@@ -188,7 +188,7 @@
 	if reply.ContentSize() > 0 {
 		err = f.apply(received{Versioned: reply, source: address, took: now.Sub(start), at: now})
 	}
-	f.confirm(reply.Version, now.Add(-reply.Age), reply.ConfirmedBy, reply.Position)
+	f.confirm(confirmation{version: reply.Version, at: now.Add(-reply.Age), began: start, by: reply.ConfirmedBy, position: reply.Position})
 	if err != nil {
 		f.opts.Logger.Warn().Err(err).Str("from", address).Uint64("version", uint64(reply.Version)).
 			Bool("whole", reply.Base == 0).Msg("failed to decode configuration; keeping the active one")
--- a/control/configsync/storewatch.go
+++ b/control/configsync/storewatch.go
@@ -92,7 +92,7 @@
 			f.applyFromStore(latest.Value, start)
 		}
 		f.store.readNext = latest.Superseded > 0 || f.store.readNext && f.Version() != before
-		f.confirm(f.Version(), confirmedAt(latest, start), f.opts.Self, latest.At)
+		f.confirm(confirmation{version: f.Version(), at: confirmedAt(latest, start), began: start, by: f.opts.Self, position: latest.At})
 	}
 }
 
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 // Options configures a gateway.
 type Options struct {
+	// Catalog returns the configuration by which calls are decided, or nil.
 	Catalog func() *catalog.Catalog
 	Replica *jobstore.Replica
 	Writer  *jobstore.Writer
@@ -60,7 +61,7 @@
 func (g *Gateway) resolve(call batchapi.Call) (target, error) {
 	c := g.opts.Catalog()
 	if c == nil {
-		return target{}, errkind.WithRetryAfter(errkind.NotReady, retryAfter, "no configuration yet")
+		return target{}, errkind.WithRetryAfter(errkind.NotReady, retryAfter, "no confirmed configuration")
 	}
 	queue, rest, ok := c.Match(call.Host, call.Path)
 	if !ok {
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -50,7 +50,7 @@
 		},
 	}
 	e.config = configsync.NewFollower(configsync.Options{
-		Self: s.advertisedAddr(), Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Logger: logger, Count: e.count,
+		Self: s.advertisedAddr(), Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Clock: boottime.Now, Logger: logger, Count: e.count,
 	})
 	return e
 }
@@ -74,6 +74,7 @@
 	e.runBackground(background, "replica of the store", func(ctx context.Context) {
 		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
 	})
+	e.runBackground(background, "watch for pauses", e.config.WatchPauses)
 	e.runBackground(background, "configuration from the store", e.config.WatchStore)
 	e.runBackground(background, "configuration from entries", e.config.WatchPeers)
 	e.runBackground(background, "publication of the entry", e.publish)
@@ -89,7 +90,7 @@
 
 func (e *Entry) listen() error {
 	gw := gateway.New(gateway.Options{
-		Catalog: e.config.Current, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
+		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
 		Writer: &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
 	})
 	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
@@ -121,7 +122,7 @@
 
 // ready reports whether the entry can serve callers.
 func (e *Entry) ready() bool {
-	return !e.draining.Load() && e.config.Current() != nil && e.replica.Ready()
+	return !e.draining.Load() && e.config.Trusted() != nil && e.replica.Ready()
 }
 
 func (e *Entry) storeAvailabilityChanged(err error) {
