Let a run go on whose start had no answer when a report lists it

Cause: a start without an answer was followed by stops of that run at once, although an answer is lost more often than an order, and each counted as a fault of the worker. If it lists the run, the start was carried out; if not, the run is stopped as before.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
@@ -46,10 +47,35 @@
 			return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, o)
 		})
 		result.Kind = startAnswer(result)
+		if result.Kind == batch.AnswerUnknown {
+			s.lookForRun(ctx, announced, o, &result.OrderResult)
+		}
 	}
 	return result
 }
 
+// lookForRun asks for a report after a start without an answer. If the report lists the
+// run, the start counts as carried out; if not, the result has the time of the report.
+func (s *session) lookForRun(ctx context.Context, announced batchapi.Announcement, o batch.Order, result *batchapi.OrderResult) {
+	renewal := s.renewalFor(announced.Incarnation)
+	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+	defer cancel()
+	report, err := s.runner.opts.Tasks.Renew(ctx, announced.Address, batchapi.RenewRequest{
+		Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor,
+	})
+	if err != nil {
+		result.ClockMs = 0
+		return
+	}
+	s.send(rpc.ReportMessage(report))
+	result.ClockMs = report.ClockMs
+	if slices.ContainsFunc(report.Running, func(r batch.RunningTask) bool { return r.Run == o.Run }) ||
+		slices.ContainsFunc(report.Ended, func(e batch.EndedTask) bool { return e.Run == o.Run }) {
+		result.Kind = batch.AnswerOKRepeated
+		s.runner.opts.Count("order_found_running")
+	}
+}
+
 const (
 	// orderAttemptTimeout bounds one attempt to send an order. The upstream
 	// process is on the same machine and answers within milliseconds.
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -201,6 +201,7 @@
 		t.confirmed, t.recovered = true, false
 		t.confirmedMs = clockMs
 	}
+	t.unansweredSince = time.Time{}
 	t.updateLoad(row.Load, now)
 	t.listed = true
 	if t.firstPercentAt.IsZero() {
@@ -342,7 +343,7 @@
 	}
 	t.confirmed, t.recovered, t.startUncertain, t.listed = false, false, false, false
 	t.confirmedMs, t.percent = 0, 0
-	t.overTargetSince, t.firstPercentAt = time.Time{}, time.Time{}
+	t.overTargetSince, t.firstPercentAt, t.unansweredSince = time.Time{}, time.Time{}, time.Time{}
 	t.firstPercent = 0
 	t.stop = stopState{}
 }
@@ -357,7 +358,7 @@
 	// AnswerRejected means that the order had no effect and never will have.
 	AnswerRejected
 	// AnswerUnknown means that there was no answer: the order may be carried out,
-	// now or later.
+	// now or later. With a clock, a report made at that time does not list the run.
 	AnswerUnknown
 	// AnswerRejectedNoCapacity means that the order was rejected because the
 	// worker has no capacity left.
@@ -397,9 +398,34 @@
 		}
 		s.requeue(t, now)
 	case AnswerUnknown:
-		w.recordFault(now, 1)
-		s.requestStop(t, ReasonNoAnswer)
+		s.startUnanswered(w, t, clockMs, now)
+	}
+}
+
+// unansweredGrace is how long a run whose start had no answer may take to appear in a
+// report: the interval of the reports and the time to deliver one.
+const unansweredGrace = 1800 * time.Millisecond
+
+// startUnanswered handles a start without an answer. The run goes on if a report lists it:
+// answers are lost more often than orders. It is stopped if one does not, or none comes.
+func (s *Scheduler) startUnanswered(w *worker, t *task, clockMs int64, now time.Time) {
+	t.startUncertain = true
+	if clockMs == 0 && !t.stop.requested {
+		t.unansweredSince = now
+		return
+	}
+	w.recordFault(now, 1)
+	s.requestStop(t, ReasonNoAnswer)
+}
+
+// checkUnanswered stops a run whose start had no answer and that no report has listed.
+func (s *Scheduler) checkUnanswered(w *worker, t *task, now time.Time) {
+	if t.unansweredSince.IsZero() || now.Sub(t.unansweredSince) < unansweredGrace {
+		return
 	}
+	t.unansweredSince = time.Time{}
+	w.recordFault(now, 1)
+	s.requestStop(t, ReasonNoAnswer)
 }
 
 // stallTimeout is how long a run may make no progress before it is moved. Even
@@ -439,6 +465,7 @@
 		for _, t := range w.active {
 			s.handling = t.id.Job
 			s.checkProgress(w, t, now)
+			s.checkUnanswered(w, t, now)
 			s.queueStop(w, t, now)
 		}
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -25,6 +25,9 @@
 	// startUncertain reports that an attempt to start the run had no answer, so
 	// that the order may still arrive, even after the run has ended.
 	startUncertain bool
+	// unansweredSince is when all attempts to start the run had remained without an
+	// answer, or zero. The run may be in progress.
+	unansweredSince time.Time
 	// recovered reports that the run was recorded by an earlier owner, so that
 	// its start may never have been sent.
 	recovered bool
