Keep gangs without checkpoints out of the headroom of urgent work

A normal gang without checkpoints was started in the room that a burst of urgent work had just left, preempted by the next burst within 1 to 2 s, and lost the work of all members, up to eight times. Cause: normal work ignored the headroom that bulk work without checkpoints leaves for the recent peak of urgent work. Change: mayUseHeadroom lists who may start there: urgent work, single normal tasks and whatever is cheap to preempt.

--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -118,15 +118,29 @@
 }
 
 // leavesHeadroom reports whether the headroom stays free if n more tasks of the
-// unit start. Work that resumes from checkpoints may use the headroom, because it
-// is cheap to preempt.
+// unit start.
 func (p *plan) leavesHeadroom(u *unit, n int) bool {
-	if u.tier <= tierNormal || u.step.Checkpoints && !u.step.Gang {
+	if u.mayUseHeadroom() {
 		return true
 	}
 	return freeAccelerators(p.workers, freeNow)-n*u.step.PerTask.Accelerators >= p.headroom
 }
 
+// mayUseHeadroom reports whether the unit may start in capacity that urgent work is
+// expected to need soon. Work that resumes from checkpoints is cheap to preempt, and so are
+// single normal tasks. A gang without checkpoints loses the work of all its members
+// whenever one of them is preempted, and starts over, often several times in a burst.
+func (u *unit) mayUseHeadroom() bool {
+	switch {
+	case u.tier < tierNormal:
+		return true
+	case u.tier == tierNormal:
+		return !u.step.Gang || u.step.Checkpoints
+	default:
+		return !u.step.Gang && u.step.Checkpoints
+	}
+}
+
 // units returns the waiting units in the order in which they are placed.
 func (p *plan) units() []*unit {
 	var units []*unit
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -433,3 +434,57 @@
 		So(b.stops[0].Run.Task.Job, ShouldEqual, ident.Job("near"))
 	})
 }
+
+// Guards against gangs that start in the room of a burst of urgent work, are preempted by
+// it within seconds, lose the work of all members, and start over with each burst.
+func TestGangsWithoutCheckpointsLeaveHeadroom(t *testing.T) {
+	// afterBurst returns a testbed with two free workers, shortly after urgent work has used
+	// twelve of their accelerators.
+	afterBurst := func() *testbed {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.addWorker("w2", "r1")
+		b.submit(testJob("burst", 0, testStep(12, 1)))
+		starts := b.runCycle()
+		So(starts, ShouldHaveLength, 12)
+		b.acceptStarts()
+		b.runFor(planInterval + 100*time.Millisecond) // a pass that sees the burst
+		ends := make(map[ident.Worker][]EndedTask)
+		for _, o := range starts {
+			ends[o.Worker] = append(ends[o.Worker], EndedTask{Number: int64(len(ends[o.Worker]) + 1), Run: o.Run, Kind: EndSucceeded})
+		}
+		for worker, ended := range ends {
+			b.report(string(worker), nil, ended)
+		}
+		return b
+	}
+	gang := func(checkpoints bool) Step {
+		step := testStep(2, 4)
+		step.Gang, step.Checkpoints = true, checkpoints
+		return step
+	}
+	Convey("A gang without checkpoints waits while the burst may come again, and then starts", t, func() {
+		b := afterBurst()
+		b.submit(testJob("g1", 1, gang(false)))
+		So(b.runCycle(), ShouldBeEmpty)
+		waited := time.Duration(0)
+		for len(b.runCycle()) == 0 {
+			b.advance(500 * time.Millisecond)
+			waited += 500 * time.Millisecond
+			b.report("w1", nil, nil)
+			b.report("w2", nil, nil)
+			So(waited, ShouldBeLessThan, 2*headroomDecay)
+		}
+	})
+	Convey("Work that is cheap to preempt, and urgent work, start at once", t, func() {
+		for name, job := range map[string]*Job{
+			"gang with checkpoints": testJob("g1", 1, gang(true)),
+			"single normal tasks":   testJob("n1", 1, testStep(2, 4)),
+			"urgent gang":           testJob("u1", 0, gang(false)),
+		} {
+			b := afterBurst()
+			b.submit(job)
+			So(fmt.Sprint(name, " ", len(b.runCycle())), ShouldEqual, name+" 2")
+		}
+	})
+}
--- a/sched/batch/replay_sites_test.go
+++ b/sched/batch/replay_sites_test.go
@@ -54,7 +54,8 @@
 
 // replaySites returns deployments with typical workloads: a heavily loaded one of
 // 64 workers whose normal gangs are limited by memory, one of 77 workers whose
-// normal tasks are limited by cores, and a small one.
+// normal tasks are limited by cores, one of 160 workers with wide gangs and bursts of
+// urgent work, and a small one.
 func replaySites() []replaySite {
 	sizes := []int{1, 2, 4, 8, 8}
 	full := replaySite{
@@ -77,6 +78,16 @@
 		},
 		bursts: []replayBurst{{0, 2, 3 * time.Second, 5 * time.Second}, {2, 2, 10 * time.Second, 4 * time.Second}},
 	}
+	large := replaySite{
+		name: "large-160", workers: 160, workersPerRack: 13, capacity: Resources{64000, 262144, 8}, guaranteedShare: 0.62,
+		maxStopTime: 900 * time.Millisecond, checkpointInterval: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 6 * time.Second,
+		kinds: []replayKind{
+			{priority: 0, failureShare: 0, attempts: 3, arrivalsPerSecond: 4.06, value: 4, lateValue: 0.8, meanTasks: 5, maxTasks: 14, meanDuration: 2500 * time.Millisecond, durationSpread: 0.5, estimateSpread: 0.5, slack: 1.5, target: 400 * time.Millisecond, demand: Resources{7500, 39000, 0}, accelerators: sizes, gang: true, sameRackShare: 0.8},
+			{priority: 1, failureShare: 0, attempts: 3, arrivalsPerSecond: 1.02, value: 3, lateValue: 0.9, meanTasks: 13, maxTasks: 26, meanDuration: 8500 * time.Millisecond, durationSpread: 0.3, estimateSpread: 0.5, slack: 3, target: 1200 * time.Millisecond, demand: Resources{26000, 110000, 0}, accelerators: sizes, gang: true, sameRackShare: 0.6, checkpointShare: 0.45, initialJobs: 8},
+			{priority: 2, failureShare: 0, attempts: 2, arrivalsPerSecond: 0.8, value: 1, lateValue: 0.3, meanTasks: 38, maxTasks: 200, meanDuration: 9500 * time.Millisecond, durationSpread: 0.3, estimateSpread: 0.9, slack: 3, target: 3 * time.Second, demand: Resources{5600, 29000, 0}, accelerators: []int{1}, checkpointShare: 0.45, initialJobs: 6},
+		},
+		bursts: []replayBurst{{0, 2.5, 3 * time.Second, 6 * time.Second}, {1, 2, 8 * time.Second, 4 * time.Second}, {2, 2, 10 * time.Second, 4 * time.Second}, {0, 2, 20 * time.Second, 5 * time.Second}},
+	}
 	small := replaySite{
 		name: "small-11", workers: 11, workersPerRack: 3, capacity: Resources{32000, 131072, 8}, guaranteedShare: 0.55,
 		maxStopTime: 900 * time.Millisecond, checkpointInterval: time.Second, restore: 250 * time.Millisecond, maxLease: 6 * time.Second,
@@ -87,5 +98,5 @@
 		},
 		bursts: []replayBurst{{0, 2, 5 * time.Second, 4 * time.Second}},
 	}
-	return []replaySite{full, cores, small}
+	return []replaySite{full, cores, large, small}
 }
