Close the gaps that a reading of the change found

Cause, by reading: a row that changes while a caller asks whether it has arrived closed a channel twice (a panic); a job whose state is unreadable could still be handed over as new when its own row came later; an entry paused before its configuration was ever confirmed trusted it after 3 s; an entry whose scheduler panicked for no known job campaigned again every 0.1 s. Change: a row that is present needs no shared channel; unreadable jobs are left out at both places; only a configuration that was trusted once may serve through an outage; the entry leaves the ownership to others for 2 s. Tests: further cases in TestArrivedRowSettlesLostResponse (panics before), TestJobThatPanicsIsSetAside and TestRestartedEntryNeedsConfirmation.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -43,6 +43,9 @@
 	// replaces a live owner. An entry that has just been restarted or
 	// disconnected may soon fail again.
 	replaceMinConnected = 5 * time.Second
+	// panicBackoff is how long an entry whose scheduler panicked for no known job leaves
+	// the ownership to others.
+	panicBackoff = 2 * time.Second
 	// pollInterval is how often a candidate checks the owner's row.
 	pollInterval = 100 * time.Millisecond
 )
@@ -81,6 +84,8 @@
 	// setAside holds the jobs whose handling has panicked in this process. It does not
 	// schedule them again: the next owner or a restart may.
 	setAside map[ident.Job]bool
+	// backoffUntil is until when this entry leaves the ownership to others.
+	backoffUntil time.Time
 }
 
 // New returns a candidate.
@@ -119,6 +124,8 @@
 	if job != "" {
 		c.opts.Count("job_set_aside")
 		c.setAside[job] = true
+	} else {
+		c.backoffUntil = time.Now().Add(panicBackoff)
 	}
 	c.opts.Replica.Unwatch()
 	loop.releaseUnchanged()
@@ -129,7 +136,7 @@
 func (c *Candidate) campaign(ctx context.Context) *ownerLoop {
 	view := c.opts.Replica.Owner(time.Now())
 	reason := c.takeoverReason(view)
-	if reason == "" || c.opts.Catalog() == nil {
+	if time.Now().Before(c.backoffUntil) || reason == "" || c.opts.Catalog() == nil {
 		c.freeSince = time.Time{}
 		return nil
 	}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -129,10 +129,10 @@
 		Int("workers", len(snapshot.Workers)).Msg("ownership acquired, scheduler started")
 }
 
-// loadJob hands a job to the scheduler unless it is set aside. It returns false if the
-// scheduler does not take it as new.
+// loadJob hands a job to the scheduler unless it is set aside or its state is unreadable.
+// It returns false if the scheduler does not take it as new.
 func (l *ownerLoop) loadJob(j jobstore.Job, record batch.Record, now time.Time) bool {
-	if l.candidate.setAside[j.Spec.ID] {
+	if l.candidate.setAside[j.Spec.ID] || j.Unreadable {
 		return false
 	}
 	l.loading = j.Spec.ID
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -207,12 +207,19 @@
 			other, _ := replica.Job("j2")
 			So(next.scheduler.Load(other.Spec, batch.Record{}, false, time.Now()), ShouldBeFalse)
 		})
+		Convey("A job whose state is unreadable is not taken as new", t, func() {
+			b := newLoopbed()
+			job := jobstore.Job{Spec: &batch.Job{ID: "j3", Service: "svc"}, Unreadable: true}
+			b.applyChange(jobstore.Change{Job: &job}, job)
+			So(b.scheduler.Load(job.Spec, batch.Record{}, false, time.Now()), ShouldBeTrue)
+		})
 		Convey("A panic that no job caused releases the ownership, too", t, func() {
 			b := newLoopbed()
 			So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
 			b.candidate.opts.Catalog = func() *catalog.Catalog { panic("planted") }
 			b.candidate.runLoop(context.Background(), b.ownerLoop)
 			So(b.candidate.setAside, ShouldBeEmpty)
+			So(b.candidate.backoffUntil, ShouldEqual, time.Now().Add(panicBackoff))
 			So(string(b.store.row.Value), ShouldContainSubstring, `"vacant":true`)
 		})
 	})
--- a/control/configsync/follower.go
+++ b/control/configsync/follower.go
@@ -63,8 +63,9 @@
 	// storeFailing is set while it is this entry's turn to watch the store, and the store
 	// does not serve it.
 	storeFailing bool
-	// trusted is set when the active version is confirmed, and reset by a pause.
-	trusted bool
+	// trusted is set when the active version is confirmed, and reset by a pause;
+	// everTrusted stays set.
+	trusted, everTrusted bool
 	// aliveAt is when the process last noted that it was running, and resumedAt when it
 	// first did after a pause.
 	aliveAt, resumedAt time.Duration
--- a/control/configsync/pause.go
+++ b/control/configsync/pause.go
@@ -59,7 +59,7 @@
 	f.notePauseLocked(now)
 	sincePause := f.resumedAt == 0 || time.Since(c.began) < now-f.resumedAt
 	if c.version != 0 && sincePause && time.Since(c.at) <= confirmedFor {
-		f.trusted = true
+		f.trusted, f.everTrusted = true, true
 	}
 }
 
@@ -71,7 +71,7 @@
 	defer f.mu.Unlock()
 	now := f.opts.Clock()
 	f.notePauseLocked(now)
-	outage := f.resumedAt != 0 && now-f.resumedAt > unconfirmedTimeout
+	outage := f.everTrusted && f.resumedAt != 0 && now-f.resumedAt > unconfirmedTimeout
 	if !f.trusted && !outage {
 		return nil
 	}
--- a/control/configsync/pause_test.go
+++ b/control/configsync/pause_test.go
@@ -84,12 +84,15 @@
 				return v, nil
 			}}
 			f := newFollower(&fakeSource{}, peers)
+			clock := &pausable{}
+			f.opts.Clock = clock.now
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go f.WatchPauses(ctx)
 			f.fetch(ctx, "peer", exchange.FetchRequest{})
 			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(4))
 			So(f.Trusted(), ShouldBeNil)
+			clock.paused += 2 * pauseAfter // also when it was paused early in its life
 			time.Sleep(time.Minute)
 			So(f.Trusted(), ShouldBeNil)
 			age = 0
--- a/control/jobstore/arrival.go
+++ b/control/jobstore/arrival.go
@@ -12,13 +12,15 @@
 func (r *Replica) Arrival(key string) (arrived <-chan struct{}, release func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.versions[key] != 0 {
+		present := make(chan struct{})
+		close(present)
+		return present, func() {}
+	}
 	a := r.arrivals[key]
 	if a == nil {
 		a = &arrival{arrived: make(chan struct{})}
 		r.arrivals[key] = a
-		if r.versions[key] != 0 {
-			close(a.arrived)
-		}
 	}
 	a.waiters++
 	return a.arrived, func() { r.releaseArrival(key, a) }
--- a/control/jobstore/write_test.go
+++ b/control/jobstore/write_test.go
@@ -180,6 +180,15 @@
 			So(created, ShouldBeFalse)
 			So(store.commits.Load(), ShouldEqual, 0)
 		})
+		Convey("A row may change while a caller asks for it that it has arrived", t, func() {
+			w := newWriter(&fakeStore{}, &fakeStore{}, true)
+			w.Replica.Apply([]rows.Row{{Key: "j/1", Version: 8, Value: []byte("{}")}})
+			arrived, release := w.Replica.Arrival("j/1")
+			w.Replica.Apply([]rows.Row{{Key: "j/1", Version: 9, Value: []byte("{}")}})
+			<-arrived
+			release()
+			So(w.Replica.arrivals, ShouldBeEmpty)
+		})
 		Convey("Nothing is kept of callers that no longer wait", t, func() {
 			w := newWriter(&fakeStore{commit: commitRefused}, &fakeStore{commit: commitRefused}, true)
 			for _, key := range []string{"j/1", "j/2", "j/2"} {
