--- a/sched/batch/validate_test.go
+++ b/sched/batch/validate_test.go
@@ -82,7 +82,7 @@
 				j.SlackFactor, j.TargetMs = slack, target
 				b.submit(j)
 				objective := b.scheduler.objective(b.scheduler.jobs[j.ID])
-				So(objective, ShouldBeBetweenOrEqual, time.Duration(0), time.Duration(maxObjective))
+				So(objective, ShouldBeBetweenOrEqual, time.Duration(0), maxObjective)
 			}
 		}
 		b.runCycle()
