Queue log lines without a race

What was seen: TestLoggingAfterCloseIsHarmless failed once under the race detector. Cause: the asynchronous writer of the log library reads the length of a line after it has handed the line over, while the line's buffer may already be in use again (traced: write in Logger.header, read in AsyncWriter.WriteEntry). Change: QueuedWriter queues copies of the lines itself.

--- a/cmd/lacewingd/main.go
+++ b/cmd/lacewingd/main.go
@@ -28,7 +28,7 @@
 	parsed := kong.Parse(&c, kong.Name("lacewingd"),
 		kong.Description("Schedules multi-accelerator jobs on the platform."))
 	writer := telemetry.NewQueuedWriter(os.Stdout, logQueueLines)
-	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: writer}}
 	run := runEntry
 	if parsed.Command() == "agent" {
 		run = runAgent
--- a/control/telemetry/queuedwriter_test.go
+++ b/control/telemetry/queuedwriter_test.go
@@ -16,7 +16,7 @@
 	Convey("Lines before Close are written, lines after it are dropped", t, func() {
 		var out bytes.Buffer
 		writer := NewQueuedWriter(&out, 1000)
-		logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
+		logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: writer}}
 		logger.Info().Msg("before")
 		var loggers sync.WaitGroup
 		for range 8 {
@@ -30,6 +30,9 @@
 		loggers.Wait()
 		logger.Info().Msg("after")
 		So(writer.Close(), ShouldBeNil)
+		for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+			So(line, ShouldEndWith, "}")
+		}
 		So(strings.Count(out.String(), "before"), ShouldEqual, 1)
 		So(out.String(), ShouldNotContainSubstring, "after")
 	})
