Guard the clock of the pause tests from a race

Cause, traced by the detector: the test advances its clock while WatchPauses reads it. Change: the clock's field is atomic; nothing else.

--- a/control/configsync/pause_test.go
+++ b/control/configsync/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +18,11 @@
 
 // pausable is a clock that can jump ahead while nothing else runs, as it does when the
 // process is stopped or its machine suspended.
-type pausable struct{ paused time.Duration }
+type pausable struct{ paused atomic.Int64 }
 
-func (p *pausable) now() time.Duration { return virtualClock() + p.paused }
+func (p *pausable) now() time.Duration { return virtualClock() + time.Duration(p.paused.Load()) }
+
+func (p *pausable) pause(d time.Duration) { p.paused.Add(int64(d)) }
 
 // Guards against a process that decides by a configuration whose keys were withdrawn while
 // it was paused.
@@ -48,7 +51,7 @@
 				So(f.Trusted(), ShouldNotBeNil)
 				go fetch() // its answer is under way during the pause
 				synctest.Wait()
-				clock.paused += pause
+				clock.pause(pause)
 				So(f.Trusted(), ShouldBeNil)
 				answers <- "4"
 				synctest.Wait()
@@ -92,7 +95,7 @@
 			f.fetch(ctx, "peer", exchange.FetchRequest{})
 			So(f.Current().Version, ShouldEqual, ident.ConfigVersion(4))
 			So(f.Trusted(), ShouldBeNil)
-			clock.paused += 2 * pauseAfter // also when it was paused early in its life
+			clock.pause(2 * pauseAfter) // also when it was paused early in its life
 			time.Sleep(time.Minute)
 			So(f.Trusted(), ShouldBeNil)
 			age = 0
