--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -139,3 +139,42 @@
 		So(b.scheduler.Handling(), ShouldEqual, ident.Job("j2"))
 	})
 }
+
+// Guards against work that runs and is stopped because the answer to its start was lost.
+func TestLostAnswerDoesNotStopRun(t *testing.T) {
+	newUnanswered := func() (*testbed, Order) {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		o := b.runCycle()[0]
+		b.scheduler.Answered(o, AnswerUnknown, 0, b.now)
+		So(b.runCycle(), ShouldBeEmpty)
+		So(b.stops, ShouldBeEmpty)
+		return b, o
+	}
+	Convey("A run that a report lists within the grace period goes on", t, func() {
+		b, o := newUnanswered()
+		b.runFor(unansweredGrace / 2)
+		b.report("w1", []RunningTask{runningRow(o, 3)}, nil)
+		b.runFor(unansweredGrace)
+		So(b.stops, ShouldBeEmpty)
+		So(b.scheduler.workers["w1"].faults, ShouldEqual, 0)
+		Convey("and may still be carried out late, after a restart of the process", func() {
+			So(b.scheduler.activeTask(o.Run).startConcluded(), ShouldBeFalse)
+		})
+	})
+	Convey("A success that a report lists counts", t, func() {
+		b, o := newUnanswered()
+		b.report("w1", nil, endedRow(1, o, EndSucceeded))
+		So(b.jobState("j1"), ShouldEqual, JobCompleted)
+	})
+	Convey("A run that no report lists is stopped after the grace period, which is a fault", t, func() {
+		b, o := newUnanswered()
+		b.report("w1", nil, nil)
+		b.runFor(unansweredGrace - 100*time.Millisecond)
+		So(b.stops, ShouldBeEmpty)
+		b.runFor(300 * time.Millisecond)
+		So(b.scheduler.activeTask(o.Run).stop.reason, ShouldEqual, ReasonNoAnswer)
+		So(b.scheduler.workers["w1"].faults, ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/sched/batch/timers.go
@@ -0,0 +1,95 @@
+package batch
+
+import "time"
+
+// stallTimeout is how long a run may make no progress before it is moved. Even
+// work on a slow worker away from its data advances by one percent in less time.
+const stallTimeout = 5 * time.Second
+
+// stopRetryInterval is the time between two stop orders for a run while none is
+// answered.
+const stopRetryInterval = 700 * time.Millisecond
+
+const (
+	// maxTickGap is the longest time between two calls of Tick without a pause of the
+	// process, or of the machine.
+	maxTickGap = time.Second
+	// resumeGrace is how long after a pause the reports that arrived meanwhile, or those
+	// of agents that have to attach again, may take.
+	resumeGrace = 2 * time.Second
+)
+
+// noteTick detects a pause, after which what is known of the workers is old.
+func (s *Scheduler) noteTick(now time.Time) {
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickGap {
+		s.resumedAt = now
+	}
+	s.tickedAt = now
+}
+
+// Tick ends runs whose leases have expired, stops best-effort tasks that interfere
+// with serving ones, detects runs without progress, and queues stop orders, repeating
+// those without an answer.
+func (s *Scheduler) Tick(now time.Time) {
+	s.noteTick(now)
+	s.handling = ""
+	for _, w := range s.workers {
+		s.expireLeases(w, now)
+		s.checkInterference(w, now)
+		for _, t := range w.active {
+			s.handling = t.id.Job
+			s.checkProgress(w, t, now)
+			s.checkUnanswered(w, t, now)
+			s.queueStop(w, t, now)
+		}
+	}
+}
+
+// expireLeases ends the runs of a worker once every lease that may have been
+// granted has expired.
+func (s *Scheduler) expireLeases(w *worker, now time.Time) {
+	if now.Before(w.leaseBound) || s.inGrace(w, now) {
+		return
+	}
+	for _, t := range w.active {
+		s.handling = t.id.Job
+		s.logRun("lease expired", t, now)
+		s.requeue(t, now)
+	}
+}
+
+// inGrace reports whether a worker whose lease has expired may have reported during a
+// pause that has just ended. A lease gets one grace period, so that an owner whose calls
+// are always late still notices dead workers.
+func (s *Scheduler) inGrace(w *worker, now time.Time) bool {
+	if now.Sub(s.resumedAt) < resumeGrace && !w.graceFor.Equal(w.leaseBound) {
+		w.graceFor, w.graceUntil = w.leaseBound, now.Add(resumeGrace)
+	}
+	return w.graceFor.Equal(w.leaseBound) && now.Before(w.graceUntil)
+}
+
+func (s *Scheduler) checkProgress(w *worker, t *task, now time.Time) {
+	if t.step().LongRunning || !t.confirmed || t.stop.requested {
+		return
+	}
+	since := t.progressedAt
+	if since.Before(s.resumedAt) {
+		since = s.resumedAt
+	}
+	if now.Sub(w.reportedAt) > reportTimeout || now.Sub(since) < stallTimeout+s.timing.Restore {
+		return
+	}
+	w.recordFault(now, suspectFaults)
+	s.logRun("run makes no progress", t, now)
+	s.requestStop(t, ReasonStalled)
+}
+
+// queueStop queues the stop order of a run to be stopped while its worker is
+// attached, and again after each stopRetryInterval until it is answered.
+func (s *Scheduler) queueStop(w *worker, t *task, now time.Time) {
+	if !t.stop.requested || t.stop.answeredMs > 0 || !w.attached || now.Sub(t.stop.sentAt) < stopRetryInterval {
+		return
+	}
+	t.stop.sentAt = now
+	s.pendingStops = append(s.pendingStops, Order{Kind: OrderStop, Worker: w.info.ID, Incarnation: t.Incarnation, Run: t.run(), Reason: t.stop.reason})
+}
