--- a/control/internal/panicguard/panicguard_test.go
+++ b/control/internal/panicguard/panicguard_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,25 +37,28 @@
 	panic("planted")
 }
 
-func newGuard(count *int) Guard {
+// newGuard returns a guard that counts panics in count. The handlers of a server count on
+// its goroutines, and a broken connection doesn't order these before the test's own.
+func newGuard(count *atomic.Int64) Guard {
 	return Guard{
 		Logger: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
-		Count:  func(string) { *count++ },
+		Count:  func(string) { count.Add(1) },
 	}
 }
 
 // Guards against one bad request, or one error in a background loop, that ends a process.
 func TestPanicsAreContained(t *testing.T) {
 	Convey("A part that panics gives an error, is counted, and others go on", t, func() {
-		count := 0
+		var count atomic.Int64
 		g := newGuard(&count)
 		So(g.Run("part", func() {}), ShouldBeNil)
 		So(errkind.Of(g.Run("part", func() { panic("planted") })), ShouldEqual, errkind.Internal)
-		So(count, ShouldEqual, 1)
+		So(count.Load(), ShouldEqual, 1)
 	})
 	Convey("A background loop is restarted after a pause until it ends", t, func() {
 		synctest.Test(t, func(t *testing.T) {
-			count, calls := 0, 0
+			var count atomic.Int64
+			calls := 0
 			ctx, cancel := context.WithCancel(context.Background())
 			start := time.Now()
 			newGuard(&count).Loop(ctx, "loop", func(context.Context) {
@@ -63,13 +67,13 @@
 				}
 				cancel()
 			})
-			if calls != 4 || count != 3 || time.Since(start) != 3*restartDelay {
-				t.Errorf("%d calls, %d panics, %v", calls, count, time.Since(start))
+			if calls != 4 || count.Load() != 3 || time.Since(start) != 3*restartDelay {
+				t.Errorf("%d calls, %d panics, %v", calls, count.Load(), time.Since(start))
 			}
 		})
 	})
 	Convey("A call gets an answer, unless its response has begun", t, func() {
-		count := 0
+		var count atomic.Int64
 		server := httptest.NewServer(newGuard(&count).HTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/late" {
 				w.WriteHeader(http.StatusOK)
@@ -90,10 +94,10 @@
 			}
 			So(status, ShouldEqual, want)
 		}
-		So(count, ShouldEqual, 2)
+		So(count.Load(), ShouldEqual, 2)
 	})
 	Convey("gRPC calls and streams end with an unknown outcome, and the server serves on", t, func() {
-		count := 0
+		var count atomic.Int64
 		listener := bufconn.Listen(1 << 16)
 		server := grpc.NewServer(newGuard(&count).GRPCOptions()...)
 		rpc.RegisterEntryPeerServer(server, panickingPeer{})
@@ -112,6 +116,6 @@
 			_, err = stream.Recv()
 			So(errkind.Of(rpc.ErrorFromStatus(err)), ShouldEqual, errkind.OutcomeUnknown)
 		}
-		So(count, ShouldEqual, 4)
+		So(count.Load(), ShouldEqual, 4)
 	})
 }
