Read the state of a running job anew at an entry without news

Cause: an entry that the store refused, or that was cut off from it, followed its rows over its own connection only. It showed jobs as running, and those that it had accepted through another entry as queued, until the store served it again. After a compaction of the store's history the same lasted for the wait of one watch request, 2 s. Change: an entry that has heard nothing for 500 ms reads the state of a job that has not ended, through another entry if the store does not answer it. Without an answer its own copy stands, in time for the caller.

--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -45,6 +45,12 @@
 	// writeTimeout bounds the attempts to write a row for a caller, so that the caller
 	// gets the error while another entry can still accept the job in time.
 	writeTimeout = 2200 * time.Millisecond
+	// maxStateAge is the age of the replica up to which it answers for the state of a job
+	// that has not ended. On a busy day changes arrive more often than that.
+	maxStateAge = 500 * time.Millisecond
+	// refreshTimeout bounds the read of the state of such a job, so that a caller gets the
+	// replica's answer while it waits.
+	refreshTimeout = 900 * time.Millisecond
 	// jobIDLength is the number of hexadecimal digits of a job id.
 	jobIDLength = 16
 )
@@ -177,12 +183,31 @@
 		job, ok = g.opts.Replica.Job(t.job)
 		ok = ok && found
 	}
+	if ok && g.refreshState(ctx, job) {
+		job, ok = g.opts.Replica.Job(t.job)
+	}
 	if !ok || job.Spec.Queue != t.queue.Name || !t.queue.Public && job.Spec.Workspace != t.workspace {
 		return jobstore.Job{}, errkind.New(errkind.JobUnknown, "no job %s", t.job)
 	}
 	return job, nil
 }
 
+// refreshState reads the state of a job that may have changed since the replica last
+// heard from the store, which may refuse this entry for a while. Without an answer the
+// replica's state stands, and refreshState returns false.
+func (g *Gateway) refreshState(ctx context.Context, job jobstore.Job) bool {
+	if job.State().Final() || g.opts.Replica.Age() <= maxStateAge {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	_, _, err := g.opts.Writer.Read(ctx, jobstore.StateKey(job.Spec.ID))
+	if err != nil {
+		g.opts.Count("refresh", errkind.Of(err).String())
+	}
+	return err == nil
+}
+
 // Cancel cancels a job durably.
 func (g *Gateway) Cancel(ctx context.Context, call batchapi.Call) error {
 	start := time.Now()
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -56,7 +56,9 @@
 	// connection to the store was last established.
 	ownerChangedAt time.Time
 	synced         bool
-	connected      bool
+	// advancedAt is when the replica last received the changes up to a version.
+	advancedAt time.Time
+	connected  bool
 	// connectedSince is when the current connection to the store was established.
 	connectedSince time.Time
 	onChange       func(Change)
@@ -100,6 +102,7 @@
 	defer r.mu.Unlock()
 	r.applyNewerLocked(changes)
 	r.completeTo = max(r.completeTo, at)
+	r.advancedAt = time.Now()
 }
 
 func (r *Replica) applyNewerLocked(list []rows.Row) {
@@ -264,7 +267,7 @@
 		}
 	}
 	r.completeTo = max(r.completeTo, at)
-	r.synced = true
+	r.synced, r.advancedAt = true, time.Now()
 }
 
 // SetConnected records whether the store answers. After an outage the owner gets a
@@ -279,6 +282,14 @@
 	r.connected = connected
 }
 
+// Age returns the time since the replica last received the changes up to a version. Rows
+// may have changed in the store since then.
+func (r *Replica) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.advancedAt)
+}
+
 // Ready reports whether the replica has been fully loaded once.
 func (r *Replica) Ready() bool {
 	r.mu.Lock()
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -37,8 +37,6 @@
 	// hedgeDelay is when a hedged attempt is added to one without a response. Slow
 	// responses of the store take half a second.
 	hedgeDelay = 600 * time.Millisecond
-	// readTimeout bounds a read over one path, so that time is left for the other.
-	readTimeout = 800 * time.Millisecond
 )
 
 // Create writes a row that must not exist yet, and returns false if it did. An error
@@ -189,34 +187,3 @@
 		return true
 	}
 }
-
-// Read returns the current row in the store, and falls back to the other path if the
-// first one fails.
-func (w *Writer) Read(ctx context.Context, key string) (rows.Row, bool, error) {
-	row, found, err := w.read(ctx, key, w.Replica.Connected())
-	if err != nil {
-		row, found, err = w.read(ctx, key, !w.Replica.Connected())
-	}
-	if err == nil && found {
-		w.Replica.Apply([]rows.Row{row})
-	}
-	return row, found, err
-}
-
-func (w *Writer) read(ctx context.Context, key string, direct bool) (rows.Row, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	if direct || w.Relay == nil {
-		return ReadRow(ctx, w.Store, key)
-	}
-	return w.Relay.ReadRow(ctx, key)
-}
-
-// ReadRow reads one row from the store.
-func ReadRow(ctx context.Context, store rows.Store, key string) (rows.Row, bool, error) {
-	page, err := store.Read(ctx, key, key+"\x00")
-	if err != nil || len(page.Rows) == 0 {
-		return rows.Row{}, false, err
-	}
-	return page.Rows[0], true, nil
-}
