Let an owner whose connections break release the ownership

Cause: an owner that the store refuses releases the ownership through another entry after 600 ms. Change: attempts that fail within 100 ms count as well; a slow store, which is as slow for the next owner, takes longer. Only one of the attempts can be applied, because all expect the same version of the owner's row, and an attempt that was applied after all is recognized, so that the release follows it. TestOwnerReleasesThroughRelayAfterBrokenConnections failed before.

--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -28,6 +28,8 @@
 	clock      boottime.Clock
 	// lastWritten is the newest row content that is known to be applied.
 	lastWritten []byte
+	// attempted is the content of the row in the transaction in progress.
+	attempted []byte
 	// lastRenewalNs is the clock just before the newest applied transaction was
 	// sent. The owner's loop reads it while a transaction is in flight.
 	lastRenewalNs atomic.Int64
@@ -48,6 +50,9 @@
 	// before it releases the ownership through another entry, which is faster than
 	// waiting for the rest of ownerTTL. Short outages should not change the owner.
 	relayReleaseAfter = 600 * time.Millisecond
+	// maxBrokenTime is the time within which an attempt without an answer fails if its
+	// connection is broken. A slow store, which is as slow for the next owner, takes longer.
+	maxBrokenTime = 100 * time.Millisecond
 	// relayReleaseMaxAge is how long after its last renewal an owner may still
 	// release the ownership. Later, the change of the row would only delay the
 	// next owner.
@@ -68,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	w.attempted = value
 	txn := func(value []byte) rows.Txn {
 		return rows.Txn{
 			Expect: []rows.Expect{{Key: jobstore.OwnerKey, Version: w.rowVersion}},
@@ -78,7 +84,7 @@
 	for start := w.clock(); ; {
 		sentAt := w.clock()
 		version, err := w.store.Commit(ctx, txn(value))
-		unavailable := errkind.Is(err, errkind.StoreUnavailable)
+		unavailable := errkind.Is(err, errkind.StoreUnavailable) || w.clock()-sentAt < maxBrokenTime
 		applied, err := w.interpretResult(version, err, value)
 		if applied {
 			w.owner, w.lastWritten = next, value
@@ -128,7 +134,8 @@
 
 // interpretResult determines whether a transaction was applied. If it was not and
 // fatal is nil, the caller retries the transaction. A conflict is not fatal if the
-// row still has the content that this writer wrote last: only its version has risen.
+// row still has the content that this writer wrote last, because only its version has risen,
+// or if an earlier attempt has been applied and only its release is missing.
 func (w *fencedWriter) interpretResult(version rows.Version, err error, value []byte) (applied bool, fatal error) {
 	if err == nil {
 		w.rowVersion = version
@@ -143,7 +150,7 @@
 	case bytes.Equal(row.Value, value):
 		w.rowVersion = row.Version
 		return true, nil
-	case w.lastWritten != nil && bytes.Equal(row.Value, w.lastWritten):
+	case w.lastWritten != nil && bytes.Equal(row.Value, w.lastWritten), bytes.Equal(row.Value, w.attempted):
 		w.rowVersion = row.Version
 		return false, nil
 	default:
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -113,20 +113,25 @@
 	})
 }
 
-// unavailableStore refuses transactions until a given time and then passes them on
-// to Store.
+// unavailableStore fails transactions until a given time and then passes them on to Store.
 type unavailableStore struct {
 	rows.Store
 	until time.Time
 	calls int
+	// fail handles a transaction until then; if it is nil, the transaction is refused.
+	fail func(ctx context.Context, txn rows.Txn) (rows.Version, error)
 }
 
 func (s *unavailableStore) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
 	s.calls++
-	if time.Now().Before(s.until) {
+	switch {
+	case !time.Now().Before(s.until):
+		return s.Store.Commit(ctx, txn)
+	case s.fail != nil:
+		return s.fail(ctx, txn)
+	default:
 		return 0, errkind.New(errkind.StoreUnavailable, "refused")
 	}
-	return s.Store.Commit(ctx, txn)
 }
 
 // Guards against urgent work waiting for the ownership to expire when the store is
@@ -172,3 +177,55 @@
 		})
 	})
 }
+
+// Guards against urgent work waiting for the ownership to expire when the platform breaks
+// the owner's connections, and against a change of owner whenever the store is slow.
+func TestOwnerReleasesThroughRelayAfterBrokenConnections(t *testing.T) {
+	broken := errkind.New(errkind.OutcomeUnknown, "connection reset")
+	commit := func(fail func(*ownerStore, rows.Txn) (rows.Version, error)) (*ownerStore, time.Duration, error) {
+		store := &ownerStore{}
+		w := newFencedWriter(store)
+		w.relay = store
+		w.lastRenewalNs.Store(int64(w.clock() - time.Second))
+		w.store = &unavailableStore{
+			Store: store, until: time.Now().Add(5 * time.Second),
+			fail: func(_ context.Context, txn rows.Txn) (rows.Version, error) { return fail(store, txn) },
+		}
+		start := time.Now()
+		err := w.commit(context.Background(), nil, nil)
+		return store, time.Since(start), err
+	}
+	released := func(s *ownerStore) bool {
+		var owner jobstore.Owner
+		So(json.Unmarshal(s.row.Value, &owner), ShouldBeNil)
+		return owner.Released
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The ownership is released long before it would expire", t, func() {
+			s, elapsed, err := commit(func(*ownerStore, rows.Txn) (rows.Version, error) { return 0, broken })
+			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
+			So(elapsed, ShouldBeLessThan, time.Second)
+			So(released(s), ShouldBeTrue)
+		})
+		Convey("It is released although a broken connection had applied the transaction", t, func() {
+			s, elapsed, err := commit(func(s *ownerStore, txn rows.Txn) (rows.Version, error) {
+				if s.row.Version == 0 {
+					_, _ = s.applied(txn)
+				}
+				return 0, broken
+			})
+			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
+			So(elapsed, ShouldBeLessThan, time.Second)
+			So(released(s), ShouldBeTrue)
+			So(s.row.Version, ShouldEqual, rows.Version(2))
+		})
+		Convey("A store that is slow to answer keeps its owner", t, func() {
+			s, _, err := commit(func(*ownerStore, rows.Txn) (rows.Version, error) {
+				time.Sleep(700 * time.Millisecond)
+				return 0, errkind.New(errkind.OutcomeUnknown, "no response in time")
+			})
+			So(err, ShouldBeNil)
+			So(released(s), ShouldBeFalse)
+		})
+	})
+}
