Limit reads of running jobs' states during an outage, and tidy up

Cause: during an outage for all entries each question for a running job would ask every other entry. An order whose handling panicked was counted twice, and the jobs set aside by an entry were kept for ever. Change: after a read of a state has failed, the replica answers for 500 ms without one. The second count is gone; jobs that the store no longer holds are forgotten.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/phuslu/log"
@@ -81,8 +82,8 @@
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
 	guard     panicguard.Guard
-	// setAside holds the jobs whose handling has panicked in this process. It does not
-	// schedule them again: the next owner or a restart may.
+	// setAside holds the jobs whose handling has panicked in this process, as long as the
+	// store holds them. It does not schedule them again: the next owner or a restart may.
 	setAside map[ident.Job]bool
 	// backoffUntil is until when this entry leaves the ownership to others.
 	backoffUntil time.Time
@@ -155,9 +156,18 @@
 		return nil
 	}
 	c.opts.Count("campaign_won")
+	c.forgetRemovedJobs()
 	return newOwnerLoop(c, writer, grantedUntil(reason, time.Now()))
 }
 
+// forgetRemovedJobs drops the jobs that the store no longer holds from those set aside.
+func (c *Candidate) forgetRemovedJobs() {
+	maps.DeleteFunc(c.setAside, func(id ident.Job, _ bool) bool {
+		_, held := c.opts.Replica.Job(id)
+		return !held
+	})
+}
+
 // grantedUntil returns until when earlier owners may grant leases if one was replaced now.
 // One that is alive learns of it only by its next transaction.
 func grantedUntil(reason string, now time.Time) time.Time {
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -206,6 +206,9 @@
 			So(b.events["panic"], ShouldEqual, 1)
 			other, _ := replica.Job("j2")
 			So(next.scheduler.Load(other.Spec, batch.Record{}, false, time.Now()), ShouldBeFalse)
+			b.candidate.setAside["removed"] = true
+			b.candidate.forgetRemovedJobs()
+			So(b.candidate.setAside, ShouldResemble, map[ident.Job]bool{"j1": true})
 		})
 		Convey("A job whose state is unreadable is not taken as new", t, func() {
 			b := newLoopbed()
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -32,6 +33,10 @@
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
 	opts Options
+
+	mu sync.Mutex
+	// refreshFailedAt is when a read of a job's state last failed.
+	refreshFailedAt time.Time
 }
 
 // New returns a gateway.
@@ -51,6 +56,9 @@
 	// refreshTimeout bounds the read of the state of such a job, so that a caller gets the
 	// replica's answer while it waits.
 	refreshTimeout = 900 * time.Millisecond
+	// refreshPause is how long no such read is tried after one has failed. Each one may
+	// cost a call at every other entry, and an outage lasts for seconds.
+	refreshPause = 500 * time.Millisecond
 	// jobIDLength is the number of hexadecimal digits of a job id.
 	jobIDLength = 16
 )
@@ -196,7 +204,7 @@
 // heard from the store, which may refuse this entry for a while. Without an answer the
 // replica's state stands, and refreshState returns false.
 func (g *Gateway) refreshState(ctx context.Context, job jobstore.Job) bool {
-	if job.State().Final() || g.opts.Replica.Age() <= maxStateAge {
+	if job.State().Final() || g.opts.Replica.Age() <= maxStateAge || g.refreshPaused() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
@@ -204,10 +212,19 @@
 	_, _, err := g.opts.Writer.Read(ctx, jobstore.StateKey(job.Spec.ID))
 	if err != nil {
 		g.opts.Count("refresh", errkind.Of(err).String())
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.refreshFailedAt = time.Now()
 	}
 	return err == nil
 }
 
+func (g *Gateway) refreshPaused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.refreshFailedAt) < refreshPause
+}
+
 // Cancel cancels a job durably.
 func (g *Gateway) Cancel(ctx context.Context, call batchapi.Call) error {
 	start := time.Now()
--- a/control/gateway/gateway_test.go
+++ b/control/gateway/gateway_test.go
@@ -118,7 +118,7 @@
 			}
 			So(e.relay.reads, ShouldEqual, 1)
 		})
-		Convey("Without an answer the replica's state stands, in time for the caller", t, func() {
+		Convey("Without an answer the replica's state stands in time, and the next calls don't wait", t, func() {
 			e := newRefusedEntry()
 			e.relay.fails = true
 			time.Sleep(maxStateAge + time.Millisecond)
@@ -127,6 +127,16 @@
 			So(err, ShouldBeNil)
 			So(state, ShouldEqual, batch.JobRunning)
 			So(time.Since(start), ShouldBeLessThanOrEqualTo, refreshTimeout)
+			reads := e.relay.reads
+			start = time.Now()
+			_, err = e.state()
+			So(err, ShouldBeNil)
+			So(time.Since(start), ShouldEqual, 0)
+			So(e.relay.reads, ShouldEqual, reads)
+			time.Sleep(refreshPause)
+			_, err = e.state()
+			So(err, ShouldBeNil)
+			So(e.relay.reads, ShouldEqual, reads+1)
 		})
 	})
 }
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -17,9 +17,7 @@
 	o := rpc.OrderOf(m)
 	result := orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "panic"}}
 	// After a panic the order may have been carried out, as if its answer had been lost.
-	if s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) }) != nil {
-		s.runner.opts.Count("order_panicked")
-	}
+	_ = s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) })
 	s.logOrder(o, result.OrderResult)
 	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
 		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
