--- a/sched/batch/replay_sites_test.go
+++ b/sched/batch/replay_sites_test.go
@@ -2,7 +2,10 @@
 
 package batch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // replayKind describes the jobs of one queue.
 type replayKind struct {
@@ -54,8 +57,8 @@
 
 // replaySites returns deployments with typical workloads: a heavily loaded one of
 // 64 workers whose normal gangs are limited by memory, one of 77 workers whose
-// normal tasks are limited by cores, one of 160 workers with wide gangs and bursts of
-// urgent work, and a small one.
+// normal tasks are limited by cores, the same with more urgent work than it has room for,
+// one of 160 workers with wide gangs and bursts of urgent work, and a small one.
 func replaySites() []replaySite {
 	sizes := []int{1, 2, 4, 8, 8}
 	full := replaySite{
@@ -78,6 +81,13 @@
 		},
 		bursts: []replayBurst{{0, 2, 3 * time.Second, 5 * time.Second}, {2, 2, 10 * time.Second, 4 * time.Second}},
 	}
+	// The load of days on which bursts of urgent work exceed what the deployment has.
+	heavy := cores
+	heavy.name = "heavy-77"
+	heavy.kinds = slices.Clone(cores.kinds)
+	heavy.kinds[0].arrivalsPerSecond = 3.2
+	heavy.kinds[2].arrivalsPerSecond = 0.4
+	heavy.bursts = []replayBurst{{0, 2.2, 4 * time.Second, 7 * time.Second}, {1, 2, 2 * time.Second, 5 * time.Second}}
 	large := replaySite{
 		name: "large-160", workers: 160, workersPerRack: 13, capacity: Resources{64000, 262144, 8}, guaranteedShare: 0.62,
 		maxStopTime: 900 * time.Millisecond, checkpointInterval: 2 * time.Second, restore: 100 * time.Millisecond, maxLease: 6 * time.Second,
@@ -98,5 +108,5 @@
 		},
 		bursts: []replayBurst{{0, 2, 5 * time.Second, 4 * time.Second}},
 	}
-	return []replaySite{full, cores, large, small}
+	return []replaySite{full, cores, heavy, large, small}
 }
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -16,8 +16,6 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc/iter"
-
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
@@ -50,6 +48,8 @@
 	kind      int
 	spec      *Job
 	submitted time.Duration
+	// started is when the first task started, or zero.
+	started   time.Duration
 	completed time.Duration
 	// durations holds the true duration of each task; the tasks of a gang have
 	// the same.
@@ -66,8 +66,9 @@
 	checkpoint time.Duration
 	progress   time.Duration
 	startedAt  time.Duration
-	// stopAt is when a stop takes effect, or zero.
-	stopAt time.Duration
+	// stopAt is when a stop takes effect, or zero, and stopReason its reason.
+	stopAt     time.Duration
+	stopReason Reason
 	// failAt is when the run will fail, or zero.
 	failAt time.Duration
 }
@@ -111,17 +112,25 @@
 	pending []*replayJob
 	// commit is applied by the next cycle.
 	commit *Commit
-	// waste is the work lost by stops, in core-seconds.
-	waste        float64
-	wasteByQueue map[string]float64
-	starts       int
-	failedJobs   int
+	// stops holds the runs that were stopped, and starts counts the started ones, both by
+	// the kind of the job.
+	stops      []replayStop
+	starts     []int
+	failedJobs int
+}
+
+// replayStop is the stop of a run.
+type replayStop struct {
+	kind   int
+	reason Reason
+	// lost is the lost work in core-seconds.
+	lost float64
 }
 
 func newReplay(site replaySite, seed uint64) *replay {
 	r := &replay{
 		site: site, rng: rand.New(rand.NewPCG(seed, 7)), at: -replayWarmUp,
-		byID: make(map[ident.Worker]*replayWorker), jobs: make(map[ident.Job]*replayJob), wasteByQueue: make(map[string]float64),
+		byID: make(map[ident.Worker]*replayWorker), jobs: make(map[ident.Job]*replayJob), starts: make([]int, len(site.kinds)),
 	}
 	r.scheduler = New(Timing{MaxLease: site.maxLease, Restore: site.restore, Retention: time.Hour}, r.now())
 	r.scheduler.Configure(r.guarantees(), map[ident.Service]bool{"svc": true})
@@ -314,13 +323,17 @@
 		run.failAt = r.at + time.Duration(r.rng.Float64()*float64(run.job.durations[o.Run.Task.Index]))
 	}
 	w.running[o.Run] = run
-	r.starts++
+	r.starts[run.job.kind]++
+	if run.job.started == 0 {
+		run.job.started = r.at
+	}
 	r.scheduler.Answered(o, AnswerOK, (r.at + time.Minute).Milliseconds(), r.now())
 }
 
 func (r *replay) applyStop(o Order) {
 	w := r.byID[o.Worker]
 	if run := w.running[o.Run]; run != nil && run.stopAt == 0 {
+		run.stopReason = o.Reason
 		run.stopAt = r.at + max(replayTick, time.Duration(r.rng.Float64()*float64(r.site.maxStopTime)))
 	}
 	r.scheduler.Answered(o, AnswerOK, (r.at + time.Minute).Milliseconds(), r.now())
@@ -386,8 +399,7 @@
 		if step.Checkpoints {
 			lost = min(lost, r.site.restore.Seconds())
 		}
-		r.waste += lost * step.PerTask.coreEquivalents()
-		r.wasteByQueue[run.job.spec.Queue] += lost * step.PerTask.coreEquivalents()
+		r.stops = append(r.stops, replayStop{run.job.kind, run.stopReason, lost * step.PerTask.coreEquivalents()})
 	}
 	checkpoint := ""
 	if run.checkpoint > 0 && kind != EndSucceeded {
@@ -418,47 +430,20 @@
 	}
 }
 
-// replayMean replays random days of a site and returns the mean of each figure.
-func replayMean(site replaySite, days int) replayResult {
-	seeds := make([]uint64, days)
-	for i := range seeds {
-		seeds[i] = uint64(i + 1)
-	}
-	results := iter.Mapper[uint64, replayResult]{}.Map(seeds, func(seed *uint64) replayResult {
-		r := newReplay(site, *seed)
-		r.run()
-		return r.result()
-	})
-	mean := replayResult{kindShares: make([]float64, len(site.kinds)), largestShares: make([]float64, len(site.kinds)), wasteByQueue: make(map[string]float64)}
-	n := float64(days)
-	for _, res := range results {
-		mean.earnedShare += res.earnedShare / n
-		mean.waste += res.waste / n
-		mean.failedJobs += res.failedJobs / n
-		for k := range res.kindShares {
-			mean.kindShares[k] += res.kindShares[k] / n
-			mean.largestShares[k] += res.largestShares[k] / n
-		}
-		for q, w := range res.wasteByQueue {
-			mean.wasteByQueue[q] += w / n
-		}
-	}
-	return mean
-}
-
 // Guards against scheduling orders that starve a kind of job or its largest jobs.
 // The bounds are set by the operators: each kind must earn a quarter of its
 // value, and its largest tenth at least half the share of the whole kind.
 func TestReplayedDays(t *testing.T) {
 	for _, site := range replaySites() {
 		m := replayMean(site, *replayDays)
-		t.Logf("%-9s score %.3f day %.3f kinds %.3f largest %.3f waste %.3f %v failed %.2f", site.name, m.score(), m.earnedShare, m.kindShares, m.largestShares, m.waste, m.wasteShares(), m.failedJobs)
-		for k := range site.kinds {
-			if m.kindShares[k] < 0.25 {
-				t.Errorf("%s: kind %d earned %.2f of its value", site.name, k, m.kindShares[k])
+		t.Log(m.describe(site))
+		for k := range m.kinds {
+			kind := &m.kinds[k]
+			if kind.share < 0.25 {
+				t.Errorf("%s: kind %d earned %.2f of its value", site.name, k, kind.share)
 			}
-			if m.largestShares[k] < m.kindShares[k]/2 {
-				t.Errorf("%s: the largest jobs of kind %d earned %.2f, the kind %.2f", site.name, k, m.largestShares[k], m.kindShares[k])
+			if kind.largestShare < kind.share/2 {
+				t.Errorf("%s: the largest jobs of kind %d earned %.2f, the kind %.2f", site.name, k, kind.largestShare, kind.share)
 			}
 		}
 	}
