Replay with exact durations

Cause: it was open how much of the lost worth wrong durations cost. Change: -replay.exact tells the scheduler the true duration of each job.

--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -19,8 +19,12 @@
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// replayDays is how many random days are replayed for each deployment.
-var replayDays = flag.Int("replay.days", 12, "random days for each replayed deployment")
+var (
+	// replayDays is how many random days are replayed for each deployment.
+	replayDays = flag.Int("replay.days", 12, "random days for each replayed deployment")
+	// replayExact shows what better knowledge of durations could gain at most.
+	replayExact = flag.Bool("replay.exact", false, "tell the scheduler the true duration of each job")
+)
 
 // On each day some workers fail every run that they start during a certain time.
 const (
@@ -249,9 +253,14 @@
 	waves := math.Ceil(4 * float64(step.Tasks*demand.Accelerators) / float64(r.site.workers*r.site.capacity.Accelerators))
 	j.objective = time.Duration(kind.slack*float64(longest)*max(1, waves)) + kind.target
 	r.jobs[ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)))] = j
+	queue := fmt.Sprint("q", k)
+	if *replayExact {
+		// In a queue of its own, the declared duration counts alone.
+		step.EstimateMs, queue = longest.Milliseconds(), fmt.Sprint(queue, "-", len(r.jobs))
+	}
 	j.spec = &Job{
 		ID: ident.Job(fmt.Sprintf("%d-%04d", k, len(r.jobs)-1)), Workspace: workspaceName(min(int(r.rng.ExpFloat64()*2), replayWorkspaces-1)),
-		Service: "svc", Queue: fmt.Sprint("q", k), Priority: kind.priority, MaxAttempts: kind.attempts, SlackFactor: kind.slack,
+		Service: "svc", Queue: queue, Priority: kind.priority, MaxAttempts: kind.attempts, SlackFactor: kind.slack,
 		TargetMs: kind.target.Milliseconds(), Steps: []Step{step}, AcceptedMs: testStart.Add(at).UnixMilli(),
 	}
 	r.pending = append(r.pending, j)
