Keep the reads of states going when a caller leaves

Cause: a caller that gave up its question counted as a failed read, so that the entry showed old states to the others for 500 ms. Change: only reads that failed by themselves pause the next ones. Result: TestStateIsReadThroughAnotherEntry has the case, which failed before.

--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -207,10 +207,10 @@
 	if job.State().Final() || g.opts.Replica.Age() <= maxStateAge || g.refreshPaused() {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	_, _, err := g.opts.Writer.Read(ctx, jobstore.StateKey(job.Spec.ID))
-	if err != nil {
+	_, _, err := g.opts.Writer.Read(readCtx, jobstore.StateKey(job.Spec.ID))
+	if callerLeft := ctx.Err() != nil; err != nil && !callerLeft {
 		g.opts.Count("refresh", errkind.Of(err).String())
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/control/gateway/gateway_test.go
+++ b/control/gateway/gateway_test.go
@@ -89,8 +89,11 @@
 	return jsonRow(jobstore.StateKey(testJob), version, batch.Record{State: state, Started: true})
 }
 
-func (e *refusedEntry) state() (batch.JobState, error) {
-	answer, err := e.gateway.State(context.Background(), batchapi.Call{Host: "h", Path: "/q/" + testJob, Key: "key"})
+func (e *refusedEntry) state() (batch.JobState, error) { return e.stateFor(context.Background()) }
+
+// stateFor returns the state for a caller that waits until ctx ends.
+func (e *refusedEntry) stateFor(ctx context.Context) (batch.JobState, error) {
+	answer, err := e.gateway.State(ctx, batchapi.Call{Host: "h", Path: "/q/" + testJob, Key: "key"})
 	return answer.Job, err
 }
 
@@ -138,5 +141,17 @@
 			So(err, ShouldBeNil)
 			So(e.relay.reads, ShouldEqual, reads+1)
 		})
+		Convey("A caller that leaves before the answer keeps no other from one", t, func() {
+			e := newRefusedEntry()
+			e.relay.fails = true
+			time.Sleep(maxStateAge + time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_, _ = e.stateFor(ctx)
+			e.relay.fails, e.relay.row = false, stateRow(3, batch.JobCompleted)
+			state, err := e.state()
+			So(err, ShouldBeNil)
+			So(state, ShouldEqual, batch.JobCompleted)
+		})
 	})
 }
