--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -120,12 +120,12 @@
 	if c.guard.Run("scheduler", func() { loop.run(ctx) }) == nil {
 		return
 	}
-	job := loop.jobAtWork()
-	c.opts.Logger.Error().Str("job", string(job)).Uint64("epoch", uint64(loop.epoch)).Msg("scheduler panicked; the job is set aside")
-	if job != "" {
+	if job := loop.scheduler.Handling(); job != "" {
+		c.opts.Logger.Error().Str("job", string(job)).Uint64("epoch", uint64(loop.epoch)).Msg("job is set aside after a panic")
 		c.opts.Count("job_set_aside")
 		c.setAside[job] = true
 	} else {
+		c.opts.Logger.Error().Uint64("epoch", uint64(loop.epoch)).Msg("ownership is left to others after a panic of no known job")
 		c.backoffUntil = time.Now().Add(panicBackoff)
 	}
 	c.opts.Replica.Unwatch()
--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -33,8 +33,9 @@
 	// lastRenewalNs is the clock just before the newest applied transaction was
 	// sent. The owner's loop reads it while a transaction is in flight.
 	lastRenewalNs atomic.Int64
-	// releasing is set from before the ownership is released through another entry until a
-	// later transaction shows that it was not: the next owner may act already.
+	// releasing is set from before the ownership is released through another entry until
+	// a refusal of that attempt or a later transaction shows that it was not: the next
+	// owner may act already.
 	releasing atomic.Bool
 }
 
@@ -84,7 +85,8 @@
 	for start := w.clock(); ; {
 		sentAt := w.clock()
 		version, err := w.store.Commit(ctx, txn(value))
-		unavailable := errkind.Is(err, errkind.StoreUnavailable) || w.clock()-sentAt < maxBrokenTime
+		broken := errkind.Is(err, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
+		unavailable := broken || errkind.Is(err, errkind.StoreUnavailable)
 		applied, err := w.interpretResult(version, err, value)
 		if applied {
 			w.owner, w.lastWritten = next, value
@@ -123,8 +125,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	w.releasing.Store(true)
+	mayBeReleased := w.releasing.Swap(true)
 	version, err := w.relay.Commit(ctx, txn(value))
+	if errkind.Is(err, errkind.StoreUnavailable) {
+		w.releasing.Store(mayBeReleased) // nothing was written, and won't be
+	}
 	applied, err := w.interpretResult(version, err, value)
 	if applied {
 		return errkind.New(errkind.NotReady, "store is unavailable to this entry; ownership was released through another entry")
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// released reports whether the row marks the ownership as released.
+func (s *ownerStore) released() bool {
+	var owner jobstore.Owner
+	So(json.Unmarshal(s.row.Value, &owner), ShouldBeNil)
+	return owner.Released
+}
+
+// commitDuring commits a transaction while the owner's own connection to the store fails.
+// It returns how long that took.
+func commitDuring(w *fencedWriter, outage *unavailableStore, sinceRenewal time.Duration) (time.Duration, error) {
+	w.lastRenewalNs.Store(int64(w.clock() - sinceRenewal))
+	w.store = outage
+	start := time.Now()
+	err := w.commit(context.Background(), nil, nil)
+	return time.Since(start), err
+}
+
 // Guards against urgent work waiting for the ownership to expire when the store is
 // unavailable to the owner, and against a change of owner at every short outage.
 func TestOwnerReleasesThroughRelayDuringOutage(t *testing.T) {
@@ -141,39 +158,31 @@
 		store := &ownerStore{dropResponses: dropRelayResponses}
 		w := newFencedWriter(store)
 		w.relay = store
-		w.lastRenewalNs.Store(int64(w.clock() - sinceRenewal))
-		w.store = &unavailableStore{Store: store, until: time.Now().Add(outage)}
-		start := time.Now()
-		err := w.commit(context.Background(), nil, nil)
-		return store, time.Since(start), err
-	}
-	released := func(s *ownerStore) bool {
-		var owner jobstore.Owner
-		So(json.Unmarshal(s.row.Value, &owner), ShouldBeNil)
-		return owner.Released
+		elapsed, err := commitDuring(w, &unavailableStore{Store: store, until: time.Now().Add(outage)}, sinceRenewal)
+		return store, elapsed, err
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The ownership is released long before it would expire", t, func() {
 			s, elapsed, err := commitDuringOutage(t, time.Minute, time.Second, 0)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(elapsed, ShouldBeLessThan, time.Second)
-			So(released(s), ShouldBeTrue)
+			So(s.released(), ShouldBeTrue)
 		})
 		Convey("A lost response of the other entry is recognized as applied", t, func() {
 			s, _, err := commitDuringOutage(t, time.Minute, time.Second, 1)
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
-			So(released(s), ShouldBeTrue)
+			So(s.released(), ShouldBeTrue)
 			So(s.row.Version, ShouldEqual, rows.Version(1))
 		})
 		Convey("An ownership that expires soon is not released", t, func() {
 			s, _, err := commitDuringOutage(t, 2*relayReleaseAfter, relayReleaseMaxAge, 0)
 			So(err, ShouldBeNil)
-			So(released(s), ShouldBeFalse)
+			So(s.released(), ShouldBeFalse)
 		})
 		Convey("A short outage keeps the owner", t, func() {
 			s, _, err := commitDuringOutage(t, relayReleaseAfter-commitRetryDelay, time.Second, 0)
 			So(err, ShouldBeNil)
-			So(released(s), ShouldBeFalse)
+			So(s.released(), ShouldBeFalse)
 		})
 	})
 }
@@ -186,26 +195,18 @@
 		store := &ownerStore{}
 		w := newFencedWriter(store)
 		w.relay = store
-		w.lastRenewalNs.Store(int64(w.clock() - time.Second))
-		w.store = &unavailableStore{
+		elapsed, err := commitDuring(w, &unavailableStore{
 			Store: store, until: time.Now().Add(5 * time.Second),
 			fail: func(_ context.Context, txn rows.Txn) (rows.Version, error) { return fail(store, txn) },
-		}
-		start := time.Now()
-		err := w.commit(context.Background(), nil, nil)
-		return store, time.Since(start), err
-	}
-	released := func(s *ownerStore) bool {
-		var owner jobstore.Owner
-		So(json.Unmarshal(s.row.Value, &owner), ShouldBeNil)
-		return owner.Released
+		}, time.Second)
+		return store, elapsed, err
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The ownership is released long before it would expire", t, func() {
 			s, elapsed, err := commit(func(*ownerStore, rows.Txn) (rows.Version, error) { return 0, broken })
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(elapsed, ShouldBeLessThan, time.Second)
-			So(released(s), ShouldBeTrue)
+			So(s.released(), ShouldBeTrue)
 		})
 		Convey("It is released although a broken connection had applied the transaction", t, func() {
 			s, elapsed, err := commit(func(s *ownerStore, txn rows.Txn) (rows.Version, error) {
@@ -216,7 +217,7 @@
 			})
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(elapsed, ShouldBeLessThan, time.Second)
-			So(released(s), ShouldBeTrue)
+			So(s.released(), ShouldBeTrue)
 			So(s.row.Version, ShouldEqual, rows.Version(2))
 		})
 		Convey("A store that is slow to answer keeps its owner", t, func() {
@@ -225,7 +226,41 @@
 				return 0, errkind.New(errkind.OutcomeUnknown, "no response in time")
 			})
 			So(err, ShouldBeNil)
-			So(released(s), ShouldBeFalse)
+			So(s.released(), ShouldBeFalse)
+		})
+	})
+}
+
+// Guards against an owner that stops acting early in an outage for all entries, because no
+// entry could release its ownership.
+func TestRefusedReleaseKeepsOwnership(t *testing.T) {
+	commitFor := func(d time.Duration, relay *unavailableStore) *fencedWriter {
+		w := newFencedWriter(&ownerStore{})
+		w.relay = relay
+		w.lastRenewalNs.Store(int64(w.clock()))
+		w.store = &unavailableStore{until: time.Now().Add(time.Hour)}
+		ctx, cancel := context.WithTimeout(context.Background(), d)
+		defer cancel()
+		So(errkind.Of(w.commit(ctx, nil, nil)), ShouldEqual, errkind.OutcomeUnknown)
+		So(relay.calls, ShouldBeGreaterThan, 1)
+		return w
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The ownership stays valid if every other entry is refused as well", t, func() {
+			w := commitFor(1500*time.Millisecond, &unavailableStore{until: time.Now().Add(time.Hour)})
+			So(w.valid(), ShouldBeTrue)
+			time.Sleep(ownerValidity - 1500*time.Millisecond)
+			So(w.valid(), ShouldBeFalse)
+		})
+		Convey("It does not if an earlier release may still be applied", t, func() {
+			relay := &unavailableStore{until: time.Now().Add(time.Hour)}
+			relay.fail = func(context.Context, rows.Txn) (rows.Version, error) {
+				if relay.calls == 1 {
+					return 0, errkind.New(errkind.OutcomeUnknown, "no response")
+				}
+				return 0, errkind.New(errkind.StoreUnavailable, "refused")
+			}
+			So(commitFor(1500*time.Millisecond, relay).valid(), ShouldBeFalse)
 		})
 	})
 }
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -40,8 +40,6 @@
 	// draining is set on shutdown, when nothing more is started.
 	draining    bool
 	lastCleanup time.Time
-	// loading is the job that is being handed to the scheduler, or empty.
-	loading ident.Job
 }
 
 const (
@@ -135,18 +133,7 @@
 	if l.candidate.setAside[j.Spec.ID] || j.Unreadable {
 		return false
 	}
-	l.loading = j.Spec.ID
-	added := l.scheduler.Load(j.Spec, record, j.Canceled, now)
-	l.loading = ""
-	return added
-}
-
-// jobAtWork returns the job whose handling panicked, or nothing.
-func (l *ownerLoop) jobAtWork() ident.Job {
-	if l.loading != "" {
-		return l.loading
-	}
-	return l.scheduler.Handling()
+	return l.scheduler.Load(j.Spec, record, j.Canceled, now)
 }
 
 // onChange queues a change. The replica calls it with its lock held.
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -225,5 +225,12 @@
 			So(b.candidate.backoffUntil, ShouldEqual, time.Now().Add(panicBackoff))
 			So(string(b.store.row.Value), ShouldContainSubstring, `"vacant":true`)
 		})
+		Convey("A panic outside the scheduler sets no job aside that it has handled", t, func() {
+			b := newLoopbed()
+			b.submit("j1")
+			b.candidate.opts.Catalog = func() *catalog.Catalog { panic("planted") }
+			b.candidate.runLoop(context.Background(), b.ownerLoop)
+			So(b.candidate.setAside, ShouldBeEmpty)
+		})
 	})
 }
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -32,12 +32,12 @@
 func (s *Scheduler) Prepare(limit int) *Commit {
 	c := &Commit{Records: make(map[ident.Job]Record), acked: make(map[ident.Worker]ackedEnds)}
 	ids := slices.SortedFunc(maps.Keys(s.dirty), func(a, b ident.Job) int { return strings.Compare(string(a), string(b)) })
-	s.handling = ""
 	for _, id := range ids[:min(limit, len(ids))] {
 		s.handling = id
 		c.Records[id] = s.jobs[id].snapshot()
 		delete(s.dirty, id)
 	}
+	s.handling = ""
 	c.starts = s.takeStarts(c.Records)
 	if len(s.dirty) > 0 {
 		return c
@@ -81,7 +81,6 @@
 // Committed applies a commit that has become durable: it advances the cursors of
 // acknowledged ends and returns the starts that may now be sent.
 func (s *Scheduler) Committed(c *Commit, now time.Time) []Order {
-	s.handling = ""
 	for id, ends := range c.acked {
 		if w := s.workers[id]; w != nil && w.info.Incarnation == ends.incarnation {
 			w.acked = max(w.acked, ends.cursor)
@@ -94,6 +93,7 @@
 			out = append(out, start)
 		}
 	}
+	s.handling = ""
 	return out
 }
 
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -70,7 +70,6 @@
 		return
 	}
 	s.needsPlan, s.plannedAt = false, now
-	s.handling = ""
 	s.totalCapacity = Resources{}
 	for _, w := range s.workers {
 		s.totalCapacity = s.totalCapacity.plus(w.info.Capacity)
@@ -93,6 +92,7 @@
 		s.handling = u.job.spec.ID
 		p.place(u)
 	}
+	s.handling = ""
 }
 
 // headroomDecay is the time constant with which a past peak of urgent work
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -88,7 +88,6 @@
 
 // Reported applies a worker's report, which was made under this owner's epoch.
 func (s *Scheduler) Reported(id ident.Worker, r Report, now time.Time) {
-	s.handling = ""
 	w := s.workers[id]
 	if w == nil || w.info.Incarnation != r.Incarnation || r.ClockMs < w.clockMs {
 		return
@@ -98,6 +97,7 @@
 	w.reportedAt, w.clockMs = now, r.ClockMs
 	s.processEnds(w, r.Ended, now)
 	s.reconcileRunning(w, r, now)
+	s.handling = ""
 }
 
 func (s *Scheduler) processEnds(w *worker, ended []EndedTask, now time.Time) {
@@ -122,7 +122,7 @@
 // again, a success is one of the task, and the checkpoint its latest.
 func (s *Scheduler) applyLateEnd(w *worker, end EndedTask, now time.Time) {
 	t := s.latestRun(end.Run)
-	if t == nil || t.Worker != w.info.ID || t.Incarnation != w.info.Incarnation || t.job.record.State.Final() {
+	if t == nil || t.Phase != TaskWaiting || t.Worker != w.info.ID || t.Incarnation != w.info.Incarnation || t.job.record.State.Final() {
 		return
 	}
 	if end.Checkpoint != "" {
@@ -136,19 +136,6 @@
 	s.completeTask(t, now)
 }
 
-// latestRun returns the waiting task whose latest run is r, or nil.
-func (s *Scheduler) latestRun(r Run) *task {
-	j := s.jobs[r.Task.Job]
-	if j == nil {
-		return nil
-	}
-	t := j.task(r.Task)
-	if t == nil || t.Phase != TaskWaiting || t.Run != r.Number {
-		return nil
-	}
-	return t
-}
-
 // gangHasRun reports whether no member of the task's gang has a newer run.
 func (s *Scheduler) gangHasRun(t *task, run int) bool {
 	for _, m := range s.members(t) {
@@ -371,11 +358,14 @@
 // Answered applies the answer to an order. clockMs is the worker's clock at the
 // answer.
 func (s *Scheduler) Answered(o Order, kind AnswerKind, clockMs int64, now time.Time) {
-	s.handling = o.Run.Task.Job
 	t := s.activeTask(o.Run)
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return
 	}
+	s.forJob(o.Run.Task.Job, func() { s.applyAnswer(t, o, kind, clockMs, now) })
+}
+
+func (s *Scheduler) applyAnswer(t *task, o Order, kind AnswerKind, clockMs int64, now time.Time) {
 	if o.Kind == OrderStop {
 		// A rejected stop has no effect, so that a delayed start could still be
 		// carried out.
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -179,7 +179,7 @@
 	// tickedAt is when Tick was last called, and resumedAt when it was last called after
 	// a gap of more than maxTickGap.
 	tickedAt, resumedAt time.Time
-	// handling is the job that the latest call has worked on last, or empty.
+	// handling is the job that the call in progress is working on, or empty.
 	handling ident.Job
 }
 
@@ -187,6 +187,13 @@
 // or nothing. After a panic no other method may be called.
 func (s *Scheduler) Handling() ident.Job { return s.handling }
 
+// forJob calls fn, which works on one job.
+func (s *Scheduler) forJob(id ident.Job, fn func()) {
+	s.handling = id
+	fn()
+	s.handling = ""
+}
+
 // New returns a scheduler. Earlier owners granted no leases after grantedUntil.
 func New(timing Timing, grantedUntil time.Time) *Scheduler {
 	return &Scheduler{
@@ -225,7 +232,11 @@
 	if s.jobs[spec.ID] != nil {
 		return false
 	}
-	s.handling = spec.ID
+	s.forJob(spec.ID, func() { s.load(spec, record, canceled, now) })
+	return true
+}
+
+func (s *Scheduler) load(spec *Job, record Record, canceled bool, now time.Time) {
 	j := &job{spec: spec, record: record, canceled: canceled, lastFailedRun: make(map[int]int)}
 	s.jobs[spec.ID] = j
 	s.needsPlan = true
@@ -233,7 +244,7 @@
 		j.record.State = JobQueued
 	}
 	if j.record.State.Final() && len(record.Tasks) == 0 {
-		return true
+		return
 	}
 	j.createTasks(record)
 	for i := range j.tasks {
@@ -245,7 +256,6 @@
 	if j.record.State.Final() {
 		s.stopRuns(j, ReasonJobEnded)
 	}
-	return true
 }
 
 func (j *job) createTasks(record Record) {
@@ -288,13 +298,12 @@
 
 // Cancel cancels a job. The cancellation is already durable.
 func (s *Scheduler) Cancel(id ident.Job, now time.Time) {
-	s.handling = id
 	j := s.jobs[id]
 	if j == nil || j.canceled || j.record.State.Final() {
 		return
 	}
 	j.canceled = true
-	s.applyCancel(j, now)
+	s.forJob(id, func() { s.applyCancel(j, now) })
 }
 
 func (s *Scheduler) applyCancel(j *job, now time.Time) {
@@ -332,7 +341,6 @@
 // ids.
 func (s *Scheduler) Forget(now time.Time, limit int) []ident.Job {
 	var removed []ident.Job
-	s.handling = ""
 	for id, j := range s.jobs {
 		if len(removed) >= limit {
 			break
@@ -344,6 +352,7 @@
 			delete(s.jobs, id)
 		}
 	}
+	s.handling = ""
 	return removed
 }
 
@@ -368,15 +377,22 @@
 
 // activeTask returns the task whose current run is r, or nil.
 func (s *Scheduler) activeTask(r Run) *task {
+	if t := s.latestRun(r); t != nil && t.Phase == TaskActive {
+		return t
+	}
+	return nil
+}
+
+// latestRun returns the task whose latest run, current or ended, is r, or nil.
+func (s *Scheduler) latestRun(r Run) *task {
 	j := s.jobs[r.Task.Job]
 	if j == nil {
 		return nil
 	}
-	t := j.task(r.Task)
-	if t == nil || t.Phase != TaskActive || t.Run != r.Number {
-		return nil
+	if t := j.task(r.Task); t != nil && t.Run == r.Number {
+		return t
 	}
-	return t
+	return nil
 }
 
 func (j *job) task(id TaskID) *task {
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -32,7 +32,6 @@
 // those without an answer.
 func (s *Scheduler) Tick(now time.Time) {
 	s.noteTick(now)
-	s.handling = ""
 	for _, w := range s.workers {
 		s.expireLeases(w, now)
 		s.checkInterference(w, now)
@@ -43,6 +42,7 @@
 			s.queueStop(w, t, now)
 		}
 	}
+	s.handling = ""
 }
 
 // expireLeases ends the runs of a worker once every lease that may have been
