--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -82,15 +82,16 @@
 	}
 }
 
-// largeRecords brings 44 jobs to a point where nearly all of their 400 tasks are done and
-// the last ones end one after another. Then the store refuses all calls for a while.
+// largeRecords brings 44 jobs to a point where all but 13 of their 398 tasks are done. Eight of
+// these are at work, one on each minion, and end one after another; the store refuses all
+// calls in that time.
 func largeRecords(log *record, trouble bool) bool {
 	s := smallDeployment(log, 3, 8, minionSize)
 	defer s.stop()
 	const jobCount, gap = 44, 450 * time.Millisecond
-	lastSteps := time.Now().Add(jobCount*gap + 6*time.Second)
+	lastSteps := time.Now().Add(jobCount*gap + 10*time.Second)
 	if trouble {
-		time.AfterFunc(time.Until(lastSteps)+4*time.Second, func() {
+		time.AfterFunc(time.Until(lastSteps), func() {
 			log.line("the store answers every call with 503")
 			s.store.setDown(true)
 			time.Sleep(4500 * time.Millisecond)
@@ -101,15 +102,14 @@
 	var jobs []*job
 	for i := range jobCount {
 		first := step{Count: 385, CPU: 1000, MemMB: 64, EstimatedMs: 300, work: constant(300 * time.Millisecond)}
-		last := step{Count: 10, CPU: 1000, MemMB: 64, EstimatedMs: 20000, After: []int{0}, work: func(index int) time.Duration {
-			return max(time.Second, time.Until(lastSteps)+time.Duration(index)*1500*time.Millisecond+time.Duration(i)*45*time.Millisecond)
+		last := step{Count: 8, CPU: 1000, MemMB: 64, PerServer: 1, EstimatedMs: 20000, After: []int{0}, work: func(index int) time.Duration {
+			return max(time.Second, time.Until(lastSteps)+time.Duration(300+index*480+i*8)*time.Millisecond)
 		}}
 		report := step{Count: 5, CPU: 1000, MemMB: 64, EstimatedMs: 500, After: []int{1}, work: constant(500 * time.Millisecond)}
 		jobs = append(jobs, s.submit(jobID(i), first, last, report))
 		time.Sleep(gap)
 	}
-	end := lastSteps.Add(16 * time.Second)
-	idle := s.idleJobs(jobs, end)
+	idle := s.idleJobs(jobs, lastSteps.Add(6*time.Second))
 	s.store.mu.Lock()
 	log.line("largest transaction sent: %d bytes; refused because of its size: %d", s.store.largestTx, s.store.refusedSize)
 	s.store.mu.Unlock()
