Do not take a run as ended while its worker has more ends to list

Cause: a worker lists at most 500 ends, and the others once these are acknowledged. The adapter did not say that the list may be incomplete, and the scheduler took each run that was neither running nor among the listed ends as ended without success.

Evidence: the next owner logs "run is missing from the report of its worker" for 100 runs, and the repeated tasks have ends from 501 on, which the next report lists as done. Ruled out: ends that were acknowledged before they were durable (the worker still had them), and a replica older than the last transaction.

Change: a report says whether there may be more ends. Until the list is complete the absence of a run proves nothing, and neither the time without progress nor that without an answer counts against it. The same conclusion is no longer drawn by the agent that looks for a run after lost answers. Acknowledgements go on, so that the list becomes complete.

--- a/control/rpc/batchconv.go
+++ b/control/rpc/batchconv.go
@@ -67,7 +67,7 @@
 
 // ReportMessage returns the message form of a report.
 func ReportMessage(r batch.Report) *FromRunner {
-	out := &WorkerReport{Life: IncarnationMessage(r.Incarnation), ClockMs: r.ClockMs}
+	out := &WorkerReport{Life: IncarnationMessage(r.Incarnation), ClockMs: r.ClockMs, MoreEnds: r.MoreEnds}
 	for _, t := range r.Running {
 		out.Running = append(out.Running, &RunningTask{
 			Run: RunMessage(t.Run), Checkpoint: t.Checkpoint, Percent: int32(t.Percent), Load: int32(t.Load),
@@ -83,7 +83,7 @@
 
 // ReportOf returns the report in a message.
 func ReportOf(m *WorkerReport) batch.Report {
-	out := batch.Report{Incarnation: IncarnationOf(m.GetLife()), ClockMs: m.GetClockMs()}
+	out := batch.Report{Incarnation: IncarnationOf(m.GetLife()), ClockMs: m.GetClockMs(), MoreEnds: m.GetMoreEnds()}
 	for _, t := range m.GetRunning() {
 		out.Running = append(out.Running, batch.RunningTask{
 			Run: RunOf(t.GetRun()), Checkpoint: t.GetCheckpoint(), Percent: int(t.GetPercent()), Load: int(t.GetLoad()),
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -53,7 +53,8 @@
 }
 
 // lookForRun asks for a report after a start without an answer. If the report lists the
-// run, the start counts as carried out; if not, the result has the time of the report.
+// run, the start counts as carried out; if a complete report does not, the result has the
+// time of the report.
 func (s *session) lookForRun(ctx context.Context, announced batchapi.Announcement, o batch.Order, result *batchapi.OrderResult) {
 	renewal := s.renewalFor(announced.Incarnation)
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
@@ -67,13 +68,21 @@
 	}
 	s.send(rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
-	if slices.ContainsFunc(report.Running, func(r batch.RunningTask) bool { return r.Run == o.Run }) ||
-		slices.ContainsFunc(report.Ended, func(e batch.EndedTask) bool { return e.Run == o.Run }) {
+	switch {
+	case lists(report, o.Run):
 		result.Kind = batch.AnswerOKRepeated
 		s.runner.opts.Count("order_found_running")
+	case report.MoreEnds:
+		result.ClockMs = 0 // The run may have ended already.
 	}
 }
 
+// lists reports whether the report has the run, in progress or ended.
+func lists(report batch.Report, run batch.Run) bool {
+	return slices.ContainsFunc(report.Running, func(r batch.RunningTask) bool { return r.Run == run }) ||
+		slices.ContainsFunc(report.Ended, func(e batch.EndedTask) bool { return e.Run == run })
+}
+
 const (
 	// orderAttemptTimeout bounds one attempt to send an order. The upstream
 	// process is on the same machine and answers within milliseconds.
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -97,12 +97,12 @@
 	resets bool
 	answer batch.AnswerKind
 	orders []batch.Order
-	// lists makes reports list the run that was ordered.
-	lists bool
+	// lists makes reports list the run that was ordered, moreEnds makes them incomplete.
+	lists, moreEnds bool
 }
 
 func (l *lossyTasks) Renew(context.Context, string, batchapi.RenewRequest) (batch.Report, error) {
-	report := batch.Report{ClockMs: 9}
+	report := batch.Report{ClockMs: 9, MoreEnds: l.moreEnds}
 	if l.lists {
 		report.Running = []batch.RunningTask{{Run: l.orders[0].Run}}
 	}
@@ -157,6 +157,14 @@
 			So(batch.AnswerKind(answer.GetKind()), ShouldEqual, batch.AnswerUnknown)
 			So(answer.GetClockMs(), ShouldEqual, 9)
 		})
+		Convey("A report that lacks ends proves nothing about a run that it does not list", t, func() {
+			answer := fullAnswerTo(&lossyTasks{unanswered: 99, moreEnds: true}, batch.OrderStart)
+			So(batch.AnswerKind(answer.GetKind()), ShouldEqual, batch.AnswerUnknown)
+			So(answer.GetClockMs(), ShouldEqual, 0)
+			answer = fullAnswerTo(&lossyTasks{unanswered: 99, lists: true, moreEnds: true}, batch.OrderStart)
+			So(batch.AnswerKind(answer.GetKind()), ShouldEqual, batch.AnswerOKRepeated)
+			So(answer.GetClockMs(), ShouldEqual, 9)
+		})
 		Convey("Stops are not looked for", t, func() {
 			answer := fullAnswerTo(&lossyTasks{unanswered: 99, lists: true}, batch.OrderStop)
 			So(batch.AnswerKind(answer.GetKind()), ShouldEqual, batch.AnswerUnknown)
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -157,6 +157,9 @@
 			s.runner.opts.Count("report_entry_unreadable")
 			s.runner.opts.Logger.Warn().Int("entries", report.Unreadable).Msg("entries of the worker's report could not be decoded; they are ignored")
 		}
+		if report.MoreEnds {
+			s.runner.opts.Count("report_more_ends")
+		}
 		s.send(rpc.ReportMessage(report))
 		s.awaitAck(ctx, report)
 	}
--- a/sched/batch/model_reports_test.go
+++ b/sched/batch/model_reports_test.go
@@ -6,6 +6,9 @@
 	"pgregory.net/rapid"
 )
 
+// modelMaxEnds is how many ends a report lists at the most.
+const modelMaxEnds = 2
+
 // sentReport is a report in flight, with the latest announcement before it.
 type sentReport struct {
 	report Report
@@ -20,7 +23,10 @@
 	}
 	w.highestEpoch = max(w.highestEpoch, m.epoch)
 	m.t.Logf("report of %s at %d: running %v, ended %v", w.id, w.clockMs(m.now), sortedRuns(w.running), w.ended)
-	r := Report{Incarnation: w.incarnation, ClockMs: w.clockMs(m.now), Ended: slices.Clone(w.ended)}
+	r := Report{
+		Incarnation: w.incarnation, ClockMs: w.clockMs(m.now),
+		Ended: slices.Clone(w.ended[:min(len(w.ended), modelMaxEnds)]), MoreEnds: len(w.ended) >= modelMaxEnds,
+	}
 	for _, run := range sortedRuns(w.running) {
 		r.Running = append(r.Running, RunningTask{Run: run, Percent: int(m.now.UnixMilli() % 97)})
 	}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -147,7 +147,7 @@
 }
 
 // reconcileRunning confirms the runs that the worker lists, stops those that it
-// should not run, and ends those that it no longer lists.
+// should not run, and ends those that a complete report no longer lists.
 func (s *Scheduler) reconcileRunning(w *worker, r Report, now time.Time) {
 	listed := make(map[TaskID]bool, len(r.Running))
 	for _, row := range r.Running {
@@ -162,7 +162,14 @@
 	}
 	for _, t := range w.active {
 		s.handling = t.id.Job
-		if listed[t.id] || !t.absenceProvesEnd(r.ClockMs) {
+		if listed[t.id] {
+			continue
+		}
+		if r.MoreEnds {
+			t.deferTimeouts(now)
+			continue
+		}
+		if !t.absenceProvesEnd(r.ClockMs) {
 			continue
 		}
 		s.logRun("run is missing from the report of its worker", t, now)
@@ -170,7 +177,16 @@
 	}
 }
 
-// absenceProvesEnd reports whether the run, if a report made at the given clock
+// deferTimeouts restarts the timeouts of a run whose end may be among those that its worker
+// has not listed yet.
+func (t *task) deferTimeouts(now time.Time) {
+	t.progressedAt = now
+	if !t.unansweredSince.IsZero() {
+		t.unansweredSince = now
+	}
+}
+
+// absenceProvesEnd reports whether the run, if a complete report made at the given clock
 // does not list it, has certainly ended or will never start.
 func (t *task) absenceProvesEnd(clockMs int64) bool {
 	switch {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -72,6 +72,9 @@
 	ClockMs int64
 	Running []RunningTask
 	Ended   []EndedTask
+	// MoreEnds reports that the worker may have more ends than Ended lists. It lists them
+	// once these are acknowledged. Until then nothing follows from the absence of a run.
+	MoreEnds bool
 	// Unreadable counts the entries that named no run and were left out.
 	Unreadable int
 }
