Log and count why a task waits

An operator could not tell why an accepted job had nothing running: the owner logs each placement, but not why there is none.

The owner now logs "task waits" with the reason (no ticket, headroom, no worker, workers avoided, no capacity) once a step has waited for 5 s, when the reason changes, and every 30 s; the events are counted by reason.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -372,10 +372,13 @@
 func (l *ownerLoop) logEvents() {
 	for _, event := range l.scheduler.TakeLogEvents() {
 		l.candidate.opts.Count("decision")
+		if event.WaitedMs > 0 {
+			l.candidate.opts.Count("wait_" + event.Reason)
+		}
 		l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
 			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
 			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
-			Uint64("epoch", uint64(l.epoch)).Msg(event.Event)
+			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch)).Msg(event.Event)
 	}
 }
 
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -227,6 +227,7 @@
 	if u.job.spec.NeedsAdvice {
 		u.tickets = p.validTickets(u)
 		if u.tickets == nil {
+			p.noteWaiting(u, u.tasks[0], WaitForAdvice)
 			return
 		}
 	}
@@ -236,6 +237,7 @@
 	}
 	for i, t := range u.tasks {
 		if !p.leavesHeadroom(u, 1) {
+			p.noteWaiting(u, t, WaitForHeadroom)
 			return
 		}
 		c := p.bestWorker(u, freeNow)
@@ -249,6 +251,7 @@
 
 func (p *plan) placeGang(u *unit) {
 	if !p.leavesHeadroom(u, len(u.tasks)) {
+		p.noteWaiting(u, u.tasks[0], WaitForHeadroom)
 		return
 	}
 	workers := p.gangPlacement(u, len(u.tasks), freeNow)
@@ -282,6 +285,7 @@
 // waitForCapacity allocates capacity that is being freed to the tasks. If that is
 // not enough, it preempts other work or makes a reservation.
 func (p *plan) waitForCapacity(u *unit, tasks []*task) {
+	p.noteWaiting(u, tasks[0], WaitForCapacity)
 	if p.tryAllocate(u, len(tasks), freeSoon) {
 		return
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -84,6 +84,8 @@
 	lastFailedRun map[int]int
 	// advice holds the placement advisor's answers by occurrence and step.
 	advice map[StepID]*advice
+	// waits holds the steps that have waited for a worker.
+	waits map[StepID]*wait
 }
 
 // Reason says why the scheduler gave an order. Only the values below are used.
@@ -140,6 +142,8 @@
 	Reason string
 	// AgeMs is the age of the worker's latest report at the time of the decision.
 	AgeMs int64
+	// WaitedMs is how long the step has waited, in milliseconds, if it waits.
+	WaitedMs int64
 }
 
 // Scheduler holds the state of the jobs and workers of all services. It is not safe
--- /dev/null
+++ b/sched/batch/waiting.go
@@ -0,0 +1,82 @@
+package batch
+
+import "time"
+
+// WaitReason says why a waiting task was not placed. Only the values below are used.
+type WaitReason string
+
+// The reasons to wait.
+const (
+	// WaitForAdvice means that there is no valid ticket of the placement advisor.
+	WaitForAdvice WaitReason = "no_ticket"
+	// WaitForHeadroom means that the free accelerators are kept for urgent work.
+	WaitForHeadroom WaitReason = "headroom"
+	// WaitForWorker means that no worker that gets new work meets the requirements.
+	WaitForWorker WaitReason = "no_worker"
+	// WaitForReliableWorker means that the workers that meet the requirements are all
+	// avoided, because of their faults or of interference.
+	WaitForReliableWorker WaitReason = "workers_avoided"
+	// WaitForCapacity means that the workers have no room.
+	WaitForCapacity WaitReason = "no_capacity"
+)
+
+const (
+	// waitLogDelay is how long a step waits before its reason is logged.
+	waitLogDelay = 5 * time.Second
+	// waitLogInterval is the time between two log events about the same step with the same reason.
+	waitLogInterval = 30 * time.Second
+	// maxWaitGap is the longest time between two planning passes in which a step waits, for
+	// them to count as one wait.
+	maxWaitGap = time.Second
+)
+
+// wait is what is known of a step with a task that could not be placed.
+type wait struct {
+	// since is when the step was first found waiting, and seenAt when it was last.
+	since, seenAt time.Time
+	// loggedReason is the reason in the latest log event about it, from loggedAt.
+	loggedReason WaitReason
+	loggedAt     time.Time
+}
+
+// noteWaiting logs why a unit's first waiting task t was not placed.
+func (p *plan) noteWaiting(u *unit, t *task, reason WaitReason) {
+	w := u.job.waits[u.stepID()]
+	if w == nil {
+		if u.job.waits == nil {
+			u.job.waits = make(map[StepID]*wait)
+		}
+		w = &wait{}
+		u.job.waits[u.stepID()] = w
+	}
+	if p.now.Sub(w.seenAt) > maxWaitGap {
+		w.since = p.now
+	}
+	w.seenAt = p.now
+	if p.now.Sub(w.since) < waitLogDelay {
+		return
+	}
+	if reason == WaitForCapacity {
+		reason = p.capacityReason(u)
+	}
+	if w.loggedReason == reason && p.now.Sub(w.loggedAt) < waitLogInterval {
+		return
+	}
+	w.loggedReason, w.loggedAt = reason, p.now
+	p.scheduler.logEvent(LogEvent{Event: "task waits", Run: t.run(), Reason: string(reason), WaitedMs: p.now.Sub(w.since).Milliseconds()})
+}
+
+// capacityReason tells apart why a unit found no room.
+func (p *plan) capacityReason(u *unit) WaitReason {
+	reason := WaitForWorker
+	for _, c := range p.workers {
+		if c.worker.info.Service != u.job.spec.Service || !c.worker.hasLabel(u.step.Label) {
+			continue
+		}
+		if p.eligible(u, c) {
+			return WaitForCapacity
+		}
+		reason = WaitForReliableWorker
+	}
+	return reason
+}
--- /dev/null
+++ b/sched/batch/waiting_test.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a task that waits without a trace of the reason.
+func TestReasonOfWaitingIsLogged(t *testing.T) {
+	waits := func(b *testbed) []string {
+		var out []string
+		for _, e := range b.scheduler.TakeLogEvents() {
+			if e.Event == "task waits" {
+				out = append(out, e.Reason)
+				So(e.WaitedMs, ShouldBeGreaterThanOrEqualTo, waitLogDelay.Milliseconds())
+			}
+		}
+		return out
+	}
+	// reportFor lets time pass while the worker reports regularly.
+	reportFor := func(b *testbed, d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); b.advance(500 * time.Millisecond) {
+			var running []RunningTask
+			for _, active := range b.scheduler.workers["w1"].active {
+				running = append(running, RunningTask{Run: active.run(), Percent: int(b.clockMs % 97)})
+			}
+			b.report("w1", running, nil)
+			b.runCycle()
+			b.acceptStarts()
+		}
+	}
+	newBed := func() *testbed {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		return b
+	}
+	Convey("No worker has the label", t, func() {
+		b := newBed()
+		step := testStep(1, 1)
+		step.Label = "b"
+		b.submit(testJob("j1", 1, step))
+		reportFor(b, waitLogDelay-time.Second)
+		So(waits(b), ShouldBeEmpty)
+		reportFor(b, 2*time.Second)
+		So(waits(b), ShouldResemble, []string{"no_worker"})
+		Convey("which is repeated after a while", func() {
+			reportFor(b, waitLogInterval-3*time.Second)
+			So(waits(b), ShouldBeEmpty)
+			reportFor(b, 4*time.Second)
+			So(waits(b), ShouldResemble, []string{"no_worker"})
+		})
+	})
+	Convey("All capacity is in use", t, func() {
+		b := newBed()
+		b.submit(testJob("j1", 1, testStep(8, 1)))
+		b.submit(testJob("j2", 1, testStep(1, 1)))
+		reportFor(b, waitLogDelay+time.Second)
+		So(waits(b), ShouldResemble, []string{"no_capacity"})
+	})
+	Convey("The only worker is avoided", t, func() {
+		b := newBed()
+		b.scheduler.workers["w1"].noBestEffortUntil = b.now.Add(time.Minute)
+		step := testStep(1, 1)
+		step.BestEffort = true
+		b.submit(testJob("j1", 2, step))
+		reportFor(b, waitLogDelay+time.Second)
+		So(waits(b), ShouldResemble, []string{"workers_avoided"})
+	})
+	Convey("The advisor has not answered", t, func() {
+		b := newBed()
+		j := testJob("j1", 1, testStep(1, 1))
+		j.NeedsAdvice = true
+		b.submit(j)
+		reportFor(b, waitLogDelay+time.Second)
+		So(waits(b), ShouldResemble, []string{"no_ticket"})
+	})
+}
