Avoid faulty workers only if others can hold the work, and not for ever

Cause: a last attempt avoids workers with a fault as long as any worker at all has none, whether or not that one suits the task; and only a success on the worker clears the fault, which never comes on an idle one. Work on probation had the same gap: normal work and gangs did not start on a worker on probation even if no other suits them.

Ruled out: a worker that stays suspect (the reason would be "no_worker") and headroom.

Change: workers are avoided because of faults only if the others could hold the unit: service, label, ticket and, if they were idle, the room, a gang's for all members.

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
@@ -19,37 +20,93 @@
 // eligible reports whether the step's tasks may run on the worker, including the
 // placement advisor's answer.
 func (p *plan) eligible(u *unit, c *workerCapacity) bool {
-	if u.job.spec.NeedsAdvice {
-		if _, ok := u.tickets[c.worker.info.Incarnation.Upstream]; !ok {
-			return false
-		}
+	return u.hasTicket(c) && p.suits(u, c)
+}
+
+// hasTicket reports whether the placement advisor allows the step on the worker, or
+// need not be asked.
+func (u *unit) hasTicket(c *workerCapacity) bool {
+	if !u.job.spec.NeedsAdvice {
+		return true
 	}
-	return p.suits(u, c)
+	_, ok := u.tickets[c.worker.info.Incarnation.Upstream]
+	return ok
 }
 
-// suits reports whether the worker belongs to the job's service, has the step's
-// label, is reliable enough for the unit and currently accepts best-effort tasks if
-// the unit consists of them.
+// suits reports whether the worker meets the step's requirements, is reliable enough
+// for the unit and currently accepts best-effort tasks if the unit consists of them.
 func (p *plan) suits(u *unit, c *workerCapacity) bool {
-	if c.probation && (c.probing || u.step.Gang || u.tier < tierBulk) {
-		return false
-	}
-	if u.lastAttempt && c.worker.faults > 0 && p.faultFree > 0 {
+	if !u.meetsRequirements(c) || c.probation && c.probing {
 		return false
 	}
 	if u.step.BestEffort && p.now.Before(c.worker.noBestEffortUntil) {
 		return false
 	}
+	return !p.avoids(u, c) || !p.hasAlternative(u)
+}
+
+// meetsRequirements reports whether the worker belongs to the job's service and has the
+// step's label.
+func (u *unit) meetsRequirements(c *workerCapacity) bool {
 	return c.worker.info.Service == u.job.spec.Service && c.worker.hasLabel(u.step.Label)
 }
 
+// maxLastAttemptWait is how long a last attempt waits for capacity on a worker without a
+// recent fault.
+const maxLastAttemptWait = 5 * time.Second
+
+// avoids reports whether the unit should run on other workers because of the faults of
+// this one. The harm of a further failure is too large for work that is not bulk, for
+// gangs, of which a failed member costs all, and for last attempts.
+func (p *plan) avoids(u *unit, c *workerCapacity) bool {
+	if c.probation && (u.step.Gang || u.tier < tierBulk) {
+		return true
+	}
+	return u.lastAttempt && c.worker.hasRecentFault(p.now) && p.now.Sub(u.lastAttemptSince) < maxLastAttemptWait
+}
+
+// hasAlternative reports whether the workers that the unit does not avoid could hold it if
+// they were idle. A gang needs them for all members, other units for one task at a time.
+func (p *plan) hasAlternative(u *unit) bool {
+	if u.alternative == nil {
+		found := p.couldHold(u, func(c *workerCapacity) bool { return !p.avoids(u, c) })
+		u.alternative = &found
+	}
+	return *u.alternative
+}
+
+func (p *plan) couldHold(u *unit, accept func(*workerCapacity) bool) bool {
+	need := 1
+	if u.step.Gang {
+		need = len(u.tasks)
+	}
+	for _, c := range p.workers {
+		if u.hasTicket(c) && u.meetsRequirements(c) && accept(c) {
+			need -= u.idleCapacity(c)
+		}
+		if need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// idleCapacity returns how many tasks of the unit would fit on the worker if it were idle.
+func (u *unit) idleCapacity(c *workerCapacity) int {
+	n := fitCount(c.worker.info.Capacity, u.step.demand())
+	if u.step.MaxPerWorker > 0 {
+		n = min(n, u.step.MaxPerWorker)
+	}
+	return n
+}
+
 // taskCapacity returns how many more tasks of the unit fit on the worker.
 func (p *plan) taskCapacity(u *unit, c *workerCapacity, v capacityView) int {
 	if !p.eligible(u, c) {
 		return 0
 	}
 	n := fitCount(v(c), u.step.demand())
-	if c.probation {
+	if c.probation && !u.step.Gang {
 		n = min(n, 1)
 	}
 	if n == 0 {
@@ -214,11 +271,7 @@
 		total := 0
 		for _, c := range rack {
 			if p.eligible(u, c) {
-				fitting := fitCount(c.worker.info.Capacity, u.step.demand())
-				if u.step.MaxPerWorker > 0 {
-					fitting = min(fitting, u.step.MaxPerWorker)
-				}
-				total += fitting
+				total += u.idleCapacity(c)
 			}
 		}
 		if total >= n {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -23,6 +23,10 @@
 	// lastAttempt reports that one more failure of a task fails the job. Without a
 	// limit of attempts it is set after the first failure of a task.
 	lastAttempt bool
+	// lastAttemptSince is since when the first of its tasks with a last attempt has waited.
+	lastAttemptSince time.Time
+	// alternative caches hasAlternative.
+	alternative *bool
 	// tickets holds the tickets of the workers that the placement advisor allows.
 	tickets map[ident.Upstream]string
 }
@@ -50,8 +54,6 @@
 	tiers     map[*job]tier
 	// reservations counts the units that have got a reservation.
 	reservations int
-	// faultFree counts the workers without a recent fault.
-	faultFree int
 	// headroom is how many accelerators are kept free for urgent work.
 	headroom int
 }
@@ -80,9 +82,6 @@
 			free, soon := w.freeCapacity()
 			c := &workerCapacity{worker: w, free: free, freeSoon: soon}
 			c.probation, c.probing = w.onProbation(now)
-			if w.faults == 0 {
-				p.faultFree++
-			}
 			p.workers = append(p.workers, c)
 		}
 	}
@@ -212,7 +211,7 @@
 	for i := range tasks {
 		if tasks[i].Phase == TaskWaiting {
 			u.tasks = append(u.tasks, &tasks[i])
-			u.lastAttempt = u.lastAttempt || tasks[i].Failures > 0 && tasks[i].Failures+1 >= j.spec.MaxAttempts
+			u.noteLastAttempt(&tasks[i])
 		}
 	}
 	if len(u.tasks) == 0 || step.Gang && len(u.tasks) < step.Tasks {
@@ -221,6 +220,21 @@
 	return u
 }
 
+// noteLastAttempt records whether one more failure of the waiting task fails the job.
+func (u *unit) noteLastAttempt(t *task) {
+	if t.Failures == 0 || t.Failures+1 < u.job.spec.MaxAttempts {
+		return
+	}
+	since := t.waitingSince
+	if since.IsZero() {
+		since = u.job.loadedAt
+	}
+	if !u.lastAttempt || since.Before(u.lastAttemptSince) {
+		u.lastAttemptSince = since
+	}
+	u.lastAttempt = true
+}
+
 // place starts the tasks of a unit that fit now, and reserves or frees capacity
 // for the others.
 func (p *plan) place(u *unit) {
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -78,6 +78,8 @@
 	record   Record
 	tasks    []task
 	canceled bool
+	// loadedAt is when this owner took the job over or first heard of it.
+	loadedAt time.Time
 	// lastFailedRun holds the number of the latest failed run of each gang, by the
 	// position of its first task, so that several failed members of one run count
 	// as one failure.
@@ -241,7 +243,7 @@
 }
 
 func (s *Scheduler) load(spec *Job, record Record, canceled bool, now time.Time) {
-	j := &job{spec: spec, record: record, canceled: canceled, lastFailedRun: make(map[int]int)}
+	j := &job{spec: spec, record: record, canceled: canceled, loadedAt: now, lastFailedRun: make(map[int]int)}
 	s.jobs[spec.ID] = j
 	s.needsPlan = true
 	if j.record.State == "" {
--- a/sched/batch/waiting.go
+++ b/sched/batch/waiting.go
@@ -70,7 +70,7 @@
 func (p *plan) capacityReason(u *unit) WaitReason {
 	reason := WaitForWorker
 	for _, c := range p.workers {
-		if c.worker.info.Service != u.job.spec.Service || !c.worker.hasLabel(u.step.Label) {
+		if !u.meetsRequirements(c) {
 			continue
 		}
 		if p.eligible(u, c) {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -197,6 +197,12 @@
 	w.suspectUntil = now.Add(suspectTime)
 }
 
+// hasRecentFault reports whether the worker has failed within probationTime, without a
+// success since.
+func (w *worker) hasRecentFault(now time.Time) bool {
+	return w.faults > 0 && now.Sub(w.faultAt) <= probationTime
+}
+
 // recordSuccess clears the faults. If one is confirmed, a run that started before
 // the latest fault proves nothing about the state of the worker since, and is
 // ignored.
