Log slow transactions of the owner

Nothing in the log of an owner showed that a transaction, and with it the starts that it permits, had waited for the store, nor how old the owner's view of the jobs was by then.

Transactions of more than a second are logged with their duration, the starts and the age of the view, and counted as commit_slow.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -54,6 +54,8 @@
 	cleanupInterval = 2 * time.Second
 	// maxCleanupJobs bounds the jobs deleted per transaction: a job has three rows.
 	maxCleanupJobs = 25
+	// slowCommit is how long a transaction takes that is logged.
+	slowCommit = time.Second
 	// releaseTimeout bounds the last transaction of an owner that shuts down.
 	releaseTimeout = time.Second
 )
@@ -321,10 +323,22 @@
 		l.ownershipLost = true
 		return
 	}
-	l.sendStarts(l.scheduler.Committed(c, now), now)
+	starts := l.scheduler.Committed(c, now)
+	l.logSlowCommit(c, len(starts), now.Sub(started))
+	l.sendStarts(starts, now)
 	l.acknowledgeEnds(c)
 }
 
+// logSlowCommit logs a transaction whose decisions were old when it was applied.
+func (l *ownerLoop) logSlowCommit(c *batch.Commit, starts int, took time.Duration) {
+	if took < slowCommit {
+		return
+	}
+	l.candidate.opts.Count("commit_slow")
+	l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int64("took_ms", took.Milliseconds()).Int("records", len(c.Records)).
+		Int("starts", starts).Int64("view_age_ms", l.candidate.opts.Replica.Age().Milliseconds()).Msg("owner transaction was slow")
+}
+
 // sendStarts sends starts whose records are durable. If the ownership has run out since,
 // for example because the process was paused, the runs are given up unsent.
 func (l *ownerLoop) sendStarts(starts []batch.Order, now time.Time) {
