Send starts only on a view that includes all earlier cancellations

Cause: an owner sent starts as soon as their transaction succeeded. A transaction is repeated as long as the store is out of reach, and only proves that nobody else became the owner; cancellations come by the watch, which may need longer after a heal.

Evidence: "owner transaction was slow" with 5.5 to 5.7 s, and a view of the jobs of the same age, next to each late start. Ruled out: cancellations that came late to the store, and orders delayed between owner and agent.

Change: starts are held until the owner's view includes the version of their transaction; if that is unknown or older than 1.2 s, of the next one. After 2 s they are given up and planned again. The same holds on the other paths: a start expires 1.5 s after its release, which the agent checks before each attempt; a ticket that ran out meanwhile is renewed; changes beyond the owner's queue count; an owner that shuts down gives up unsent starts.

Tests: TestStartsWaitForEarlierCancellations and TestHeldStartsAreSentOrGivenUp fail without the holding; TestLostResponseTellsNoVersion, TestStartLimitsAddUp, TestNewsAreCompleteBeforeStates, TestStartsAreCheckedWhenReleased, TestExpiredStartsAreNotSent and TestOrderSurvivesConversion cover the parts. The fixture of TestPausedOwnerSendsNothing lets the replica follow the store; its checks are unchanged.

--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -178,6 +178,7 @@
 	address := "10.0.1." + id + ":7000"
 	w.runner = runner.New(runner.Options{
 		ID: ident.Worker("w" + id), Address: address, Tasks: w.upstream, Store: w.store, Logger: discardLogger(), Count: ignoreEvent,
+		Clock: func() time.Duration { return time.Since(s.log.start) + time.Hour },
 	})
 	listener, err := w.host.Listen(address)
 	if err != nil {
--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -33,6 +33,9 @@
 	// lastRenewalNs is the clock just before the newest applied transaction was
 	// sent. The owner's loop reads it while a transaction is in flight.
 	lastRenewalNs atomic.Int64
+	// answeredVersion is the version of the newest applied transaction, or zero if the
+	// response to it was lost.
+	answeredVersion rows.Version
 	// releasing is set from before the ownership is released through another entry until
 	// a refusal of that attempt or a later transaction shows that it was not: the next
 	// owner may act already.
@@ -85,11 +88,15 @@
 	for start := w.clock(); ; {
 		sentAt := w.clock()
 		version, err := w.store.Commit(ctx, txn(value))
+		answered := version
+		if err != nil {
+			answered = 0
+		}
 		broken := errkind.Is(err, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
 		unavailable := broken || errkind.Is(err, errkind.StoreUnavailable)
 		applied, err := w.interpretResult(version, err, value)
 		if applied {
-			w.owner, w.lastWritten = next, value
+			w.owner, w.lastWritten, w.answeredVersion = next, value, answered
 			w.lastRenewalNs.Store(int64(sentAt))
 			w.releasing.Store(false)
 			return nil
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -24,6 +24,8 @@
 	calls                       int
 	// unavailable refuses every transaction.
 	unavailable bool
+	// puts holds the latest value of each row.
+	puts map[string]string
 }
 
 func (s *ownerStore) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
@@ -48,6 +50,12 @@
 	if s.row.Version != txn.Expect[0].Version {
 		return 0, rows.NewConflict([]rows.Row{s.row})
 	}
+	if s.puts == nil {
+		s.puts = make(map[string]string)
+	}
+	for _, p := range txn.Put {
+		s.puts[p.Key] = string(p.Value)
+	}
 	s.row = rows.Row{Key: jobstore.OwnerKey, Value: txn.Put[0].Value, Version: s.row.Version + 1}
 	return s.row.Version, nil
 }
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -32,6 +33,10 @@
 	cancel context.CancelFunc
 	// inFlight is the transaction in flight, or nil.
 	inFlight *batch.Commit
+	// unsent holds the starts that wait for their view, in the order of their transactions.
+	unsent []*unsentStarts
+	// overflowing counts the changes that did not fit into events and may be out of order.
+	overflowing atomic.Int32
 	// lastCommitStart is when the newest transaction was started.
 	lastCommitStart time.Time
 	// catalog is the configuration that the scheduler uses.
@@ -93,6 +98,7 @@
 		case fn := <-l.events:
 			fn()
 			l.drainEvents()
+		case <-l.viewAdvanced():
 		case <-ticker.C:
 		}
 		l.runCycle()
@@ -149,7 +155,8 @@
 	case l.events <- fn:
 	default:
 		// The queue is full. Waiting here would block the replica.
-		go l.post(fn)
+		l.overflowing.Add(1)
+		go l.post(func() { l.overflowing.Add(-1); fn() })
 	}
 }
 
@@ -202,6 +209,7 @@
 
 // runCycle runs one scheduling cycle and starts a transaction for its results.
 func (l *ownerLoop) runCycle() {
+	l.sendHeldStarts()
 	now := time.Now()
 	l.configure()
 	l.scheduler.Tick(now)
@@ -266,7 +274,7 @@
 	}
 	c := l.scheduler.Prepare(maxCommitRecords)
 	var removeKeys []string
-	if c.Empty() && now.Sub(l.lastCommitStart) < renewInterval {
+	if c.Empty() && !l.needsVersion() && now.Sub(l.lastCommitStart) < renewInterval {
 		return
 	}
 	if len(c.Records) == 0 && now.Sub(l.lastCleanup) > cleanupInterval {
@@ -323,20 +331,20 @@
 		l.ownershipLost = true
 		return
 	}
-	starts := l.scheduler.Committed(c, now)
-	l.logSlowCommit(c, len(starts), now.Sub(started))
-	l.sendStarts(starts, now)
+	l.logSlowCommit(c, now.Sub(started))
+	l.scheduler.Committed(c)
+	l.holdStarts(c, now)
 	l.acknowledgeEnds(c)
 }
 
 // logSlowCommit logs a transaction whose decisions were old when it was applied.
-func (l *ownerLoop) logSlowCommit(c *batch.Commit, starts int, took time.Duration) {
+func (l *ownerLoop) logSlowCommit(c *batch.Commit, took time.Duration) {
 	if took < slowCommit {
 		return
 	}
 	l.candidate.opts.Count("commit_slow")
 	l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int64("took_ms", took.Milliseconds()).Int("records", len(c.Records)).
-		Int("starts", starts).Int64("view_age_ms", l.candidate.opts.Replica.Age().Milliseconds()).Msg("owner transaction was slow")
+		Int("starts", c.Starts()).Int64("view_age_ms", l.candidate.opts.Replica.Age().Milliseconds()).Msg("owner transaction was slow")
 }
 
 // sendStarts sends starts whose records are durable. If the ownership has run out since,
@@ -414,6 +422,7 @@
 	if l.ownershipLost {
 		return
 	}
+	l.giveUpHeldStarts(time.Now())
 	puts, ok := l.encodeRecords(l.scheduler.Prepare(maxCommitRecords))
 	if !ok {
 		return
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -61,9 +61,16 @@
 	b.scheduler.Reported("w1", batch.Report{Incarnation: testIncarnation, ClockMs: b.clockMs}, time.Now())
 }
 
-// commitAll runs cycles until no transaction is in flight. Before it handles the result of
-// the first one, it calls beforeResult.
+// commitAll runs cycles until no transaction is in flight, and lets the replica follow the
+// store. Before it handles the result of the first transaction, it calls beforeResult.
 func (b *loopbed) commitAll(beforeResult func()) {
+	b.commitUnseen(beforeResult)
+	b.candidate.opts.Replica.Advance(nil, b.store.row.Version)
+	b.sendHeldStarts()
+}
+
+// commitUnseen does the same while the replica does not follow the store.
+func (b *loopbed) commitUnseen(beforeResult func()) {
 	b.runCycle()
 	for b.inFlight != nil {
 		fn := <-b.ownerLoop.events
--- a/control/jobstore/follow.go
+++ b/control/jobstore/follow.go
@@ -122,6 +122,9 @@
 		return nil
 	}
 	r.rangeIndex, r.next = r.rangeIndex+1, ""
+	if r.rangeIndex < len(readOrder) && readOrder[r.rangeIndex].from == statePrefix {
+		f.replica.AdvanceNews(r.at)
+	}
 	return nil
 }
 
--- a/control/jobstore/follow_test.go
+++ b/control/jobstore/follow_test.go
@@ -116,6 +116,37 @@
 	})
 }
 
+// Guards against starts that wait for a slow read of all job states, although the owner has
+// heard of all cancellations.
+func TestNewsAreCompleteBeforeStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("New jobs and cancellations are known to be complete before the states are read", t, func() {
+			replica := NewReplica(func(string, error) {})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { Follow(ctx, &slowReadStore{readTime: time.Second}, replica, func(error) {}); close(done) }()
+			synctest.Wait()
+			So(replica.Ready(), ShouldBeFalse)
+			So(replica.NewsCompleteTo(), ShouldEqual, rows.Version(5))
+			So(replica.completeTo, ShouldEqual, rows.Version(0))
+			<-replica.Advanced()
+			cancel()
+			<-done
+		})
+	})
+	Convey("The version is told after the changes up to it", t, func() {
+		replica := NewReplica(func(string, error) {})
+		var heard []rows.Version
+		replica.Watch(func(Change) { heard = append(heard, replica.newsCompleteTo) })
+		job := rows.Row{Key: JobKey("j1"), Version: 7, Value: []byte(`{"id":"j1","st":[{"n":1,"r":{}}]}`)}
+		replica.Advance([]rows.Row{job}, 8)
+		So(heard, ShouldResemble, []rows.Version{0})
+		So(replica.NewsCompleteTo(), ShouldEqual, rows.Version(8))
+		replica.Replace([]rows.Row{job}, 6)
+		So(replica.NewsCompleteTo(), ShouldEqual, rows.Version(8))
+	})
+}
+
 // ownerChangeStore drops its history once, and takes readTime to return the job states
 // when it is read again. Meanwhile the ownership was released.
 type ownerChangeStore struct {
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -52,6 +52,9 @@
 	// completeTo is the version up to which the replica has all changes. Single rows may
 	// be newer.
 	completeTo rows.Version
+	// newsCompleteTo is the same for all rows but the states of jobs.
+	newsCompleteTo rows.Version
+	advanced       chan struct{}
 	// ownerChangedAt is when the owner's row last changed or, if later, when the
 	// connection to the store was last established.
 	ownerChangedAt time.Time
@@ -86,6 +89,7 @@
 		entries:  make(map[ident.Entry]Entry),
 		onError:  onError,
 		arrivals: make(map[string]*arrival),
+		advanced: make(chan struct{}, 1),
 	}
 }
 
@@ -103,6 +107,33 @@
 	r.applyNewerLocked(changes)
 	r.completeTo = max(r.completeTo, at)
 	r.advancedAt = time.Now()
+	r.advanceNewsLocked(at)
+}
+
+// AdvanceNews records that all changes up to version at were stored, but for the states of jobs.
+func (r *Replica) AdvanceNews(at rows.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advanceNewsLocked(at)
+}
+
+func (r *Replica) advanceNewsLocked(at rows.Version) {
+	r.newsCompleteTo = max(r.newsCompleteTo, at)
+	select {
+	case r.advanced <- struct{}{}:
+	default:
+	}
+}
+
+// Advanced returns a channel that receives a value after NewsCompleteTo has advanced.
+func (r *Replica) Advanced() <-chan struct{} { return r.advanced }
+
+// NewsCompleteTo returns the version up to which the replica has, and has reported, all new
+// jobs and cancellations.
+func (r *Replica) NewsCompleteTo() rows.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newsCompleteTo
 }
 
 func (r *Replica) applyNewerLocked(list []rows.Row) {
@@ -268,6 +299,7 @@
 	}
 	r.completeTo = max(r.completeTo, at)
 	r.synced, r.advancedAt = true, time.Now()
+	r.advanceNewsLocked(at)
 }
 
 // SetConnected records whether the store answers. After an outage the owner gets a
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -6,6 +6,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/runner"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -25,6 +26,7 @@
 	a.runner = runner.New(runner.Options{
 		ID: ident.Worker(s.Node), Address: s.advertisedAddr(), Tasks: adapter.NewTasks(),
 		Store: adapter.NewStore(s.StoreAddr), Logger: logger, Count: a.count,
+		Clock: boottime.Now,
 	})
 	return a
 }
--- a/control/rpc/batchconv.go
+++ b/control/rpc/batchconv.go
@@ -37,7 +37,7 @@
 func OrderMessage(sequence uint64, o batch.Order) *FromOwner {
 	return &FromOwner{Kind: &FromOwner_Order{Order: &TaskOrder{
 		Sequence: sequence, Stop: o.Kind == batch.OrderStop, Life: IncarnationMessage(o.Incarnation), Run: RunMessage(o.Run),
-		Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, DeadlineMs: o.DeadlineMs,
+		Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, DeadlineMs: o.DeadlineMs, StartByMs: o.StartByMs,
 	}}}
 }
 
@@ -50,6 +50,7 @@
 	return batch.Order{
 		Kind: kind, Incarnation: IncarnationOf(m.GetLife()), Run: RunOf(m.GetRun()),
 		Payload: m.GetPayload(), Checkpoint: m.GetCheckpoint(), Ticket: m.GetTicket(), DeadlineMs: m.GetDeadlineMs(),
+		StartByMs: m.GetStartByMs(),
 	}
 }
 
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -35,13 +35,13 @@
 	case announced.Info.Ended:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the upstream process has ended"}
 	case o.Kind == batch.OrderStop:
-		result = s.sendUntilAnswered(ctx, func(ctx context.Context) batchapi.OrderResult {
+		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.epoch, o)
 		})
 	case announced.Info.Draining:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "draining"}
 	default:
-		result = s.sendUntilAnswered(ctx, func(ctx context.Context) batchapi.OrderResult {
+		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 			return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, o)
 		})
 		result.Kind = startAnswer(result)
@@ -66,6 +66,7 @@
 		result.ClockMs = 0
 		return
 	}
+	s.runner.noteWorkerClock(report)
 	s.send(rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
 	switch {
@@ -104,11 +105,14 @@
 	unanswered int
 }
 
-// sendUntilAnswered sends an order until it has an answer or orderTimeout has
-// passed. Repeating is safe because orders are idempotent.
-func (s *session) sendUntilAnswered(ctx context.Context, send func(context.Context) batchapi.OrderResult) orderOutcome {
+// sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
+// order has expired. Repeating is safe because orders are idempotent.
+func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context) batchapi.OrderResult) orderOutcome {
 	var outcome orderOutcome
 	for start := time.Now(); ; {
+		if s.expired(o) {
+			return s.expire(outcome)
+		}
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 		outcome.OrderResult = send(attemptCtx)
 		failedAtOnce := attemptCtx.Err() == nil
@@ -127,6 +131,22 @@
 	}
 }
 
+// expired reports whether a start must not be sent any more. It may have been delayed on the
+// way, or by a pause of this process, and its job may have been cancelled since.
+func (s *session) expired(o batch.Order) bool {
+	clock, ok := s.runner.workerClock(o.Incarnation)
+	return o.StartByMs > 0 && ok && clock >= o.StartByMs
+}
+
+// expire returns the result of an order that is not sent again.
+func (s *session) expire(outcome orderOutcome) orderOutcome {
+	s.runner.opts.Count("order_expired")
+	if outcome.unanswered == 0 {
+		outcome.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "expired"}
+	}
+	return outcome
+}
+
 // startAnswer returns the answer that the last attempt of a start justifies. A
 // rejection of the last attempt does not prove that the attempts before it,
 // which had no answer, are not executed.
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
 	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
@@ -31,6 +32,7 @@
 	Logger  *log.Logger
 	// Count is called for each counted event.
 	Count func(event string)
+	Clock boottime.Clock
 }
 
 // Runner is the agent of one worker. It is safe for concurrent use.
@@ -46,6 +48,8 @@
 	epoch ident.Epoch
 	// session is the stream to the current owner, or nil.
 	session *session
+	// clock is the latest reading of the worker's clock.
+	clock clockReading
 	// publishWakeup wakes Publish.
 	publishWakeup chan struct{}
 	guard         panicguard.Guard
@@ -211,6 +215,32 @@
 	r.opts.Logger.Info().Uint64("epoch", uint64(s.epoch)).Msg("owner detached")
 }
 
+// clockReading is a reading of the worker's clock.
+type clockReading struct {
+	incarnation batch.Incarnation
+	ms          int64
+	// at is when the reading arrived, on the boot-time clock of this machine.
+	at time.Duration
+}
+
+// noteWorkerClock records the worker's clock in a report.
+func (r *Runner) noteWorkerClock(report batch.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock = clockReading{report.Incarnation, report.ClockMs, r.opts.Clock()}
+}
+
+// workerClock estimates the clock of an incarnation of the worker. It returns false without a
+// reading.
+func (r *Runner) workerClock(incarnation batch.Incarnation) (int64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock.incarnation != incarnation {
+		return 0, false
+	}
+	return r.clock.ms + (r.opts.Clock() - r.clock.at).Milliseconds(), true
+}
+
 func (r *Runner) currentAnnouncement() batchapi.Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -34,7 +34,8 @@
 }
 
 func newRunner(store rows.Store, count func(string)) *Runner {
-	return New(Options{ID: "w1", Address: "a", Store: store, Count: count,
+	start := time.Now()
+	return New(Options{ID: "w1", Address: "a", Store: store, Count: count, Clock: func() time.Duration { return time.Since(start) + time.Hour },
 		Logger: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}})
 }
 
@@ -213,6 +214,66 @@
 	}
 }
 
+// Guards against starts that reach the worker long after the owner sent them, because they
+// were delayed on the way or the agent was paused, and their job has been cancelled since.
+func TestExpiredStartsAreNotSent(t *testing.T) {
+	incarnation := batch.Incarnation{Upstream: "u", StartedMs: 5}
+	// forward forwards an order that expires 1.5 s after the worker's clock was read, after a delay.
+	forward := func(kind batch.OrderKind, tasks *lossyTasks, delay time.Duration) (batch.AnswerKind, map[string]int) {
+		events := make(map[string]int)
+		r := newRunner(&rowWriter{}, func(event string) { events[event]++ })
+		r.opts.Tasks = tasks
+		r.Announce(announcement(5, 1, false))
+		r.noteWorkerClock(batch.Report{Incarnation: incarnation, ClockMs: 1000})
+		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1)}
+		order := batch.Order{Kind: kind, Incarnation: incarnation, Run: batch.Run{Number: 1}, StartByMs: 2500}
+		if kind == batch.OrderStop {
+			order.StartByMs = 0
+		}
+		time.Sleep(delay)
+		s.forwardOrder(context.Background(), rpc.OrderMessage(3, order).GetOrder())
+		for {
+			if answer := (<-s.outbound).GetAnswer(); answer != nil {
+				return batch.AnswerKind(answer.GetKind()), events
+			}
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A start in time is sent", t, func() {
+			tasks := &lossyTasks{}
+			kind, _ := forward(batch.OrderStart, tasks, 1499*time.Millisecond)
+			So(kind, ShouldEqual, batch.AnswerOK)
+			So(tasks.orders, ShouldHaveLength, 1)
+		})
+		for _, delay := range []time.Duration{1500 * time.Millisecond, 5 * time.Second, time.Minute} {
+			Convey("A later one has no effect, and is no fault of the worker: "+delay.String(), t, func() {
+				tasks := &lossyTasks{}
+				kind, events := forward(batch.OrderStart, tasks, delay)
+				So(kind, ShouldEqual, batch.AnswerRejectedNoCapacity)
+				So(tasks.orders, ShouldBeEmpty)
+				So(events["order_expired"], ShouldEqual, 1)
+			})
+		}
+		Convey("One without an answer is not repeated after its expiry, and its outcome is unknown", t, func() {
+			tasks := &lossyTasks{unanswered: 99}
+			kind, _ := forward(batch.OrderStart, tasks, 1200*time.Millisecond)
+			So(kind, ShouldEqual, batch.AnswerUnknown)
+			So(tasks.orders, ShouldHaveLength, 2)
+		})
+		Convey("Stops do not expire", t, func() {
+			tasks := &lossyTasks{}
+			kind, _ := forward(batch.OrderStop, tasks, time.Minute)
+			So(kind, ShouldEqual, batch.AnswerOK)
+		})
+		Convey("A clock of another incarnation says nothing", t, func() {
+			r := newRunner(&rowWriter{}, func(string) {})
+			r.noteWorkerClock(batch.Report{Incarnation: batch.Incarnation{Upstream: "u", StartedMs: 4}, ClockMs: 1 << 40})
+			_, ok := r.workerClock(incarnation)
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
+
 // panickingTasks panics when it is asked to start a task.
 type panickingTasks struct{ batchapi.Tasks }
 
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -160,6 +160,7 @@
 		if report.MoreEnds {
 			s.runner.opts.Count("report_more_ends")
 		}
+		s.runner.noteWorkerClock(report)
 		s.send(rpc.ReportMessage(report))
 		s.awaitAck(ctx, report)
 	}
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -26,6 +26,9 @@
 // Empty reports whether there is nothing to write and nothing to send.
 func (c *Commit) Empty() bool { return len(c.Records) == 0 && len(c.starts) == 0 && len(c.acked) == 0 }
 
+// Starts returns how many starts the commit permits.
+func (c *Commit) Starts() int { return len(c.starts) }
+
 // Prepare returns a commit with at most limit changed records. A start is part of
 // the commit that holds its job's record. Ends are acknowledged only by a commit
 // that leaves no changed record behind.
@@ -79,13 +82,19 @@
 }
 
 // Committed applies a commit that has become durable: it advances the cursors of
-// acknowledged ends and returns the starts that may now be sent.
-func (s *Scheduler) Committed(c *Commit, now time.Time) []Order {
+// acknowledged ends. The starts may be sent from now on, see ReleaseStarts.
+func (s *Scheduler) Committed(c *Commit) {
 	for id, ends := range c.acked {
 		if w := s.workers[id]; w != nil && w.info.Incarnation == ends.incarnation {
 			w.acked = max(w.acked, ends.cursor)
 		}
 	}
+}
+
+// ReleaseStarts returns the starts of a durable commit that are to be sent at once, and
+// returns the tasks of the others to the waiting ones. It must be called once for each commit,
+// when all cancellations that were acknowledged before it are known.
+func (s *Scheduler) ReleaseStarts(c *Commit, now time.Time) []Order {
 	var out []Order
 	for _, o := range c.starts {
 		s.handling = o.Run.Task.Job
@@ -105,17 +114,33 @@
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return o, false
 	}
-	if t.stop.requested || !w.attached {
+	if t.stop.requested || !w.attached || !t.renewTicket(&o, now) {
 		// The start was never sent, so no stop is needed either.
 		s.requeue(t, now)
 		return o, false
 	}
 	o.DeadlineMs = w.leaseDeadline(s.timing.MaxLease)
+	o.StartByMs = w.estimatedClock(now) + StartWindow.Milliseconds()
 	w.extendLeaseBound(s.timing.MaxLease)
 	t.startedAt, t.progressedAt = now, now
 	return o, true
 }
 
+// renewTicket replaces the ticket of a start by the newest one. It returns false if the
+// placement advisor has to be asked again.
+func (t *task) renewTicket(o *Order, now time.Time) bool {
+	if !t.job.spec.NeedsAdvice {
+		return true
+	}
+	a := t.job.advice[StepID{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step}]
+	if a == nil || !now.Before(a.validUntil) {
+		return false
+	}
+	ticket, ok := a.tickets[o.Incarnation.Upstream]
+	o.Ticket = ticket
+	return ok
+}
+
 // AcknowledgedWorkers returns the workers whose reported ends are durable with
 // the commit.
 func (c *Commit) AcknowledgedWorkers() []ident.Worker {
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -152,10 +152,11 @@
 		m.takeover()
 		return
 	}
+	m.scheduler.Committed(c)
 	if rapid.IntRange(0, 9).Draw(m.t, "cancel during commit") == 0 {
 		m.cancel()
 	}
-	starts := m.scheduler.Committed(c, m.now)
+	starts := m.scheduler.ReleaseStarts(c, m.now)
 	for _, o := range starts {
 		if m.canceled[o.Run.Task.Job] {
 			m.t.Fatalf("start of %v is sent after the cancellation", o.Run)
--- /dev/null
+++ b/sched/batch/release_test.go
@@ -0,0 +1,73 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against starts that are carried out long after they were decided, and against
+// rejections by a worker that count as its fault although the order was too old.
+func TestStartsAreCheckedWhenReleased(t *testing.T) {
+	newPrepared := func(j *Job) (*testbed, *Commit) {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(j)
+		b.scheduler.Schedule(b.now)
+		return b, b.scheduler.Prepare(100)
+	}
+	Convey("A start names the time on the worker's clock until which it may be sent", t, func() {
+		b, c := newPrepared(testJob("j1", 1, testStep(1, 1)))
+		b.advance(700 * time.Millisecond)
+		starts := b.commit(c)
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].StartByMs, ShouldEqual, b.clockMs+700+StartWindow.Milliseconds())
+	})
+	Convey("A cancellation between the commit and the release counts", t, func() {
+		b, c := newPrepared(testJob("j1", 1, testStep(3, 1)))
+		b.scheduler.Committed(c)
+		b.scheduler.Cancel("j1", b.now)
+		So(b.scheduler.ReleaseStarts(c, b.now), ShouldBeEmpty)
+		So(b.jobState("j1"), ShouldEqual, JobCanceled)
+		So(b.scheduler.jobs["j1"].hasActive(), ShouldBeFalse)
+	})
+	Convey("The ends of a commit are acknowledged before its starts are released", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		o := b.runCycle()[0]
+		b.acceptStarts()
+		b.report("w1", nil, endedRow(1, o, EndSucceeded))
+		b.scheduler.Committed(b.scheduler.Prepare(100))
+		renewal, _ := b.scheduler.RenewalFor("w1")
+		So(renewal.Cursor, ShouldEqual, 1)
+	})
+	Convey("A start whose ticket runs out", t, func() {
+		const valid = 3 * time.Second
+		j := testJob("j1", 1, testStep(1, 1))
+		j.NeedsAdvice = true
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(j)
+		b.scheduler.Schedule(b.now)
+		step := b.scheduler.TakeAdviceRequests()[0].Step
+		b.scheduler.Advised(step, []Ticket{{Worker: "u", Text: "first"}}, valid, b.now)
+		b.scheduler.Schedule(b.now)
+		c := b.scheduler.Prepare(100)
+		So(c.Starts(), ShouldEqual, 1)
+		Convey("before the release is planned again", func() {
+			b.advance(valid)
+			So(b.commit(c), ShouldBeEmpty)
+			So(b.scheduler.jobs["j1"].tasks[0].Phase, ShouldEqual, TaskWaiting)
+			So(b.scheduler.workers["w1"].faults, ShouldEqual, 0)
+		})
+		Convey("gets the next one if there is one", func() {
+			b.advance(valid)
+			b.scheduler.Advised(step, []Ticket{{Worker: "u", Text: "second"}}, valid, b.now)
+			starts := b.commit(c)
+			So(starts, ShouldHaveLength, 1)
+			So(starts[0].Ticket, ShouldEqual, "second")
+		})
+	})
+}
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -287,7 +287,8 @@
 
 func (r *replay) runCycle() {
 	if r.commit != nil {
-		for _, o := range r.scheduler.Committed(r.commit, r.now()) {
+		r.scheduler.Committed(r.commit)
+		for _, o := range r.scheduler.ReleaseStarts(r.commit, r.now()) {
 			r.applyStart(o)
 		}
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -132,9 +132,16 @@
 	// DeadlineMs is when the worker's lease ends, on its own clock. A start
 	// that arrives later is rejected.
 	DeadlineMs int64
-	Reason     Reason
+	// StartByMs is the time on the worker's clock from which on a start must not be sent
+	// to it any more, or zero for no limit.
+	StartByMs int64
+	Reason    Reason
 }
 
+// StartWindow is how long after its release a start may be sent to the worker. Later the
+// decision may have been revised.
+const StartWindow = 1500 * time.Millisecond
+
 // LogEvent describes a scheduling decision or a change of the assumed state, for
 // the log.
 type LogEvent struct {
@@ -375,6 +382,12 @@
 // from its latest report.
 func (w *worker) leaseDeadline(lease time.Duration) int64 { return w.clockMs + lease.Milliseconds() }
 
+// estimatedClock returns a lower bound of the worker's clock, which was read before its
+// latest report arrived.
+func (w *worker) estimatedClock(now time.Time) int64 {
+	return w.clockMs + now.Sub(w.reportedAt).Milliseconds()
+}
+
 func (w *worker) extendLeaseBound(lease time.Duration) {
 	if bound := w.reportedAt.Add(leaseExpiry(lease)); bound.After(w.leaseBound) {
 		w.leaseBound = bound
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -56,10 +56,16 @@
 	b.scheduler.Schedule(b.now)
 	b.scheduler.Tick(b.now)
 	b.stops = b.scheduler.TakeStops()
-	b.starts = b.scheduler.Committed(b.scheduler.Prepare(100), b.now)
+	b.starts = b.commit(b.scheduler.Prepare(100))
 	return b.starts
 }
 
+// commit applies a commit as durable and returns the starts that it releases.
+func (b *testbed) commit(c *Commit) []Order {
+	b.scheduler.Committed(c)
+	return b.scheduler.ReleaseStarts(c, b.now)
+}
+
 func (b *testbed) advance(d time.Duration) { b.now = b.now.Add(d) }
 
 // runFor lets time pass with cycles as often as the owner's loop runs them.
@@ -134,7 +140,7 @@
 		c := b.scheduler.Prepare(100)
 		So(c.Records["j1"].Tasks[0].Phase, ShouldEqual, TaskActive)
 		So(c.Records["j1"].Tasks[0].Run, ShouldEqual, 1)
-		orders := b.scheduler.Committed(c, b.now)
+		orders := b.commit(c)
 		So(orders, ShouldHaveLength, 1)
 		So(orders[0].DeadlineMs, ShouldEqual, b.clockMs+testTiming.MaxLease.Milliseconds())
 	})
@@ -356,7 +362,7 @@
 		b.scheduler.Schedule(b.now)
 		c := b.scheduler.Prepare(100)
 		b.scheduler.Cancel("j1", b.now)
-		So(b.scheduler.Committed(c, b.now), ShouldBeEmpty)
+		So(b.commit(c), ShouldBeEmpty)
 		So(b.scheduler.jobs["j1"].tasks[0].Phase, ShouldEqual, TaskWaiting)
 	})
 }
