Keep orders beyond an agent's queue, and settle starts without any outcome

Cause: messages beyond the 256 that the stream to an agent takes were dropped, and their orders stayed without an answer as long as the stream lived. Nothing limited the time of a start that has neither an answer nor a report.

Change: messages beyond the queue wait in their order. If the stream ends, orders that were not sent are planned again. An agent orders 64 starts at a time, others wait until they expire; stops do not wait. The event link_backlog replaces link_overrun.

--- a/control/batchowner/agentconn.go
+++ b/control/batchowner/agentconn.go
@@ -21,7 +21,8 @@
 	agentSilenceTimeout = 4 * time.Second
 	// reconnectDelay is the time between two connection attempts.
 	reconnectDelay = 300 * time.Millisecond
-	// sendQueueSize bounds the messages queued for an agent.
+	// sendQueueSize bounds the messages that the stream to an agent takes at once. The
+	// others wait in the backlog.
 	sendQueueSize = 256
 )
 
@@ -35,6 +36,10 @@
 	// sendQueue belongs to the current stream and is nil without one. Only the
 	// owner's loop accesses this field.
 	sendQueue chan *rpc.FromOwner
+	// backlog holds the messages that sendQueue has no room for, in their order. It has at
+	// most a start and a few stops for each run on the worker. Their payloads are shared with
+	// the jobs.
+	backlog []*rpc.FromOwner
 	// pending holds the unanswered orders of the current stream by sequence number.
 	pending  map[uint64]batch.Order
 	sequence uint64
@@ -119,6 +124,7 @@
 		return
 	}
 	c.sendQueue = nil
+	c.rejectBacklog()
 	c.loop.candidate.opts.Count("link_lost")
 	c.loop.candidate.opts.Logger.Warn().Str("worker", string(c.worker)).Err(err).
 		Int("orders_open", len(c.pending)).Msg("connection to agent lost")
@@ -190,12 +196,38 @@
 	c.enqueue(rpc.OrderMessage(c.sequence, order))
 }
 
-// enqueue queues a message for the agent, or drops it if the queue is full.
+// enqueue sends a message to the agent after those before it.
 func (c *agentConn) enqueue(m *rpc.FromOwner) {
-	select {
-	case c.sendQueue <- m:
-	default:
-		c.loop.candidate.opts.Count("link_overrun")
-		c.loop.candidate.opts.Logger.Warn().Str("worker", string(c.worker)).Msg("send queue to agent is full; message dropped")
+	c.backlog = append(c.backlog, m)
+	c.flush()
+	if len(c.backlog) > 0 {
+		c.loop.candidate.opts.Count("link_backlog")
 	}
 }
+
+// flush moves as many messages from the backlog to the stream as it takes.
+func (c *agentConn) flush() {
+	for len(c.backlog) > 0 {
+		select {
+		case c.sendQueue <- c.backlog[0]:
+			c.backlog = c.backlog[1:]
+		default:
+			return
+		}
+	}
+	c.backlog = nil
+}
+
+// rejectBacklog answers the orders that were never sent.
+func (c *agentConn) rejectBacklog() {
+	for _, m := range c.backlog {
+		sequence := m.GetOrder().GetSequence()
+		order, ok := c.pending[sequence]
+		if !ok {
+			continue
+		}
+		delete(c.pending, sequence)
+		c.loop.scheduler.Answered(order, batch.AnswerRejectedNoCapacity, 0, time.Now())
+	}
+	c.backlog = nil
+}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -209,6 +209,9 @@
 
 // runCycle runs one scheduling cycle and starts a transaction for its results.
 func (l *ownerLoop) runCycle() {
+	for _, conn := range l.conns {
+		conn.flush()
+	}
 	l.sendHeldStarts()
 	now := time.Now()
 	l.configure()
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,6 +105,53 @@
 	}, batch.Record{}, false, time.Now())
 }
 
+// Guards against orders that are dropped because there are more of them for one agent than
+// its stream takes at once.
+func TestOrdersBeyondQueueAreKept(t *testing.T) {
+	const count = 10 * sendQueueSize
+	newFlooded := func() *loopbed {
+		b := newLoopbed()
+		b.scheduler.Announced(batch.WorkerInfo{
+			ID: "w1", Service: "svc", Incarnation: testIncarnation, Capacity: batch.Resources{MilliCores: count * 1000, Accelerators: count},
+		}, time.Now())
+		So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
+		for i := range count {
+			b.submit(ident.Job(fmt.Sprintf("j%04d", i)))
+		}
+		for range count/maxCommitRecords + 1 {
+			b.commitAll(func() {})
+		}
+		return b
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("All of them are sent, in their order", t, func() {
+			b := newFlooded()
+			defer b.cancel()
+			So(b.events["link_backlog"], ShouldBeGreaterThan, 0)
+			var runs []batch.Run
+			for range count/sendQueueSize + 1 {
+				for _, o := range b.sentOrders() {
+					runs = append(runs, o.Run)
+				}
+				b.runCycle()
+			}
+			So(runs, ShouldHaveLength, count)
+			So(slices.IsSortedFunc(runs, func(x, y batch.Run) int { return strings.Compare(string(x.Task.Job), string(y.Task.Job)) }), ShouldBeTrue)
+			So(b.conn.backlog, ShouldBeEmpty)
+		})
+		Convey("If the stream ends, those that were not sent are planned again", t, func() {
+			b := newFlooded()
+			defer b.cancel()
+			b.conn.handleClosed(nil)
+			waiting := b.scheduler.Prepare(2 * count).Records
+			So(waiting, ShouldHaveLength, count-sendQueueSize)
+			for _, record := range waiting {
+				So(record.Tasks[0].Phase, ShouldEqual, batch.TaskWaiting)
+			}
+		})
+	})
+}
+
 // Guards against an owner that was paused and sends orders or grants leases although its
 // ownership has run out meanwhile.
 func TestPausedOwnerSendsNothing(t *testing.T) {
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -41,9 +41,7 @@
 	case announced.Info.Draining:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "draining"}
 	default:
-		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-			return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, o)
-		})
+		result = s.start(ctx, announced, o)
 		result.Kind = startAnswer(result)
 		if result.Kind == batch.AnswerUnknown {
 			s.lookForRun(ctx, announced, o, &result.OrderResult)
@@ -52,6 +50,19 @@
 	return result
 }
 
+// start orders a start as soon as there is a free slot.
+func (s *session) start(ctx context.Context, announced batchapi.Announcement, o batch.Order) orderOutcome {
+	select {
+	case s.startSlots <- struct{}{}:
+	case <-ctx.Done():
+		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the stream to the owner has ended"}}
+	}
+	defer func() { <-s.startSlots }()
+	return s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
+		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, o)
+	})
+}
+
 // lookForRun asks for a report after a start without an answer. If the report lists the
 // run, the start counts as carried out; if a complete report does not, the result has the
 // time of the report.
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -179,6 +179,7 @@
 	s := &session{
 		runner: r, epoch: ident.Epoch(hello.GetEpoch()), cancel: cancel,
 		outbound: make(chan *rpc.FromRunner, outboundQueueLimit), wakeup: make(chan struct{}, 1),
+		startSlots: make(chan struct{}, maxConcurrentStarts),
 	}
 	if err := r.attachSession(s); err != nil {
 		return err
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,7 +135,7 @@
 	r := newRunner(&rowWriter{}, func(string) {})
 	r.opts.Tasks = tasks
 	r.Announce(announcement(5, 1, false))
-	s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1)}
+	s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
 	order := batch.Order{Kind: kind, Incarnation: batch.Incarnation{Upstream: "u", StartedMs: 5}, Run: batch.Run{Task: batch.TaskID{Job: "j"}, Number: 1}}
 	s.forwardOrder(context.Background(), rpc.OrderMessage(3, order).GetOrder())
 	for {
@@ -225,7 +226,7 @@
 		r.opts.Tasks = tasks
 		r.Announce(announcement(5, 1, false))
 		r.noteWorkerClock(batch.Report{Incarnation: incarnation, ClockMs: 1000})
-		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1)}
+		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
 		order := batch.Order{Kind: kind, Incarnation: incarnation, Run: batch.Run{Number: 1}, StartByMs: 2500}
 		if kind == batch.OrderStop {
 			order.StartByMs = 0
@@ -274,6 +275,68 @@
 	})
 }
 
+// hangingTasks does not answer starts, and counts those that wait for an answer.
+type hangingTasks struct {
+	batchapi.Tasks
+	begin          time.Time
+	starting, most atomic.Int32
+}
+
+func (h *hangingTasks) Renew(_ context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+	return batch.Report{Incarnation: r.Incarnation, ClockMs: 1000 + time.Since(h.begin).Milliseconds()}, nil
+}
+
+func (h *hangingTasks) Start(ctx context.Context, _ string, _ ident.Epoch, _ batch.Order) batchapi.OrderResult {
+	n := h.starting.Add(1)
+	defer h.starting.Add(-1)
+	h.most.Store(max(h.most.Load(), n))
+	<-ctx.Done()
+	return batchapi.OrderResult{Kind: batch.AnswerUnknown}
+}
+
+func (h *hangingTasks) Stop(context.Context, string, ident.Epoch, batch.Order) batchapi.OrderResult {
+	return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: 7}
+}
+
+// Guards against many starts at once that use up the connections of the agent, delay stops,
+// or have no outcome.
+func TestManyStartsAtOnceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Starts beyond the limit wait and expire, stops go ahead", t, func() {
+			const count = 10 * maxConcurrentStarts
+			tasks := &hangingTasks{begin: time.Now()}
+			r := newRunner(&rowWriter{}, func(string) {})
+			r.opts.Tasks = tasks
+			r.Announce(announcement(5, 1, false))
+			incarnation := batch.Incarnation{Upstream: "u", StartedMs: 5}
+			r.noteWorkerClock(batch.Report{Incarnation: incarnation, ClockMs: 1000})
+			s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 3*count), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+			begin := time.Now()
+			for i := range count {
+				o := batch.Order{Incarnation: incarnation, Run: batch.Run{Task: batch.TaskID{Index: i}, Number: 1}, StartByMs: 2500}
+				go s.forwardOrder(context.Background(), rpc.OrderMessage(uint64(i), o).GetOrder())
+			}
+			synctest.Wait()
+			s.forwardOrder(context.Background(), rpc.OrderMessage(count, batch.Order{Kind: batch.OrderStop, Incarnation: incarnation}).GetOrder())
+			So((<-s.outbound).GetAnswer().GetSequence(), ShouldEqual, count)
+			So(time.Since(begin), ShouldEqual, 0)
+			kinds := make(map[batch.AnswerKind]int)
+			for range count {
+				for {
+					if answer := (<-s.outbound).GetAnswer(); answer != nil {
+						kinds[batch.AnswerKind(answer.GetKind())]++
+						break
+					}
+				}
+			}
+			So(tasks.most.Load(), ShouldEqual, maxConcurrentStarts)
+			So(time.Since(begin), ShouldBeLessThan, 4*time.Second)
+			So(kinds[batch.AnswerRejectedNoCapacity], ShouldBeGreaterThan, count/2)
+			So(kinds[batch.AnswerRejectedNoCapacity]+kinds[batch.AnswerUnknown], ShouldEqual, count)
+		})
+	})
+}
+
 // panickingTasks panics when it is asked to start a task.
 type panickingTasks struct{ batchapi.Tasks }
 
@@ -323,7 +386,7 @@
 				r := newRunner(&rowWriter{}, func(string) {})
 				r.opts.Tasks = &deadTasks{reports: 1, secondErr: c.secondErr}
 				r.Announce(announcement(5, 1, false))
-				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 10), wakeup: make(chan struct{}, 1)}
+				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 10), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
 				r.session = s
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan struct{})
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -20,6 +20,10 @@
 // whose queue is full is closed.
 const outboundQueueLimit = 256
 
+// maxConcurrentStarts bounds the calls that order a start at the same time, each of which may
+// need a connection. Further starts wait until they expire. Stops do not wait.
+const maxConcurrentStarts = 64
+
 // session is the stream to one owner.
 type session struct {
 	runner   *Runner
@@ -29,6 +33,8 @@
 	// wakeup wakes renewLoop when the renewal or the announced upstream process has
 	// changed, or an order was answered.
 	wakeup chan struct{}
+	// startSlots holds a value for each start that is being ordered.
+	startSlots chan struct{}
 
 	mu sync.Mutex
 	// renewal is the latest lease renewal that the owner has sent.
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -122,7 +122,7 @@
 	o.DeadlineMs = w.leaseDeadline(s.timing.MaxLease)
 	o.StartByMs = w.estimatedClock(now) + StartWindow.Milliseconds()
 	w.extendLeaseBound(s.timing.MaxLease)
-	t.startedAt, t.progressedAt = now, now
+	t.startedAt, t.progressedAt, t.sentAt = now, now, now
 	return o, true
 }
 
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -347,6 +347,7 @@
 	t.confirmed, t.recovered, t.startUncertain, t.listed = false, false, false, false
 	t.confirmedMs, t.percent = 0, 0
 	t.overTargetSince, t.firstPercentAt, t.unansweredSince = time.Time{}, time.Time{}, time.Time{}
+	t.sentAt = time.Time{}
 	t.firstPercent = 0
 	t.stop = stopState{}
 }
@@ -394,6 +395,7 @@
 	switch kind {
 	case AnswerOK, AnswerOKRepeated:
 		t.startUncertain = t.startUncertain || kind == AnswerOKRepeated
+		t.unansweredSince = time.Time{}
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
 		}
@@ -424,8 +426,16 @@
 	s.requestStop(t, ReasonNoAnswer)
 }
 
+// maxAnswerTime is how long the answer to a start may take: it expires after StartWindow,
+// its last attempt and a look at the running tasks follow, and messages are delayed.
+const maxAnswerTime = StartWindow + 2*time.Second
+
 // checkUnanswered stops a run whose start had no answer and that no report has listed.
 func (s *Scheduler) checkUnanswered(w *worker, t *task, now time.Time) {
+	if s.answerOverdue(t, now) {
+		s.logRun("start has neither an answer nor a report", t, now)
+		t.startUncertain, t.unansweredSince = true, now
+	}
 	if t.unansweredSince.IsZero() || now.Sub(t.unansweredSince) < unansweredGrace {
 		return
 	}
@@ -434,6 +444,19 @@
 	s.requestStop(t, ReasonNoAnswer)
 }
 
+// answerOverdue reports whether a start was sent so long ago that its answer must be lost. A
+// pause of the owner does not count.
+func (s *Scheduler) answerOverdue(t *task, now time.Time) bool {
+	if t.confirmed || t.stop.requested || t.sentAt.IsZero() || !t.unansweredSince.IsZero() {
+		return false
+	}
+	since := t.sentAt
+	if since.Before(s.resumedAt) {
+		since = s.resumedAt
+	}
+	return now.Sub(since) >= maxAnswerTime
+}
+
 func (s *Scheduler) logRun(event string, t *task, now time.Time) {
 	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason)}
 	if w := s.workers[t.Worker]; w != nil && !w.reportedAt.IsZero() {
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -25,6 +25,8 @@
 	// startUncertain reports that an attempt to start the run had no answer, so
 	// that the order may still arrive, even after the run has ended.
 	startUncertain bool
+	// sentAt is when the start was released to be sent, or zero.
+	sentAt time.Time
 	// unansweredSince is when all attempts to start the run had remained without an
 	// answer, or zero. The run may be in progress.
 	unansweredSince time.Time
