Answer a submission whose row arrives before the next attempt

Cause: if the response to a write is lost in the same instant in which the watch delivers its row, chance decides which one the writer takes first. If it takes the lost response, it waits for the next attempt and, meanwhile, does not notice that the row has arrived, so that the caller waits 100 ms for nothing.

The writer now notices it.

--- a/control/jobstore/read_test.go
+++ b/control/jobstore/read_test.go
@@ -70,3 +70,13 @@
 		})
 	})
 }
+
+// sleep waits for the given time and returns false if ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -148,8 +148,14 @@
 	}
 	c.lastErr = err
 	c.ambiguous = c.ambiguous || !errkind.Is(err, errkind.StoreUnavailable)
-	if c.inFlight > 0 || timeForRetry(ctx) {
-		sleep(ctx, writeRetryDelay)
+	if c.inFlight == 0 && !timeForRetry(ctx) {
+		return false, false
+	}
+	select {
+	case <-c.arrived:
+		return true, true
+	case <-time.After(writeRetryDelay):
+	case <-ctx.Done():
 	}
 	return false, false
 }
@@ -178,12 +184,3 @@
 	}
 	return errkind.Wrap(errkind.StoreUnavailable, c.lastErr, "write row "+c.key)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/control/jobstore/write_test.go
+++ b/control/jobstore/write_test.go
@@ -171,6 +171,18 @@
 			So(created, ShouldBeTrue)
 			So(time.Since(start), ShouldEqual, 300*time.Millisecond)
 		})
+		Convey("So is one whose row arrives before the next attempt", t, func() {
+			lost := func(context.Context, rows.Txn) (rows.Version, error) {
+				return 0, errkind.New(errkind.OutcomeUnknown, "lost")
+			}
+			w := newWriter(&fakeStore{commit: lost}, &fakeStore{commit: lost}, true)
+			time.AfterFunc(writeRetryDelay/2, func() { w.Replica.Advance([]rows.Row{{Key: "j/1", Version: 8, Value: []byte("{}")}}, 8) })
+			start := time.Now()
+			created, err := w.Create(context.Background(), "j/1", []byte("{}"))
+			So(err, ShouldBeNil)
+			So(created, ShouldBeTrue)
+			So(time.Since(start), ShouldEqual, writeRetryDelay/2)
+		})
 		Convey("A repeated submission of a row that has arrived needs no write", t, func() {
 			store := &fakeStore{commit: commitTimesOut}
 			w := newWriter(store, store, true)
