Keep the owner's transactions below the store's limit of bytes

Cause: a transaction was bounded by its entries, not by its bytes. 44 changed records of 32 KB exceed the 1 MB that the store takes. Its refusal was treated like an outage and repeated unchanged, by each owner in turn.

Records that changed first go first, whatever their id. A refusal as invalid ends the transaction at once; its records are written in smaller ones, and a job whose record alone is refused is set aside.

--- a/control/batchowner/agentconn_test.go
+++ b/control/batchowner/agentconn_test.go
@@ -43,7 +43,7 @@
 		b.submit("j1")
 		now := time.Now()
 		b.scheduler.Schedule(now)
-		for _, order := range b.scheduler.ReleaseStarts(b.scheduler.Prepare(10), now) {
+		for _, order := range b.scheduler.ReleaseStarts(b.scheduler.Prepare(10, nil), now) {
 			b.conn.sendOrder(order)
 		}
 		b.conn.handleMessage(m)
@@ -53,7 +53,7 @@
 			b.scheduler.Tick(now)
 			b.scheduler.Schedule(now)
 		}
-		for id, record := range b.scheduler.Prepare(10).Records {
+		for id, record := range b.scheduler.Prepare(10, nil).Records {
 			if err := record.Validate(); err != nil {
 				t.Errorf("record of %s: %v", id, err)
 			}
--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -82,8 +82,8 @@
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
 	guard     panicguard.Guard
-	// setAside holds the jobs whose handling has panicked in this process, as long as the
-	// store holds them. It does not schedule them again: the next owner or a restart may.
+	// setAside holds the jobs whose handling has panicked in this process, or whose record
+	// the store refuses, as long as the store holds them. It does not schedule them again: the next owner or a restart may.
 	setAside map[ident.Job]bool
 	// backoffUntil is until when this entry leaves the ownership to others.
 	backoffUntil time.Time
@@ -121,9 +121,7 @@
 		return
 	}
 	if job := loop.scheduler.Handling(); job != "" {
-		c.opts.Logger.Error().Str("job", string(job)).Uint64("epoch", uint64(loop.epoch)).Msg("job is set aside after a panic")
-		c.opts.Count("job_set_aside")
-		c.setAside[job] = true
+		c.setJobAside(job, loop.epoch)
 	} else {
 		c.opts.Logger.Error().Uint64("epoch", uint64(loop.epoch)).Msg("ownership is left to others after a panic of no known job")
 		c.backoffUntil = time.Now().Add(panicBackoff)
@@ -132,6 +130,13 @@
 	loop.releaseUnchanged()
 }
 
+// setJobAside leaves a job out of the ownerships of this entry from now on.
+func (c *Candidate) setJobAside(id ident.Job, epoch ident.Epoch) {
+	c.opts.Logger.Error().Str("job", string(id)).Uint64("epoch", uint64(epoch)).Msg("job is set aside")
+	c.opts.Count("job_set_aside")
+	c.setAside[id] = true
+}
+
 // campaign tries to acquire the ownership if it is available to this entry. It
 // returns the loop that uses the ownership, or nil without one.
 func (c *Candidate) campaign(ctx context.Context) *ownerLoop {
--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -67,6 +67,7 @@
 
 // commit writes and deletes rows, and retries until the outcome is known. It fails
 // with kind StaleEpoch if another owner has written the owner's row, with kind
+// InvalidArgument if the store refuses such a transaction for good, with kind
 // NotReady if the transaction was applied through another entry and released the
 // ownership because the store is unavailable to this one, or with kind
 // OutcomeUnknown when ctx ends.
@@ -94,6 +95,7 @@
 		}
 		broken := errkind.Is(err, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
 		unavailable := broken || errkind.Is(err, errkind.StoreUnavailable)
+		failure := err
 		applied, err := w.interpretResult(version, err, value)
 		if applied {
 			w.owner, w.lastWritten, w.answeredVersion = next, value, answered
@@ -104,6 +106,9 @@
 		if err != nil {
 			return err
 		}
+		if errkind.Is(failure, errkind.InvalidArgument) {
+			return failure
+		}
 		if unavailable && w.clock()-start >= relayReleaseAfter && w.canReleaseThroughRelay() {
 			if err := w.releaseThroughRelay(ctx, next, txn); err != nil {
 				return err
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -26,6 +26,11 @@
 	unavailable bool
 	// puts holds the latest value of each row.
 	puts map[string]string
+	// maxBytes is the size of the values above which a transaction is refused, or zero.
+	maxBytes int
+	// largest is the size of the largest transaction that was applied, and refused counts the
+	// refused ones.
+	largest, refused int
 }
 
 func (s *ownerStore) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
@@ -37,6 +42,15 @@
 	if s.unavailable {
 		return 0, errkind.New(errkind.StoreUnavailable, "refused")
 	}
+	size := 0
+	for _, p := range txn.Put {
+		size += len(p.Value)
+	}
+	if s.maxBytes > 0 && size > s.maxBytes {
+		s.refused++
+		return 0, errkind.New(errkind.InvalidArgument, "the transaction is too large")
+	}
+	s.largest = max(s.largest, size)
 	version, err := s.applied(txn)
 	if err == nil && s.dropResponses > 0 {
 		s.dropResponses--
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -37,6 +37,7 @@
 	unsent []*unsentStarts
 	// overflowing counts the changes that did not fit into events and may be out of order.
 	overflowing atomic.Int32
+	limits      commitLimits
 	// lastCommitStart is when the newest transaction was started.
 	lastCommitStart time.Time
 	// catalog is the configuration that the scheduler uses.
@@ -52,9 +53,6 @@
 	eventQueueSize = 1024
 	// tickInterval is the resolution of timers and timeouts in the loop.
 	tickInterval = 100 * time.Millisecond
-	// maxCommitRecords bounds the job records per transaction. The remaining
-	// entries are for the owner's row and its version condition.
-	maxCommitRecords = rows.MaxEntries - 10
 	// cleanupInterval is the minimum time between two deletions of ended jobs.
 	cleanupInterval = 2 * time.Second
 	// maxCleanupJobs bounds the jobs deleted per transaction: a job has three rows.
@@ -71,6 +69,7 @@
 	return &ownerLoop{
 		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: batch.New(candidate.opts.Timing, grantedUntil),
 		events: make(chan func(), eventQueueSize), conns: make(map[ident.Worker]*agentConn),
+		limits: newCommitLimits(),
 	}
 }
 
@@ -275,19 +274,15 @@
 	if l.inFlight != nil {
 		return
 	}
-	c := l.scheduler.Prepare(maxCommitRecords)
-	var removeKeys []string
-	if c.Empty() && !l.needsVersion() && now.Sub(l.lastCommitStart) < renewInterval {
+	c, puts, ok := l.prepare()
+	if !ok || c.Empty() && !l.needsVersion() && now.Sub(l.lastCommitStart) < renewInterval {
 		return
 	}
+	var removeKeys []string
 	if len(c.Records) == 0 && now.Sub(l.lastCleanup) > cleanupInterval {
 		l.lastCleanup = now
 		removeKeys = l.cleanupKeys(now)
 	}
-	puts, ok := l.encodeRecords(c)
-	if !ok {
-		return
-	}
 	l.inFlight, l.lastCommitStart = c, now
 	l.group.Go(func() {
 		var err error
@@ -308,32 +303,44 @@
 	return keys
 }
 
-// encodeRecords returns the rows of the commit's records. If a record cannot be
-// encoded, it gives the ownership up and returns false.
-func (l *ownerLoop) encodeRecords(c *batch.Commit) ([]rows.Put, bool) {
-	puts := make([]rows.Put, 0, len(c.Records))
-	for id, record := range c.Records {
+// prepare returns the next commit and its rows, which are within the limits of a transaction.
+// If a record cannot be encoded, it gives the ownership up and returns false.
+func (l *ownerLoop) prepare() (*batch.Commit, []rows.Put, bool) {
+	var puts []rows.Put
+	size := 0
+	c := l.scheduler.Prepare(l.limits.records, func(id ident.Job, record batch.Record) bool {
 		value, err := jobstore.Encode(record)
 		if err != nil {
 			l.candidate.opts.Logger.Error().Str("job", string(id)).Err(err).Msg("failed to encode job record; abandoning ownership")
 			l.ownershipLost = true
-			return nil, false
+			return false
+		}
+		if len(puts) > 0 && size+len(value) > l.limits.bytes {
+			l.candidate.opts.Count("commit_split")
+			return false
 		}
+		size += len(value)
 		puts = append(puts, rows.Put{Key: jobstore.StateKey(id), Value: value})
-	}
+		return true
+	})
 	slices.SortFunc(puts, func(a, b rows.Put) int { return strings.Compare(a.Key, b.Key) })
-	return puts, true
+	return c, puts, !l.ownershipLost
 }
 
 func (l *ownerLoop) handleCommitted(c *batch.Commit, err error, started time.Time) {
 	l.inFlight = nil
 	now := time.Now()
 	l.candidate.opts.Observe("commit", now.Sub(started))
-	if err != nil {
+	switch {
+	case errkind.Is(err, errkind.InvalidArgument) && len(c.Records) > 0:
+		l.handleRefused(c, err)
+		return
+	case err != nil:
 		l.candidate.opts.Logger.Warn().Err(err).Int("records", len(c.Records)).Msg("owner transaction failed")
 		l.ownershipLost = true
 		return
 	}
+	l.limits.grow()
 	l.logSlowCommit(c, now.Sub(started))
 	l.scheduler.Committed(c)
 	l.holdStarts(c, now)
@@ -426,11 +433,9 @@
 		return
 	}
 	l.giveUpHeldStarts(time.Now())
-	puts, ok := l.encodeRecords(l.scheduler.Prepare(maxCommitRecords))
-	if !ok {
-		return
+	if _, puts, ok := l.prepare(); ok {
+		l.commitRelease(l.ctx, puts)
 	}
-	l.commitRelease(l.ctx, puts)
 }
 
 // releaseUnchanged marks the ownership as released and writes nothing else.
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -143,7 +143,7 @@
 			b := newFlooded()
 			defer b.cancel()
 			b.conn.handleClosed(nil)
-			waiting := b.scheduler.Prepare(2 * count).Records
+			waiting := b.scheduler.Prepare(2*count, nil).Records
 			So(waiting, ShouldHaveLength, count-sendQueueSize)
 			for _, record := range waiting {
 				So(record.Tasks[0].Phase, ShouldEqual, batch.TaskWaiting)
--- a/control/batchowner/unsent_test.go
+++ b/control/batchowner/unsent_test.go
@@ -195,7 +195,7 @@
 			b.release()
 			So(b.sentOrders(), ShouldBeEmpty)
 			So(string(b.store.row.Value), ShouldContainSubstring, `"vacant":true`)
-			So(b.scheduler.Prepare(10).Records, ShouldBeEmpty)
+			So(b.scheduler.Prepare(10, nil).Records, ShouldBeEmpty)
 			So(b.store.puts[jobstore.StateKey("j1")], ShouldNotContainSubstring, `"p":1`)
 		})
 	})
--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -45,6 +45,9 @@
 // platform's store documents it.
 const MaxEntries = 100
 
+// MaxBytes is the largest size of a transaction in bytes, as the platform's store documents it.
+const MaxBytes = 1_000_000
+
 // Page is the result of a range read or a watch, consistent at one version.
 type Page struct {
 	Rows []Row
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -1,9 +1,9 @@
 package batch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -29,18 +29,43 @@
 // Starts returns how many starts the commit permits.
 func (c *Commit) Starts() int { return len(c.starts) }
 
-// Prepare returns a commit with at most limit changed records. A start is part of
-// the commit that holds its job's record. Ends are acknowledged only by a commit
-// that leaves no changed record behind.
-func (s *Scheduler) Prepare(limit int) *Commit {
+// markDirty records that a job's record has changed.
+func (s *Scheduler) markDirty(id ident.Job) {
+	if !s.isDirty(id) {
+		s.dirty[id] = s.commits
+	}
+}
+
+func (s *Scheduler) isDirty(id ident.Job) bool {
+	_, ok := s.dirty[id]
+	return ok
+}
+
+// dirtyJobs returns the jobs with a changed record, those that changed first first, so that
+// none waits for ever behind others.
+func (s *Scheduler) dirtyJobs() []ident.Job {
+	return slices.SortedFunc(maps.Keys(s.dirty), func(a, b ident.Job) int {
+		return cmp.Or(cmp.Compare(s.dirty[a], s.dirty[b]), cmp.Compare(a, b))
+	})
+}
+
+// Prepare returns a commit with at most limit changed records, and with none from the first
+// one on that accept refuses; without accept it takes all. A start is part of the commit that
+// holds its job's record. Ends are acknowledged only by a commit that leaves no changed record behind.
+func (s *Scheduler) Prepare(limit int, accept func(ident.Job, Record) bool) *Commit {
 	c := &Commit{Records: make(map[ident.Job]Record), acked: make(map[ident.Worker]ackedEnds)}
-	ids := slices.SortedFunc(maps.Keys(s.dirty), func(a, b ident.Job) int { return strings.Compare(string(a), string(b)) })
+	ids := s.dirtyJobs()
 	for _, id := range ids[:min(limit, len(ids))] {
 		s.handling = id
-		c.Records[id] = s.jobs[id].snapshot()
+		record := s.jobs[id].snapshot()
+		if accept != nil && !accept(id, record) {
+			break
+		}
+		c.Records[id] = record
 		delete(s.dirty, id)
 	}
 	s.handling = ""
+	s.commits++
 	c.starts = s.takeStarts(c.Records)
 	if len(s.dirty) > 0 {
 		return c
@@ -53,6 +78,15 @@
 	return c
 }
 
+// Abort takes back a commit that was not applied and never will be. Its records and starts
+// are part of the next ones.
+func (s *Scheduler) Abort(c *Commit) {
+	for id := range c.Records {
+		s.markDirty(id)
+	}
+	s.pendingStarts = append(slices.Clone(c.starts), s.pendingStarts...)
+}
+
 // takeStarts removes and returns the pending starts whose jobs are among the
 // records.
 func (s *Scheduler) takeStarts(records map[ident.Job]Record) []Order {
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -140,7 +140,7 @@
 	m.scheduler.Schedule(m.now)
 	m.scheduler.Tick(m.now)
 	stops := m.scheduler.TakeStops()
-	c := m.scheduler.Prepare(100)
+	c := m.scheduler.Prepare(100, nil)
 	if rapid.IntRange(0, 60).Draw(m.t, "crash before commit") == 0 {
 		m.takeover()
 		return
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -357,7 +357,7 @@
 		j.record.State = JobRunning
 	}
 	j.record.Started = true
-	p.scheduler.dirty[j.spec.ID] = true
+	p.scheduler.markDirty(j.spec.ID)
 	p.scheduler.pendingStarts = append(p.scheduler.pendingStarts, Order{
 		Kind: OrderStart, Worker: w.info.ID, Incarnation: w.info.Incarnation, Run: t.run(),
 		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: u.tickets[w.info.Incarnation.Upstream], Reason: ReasonPlaced,
--- a/sched/batch/release_test.go
+++ b/sched/batch/release_test.go
@@ -15,7 +15,7 @@
 		b.addWorker("w1", "r1")
 		b.submit(j)
 		b.scheduler.Schedule(b.now)
-		return b, b.scheduler.Prepare(100)
+		return b, b.scheduler.Prepare(100, nil)
 	}
 	Convey("A start names the time on the worker's clock until which it may be sent", t, func() {
 		b, c := newPrepared(testJob("j1", 1, testStep(1, 1)))
@@ -39,7 +39,7 @@
 		o := b.runCycle()[0]
 		b.acceptStarts()
 		b.report("w1", nil, endedRow(1, o, EndSucceeded))
-		b.scheduler.Committed(b.scheduler.Prepare(100))
+		b.scheduler.Committed(b.scheduler.Prepare(100, nil))
 		renewal, _ := b.scheduler.RenewalFor("w1")
 		So(renewal.Cursor, ShouldEqual, 1)
 	})
@@ -54,7 +54,7 @@
 		step := b.scheduler.TakeAdviceRequests()[0].Step
 		b.scheduler.Advised(step, []Ticket{{Worker: "u", Text: "first"}}, valid, b.now)
 		b.scheduler.Schedule(b.now)
-		c := b.scheduler.Prepare(100)
+		c := b.scheduler.Prepare(100, nil)
 		So(c.Starts(), ShouldEqual, 1)
 		Convey("before the release is planned again", func() {
 			b.advance(valid)
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -301,7 +301,7 @@
 		r.applyStop(o)
 	}
 	r.recordEvents(r.scheduler.TakeLogEvents())
-	r.commit = r.scheduler.Prepare(90)
+	r.commit = r.scheduler.Prepare(90, nil)
 }
 
 func (r *replay) recordEvents(events []LogEvent) {
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -70,7 +70,7 @@
 // anew.
 func (s *Scheduler) moveTo(t *task, incarnation Incarnation) {
 	t.Incarnation = incarnation
-	s.dirty[t.id.Job] = true
+	s.markDirty(t.id.Job)
 	t.confirmed, t.confirmedMs = false, 0
 	t.stop = stopState{}
 	if !t.recovered {
@@ -127,7 +127,7 @@
 	}
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
-		s.dirty[t.id.Job] = true
+		s.markDirty(t.id.Job)
 	}
 	if end.Kind != EndSucceeded || !s.gangHasRun(t, end.Run.Number) {
 		return
@@ -266,7 +266,7 @@
 		m.Checkpoint = ""
 	}
 	j := t.job
-	s.dirty[j.spec.ID] = true
+	s.markDirty(j.spec.ID)
 	if j.record.State.Final() {
 		return
 	}
@@ -328,7 +328,7 @@
 	s.clearRun(t)
 	t.Phase = TaskWaiting
 	t.waitingSince = now
-	s.dirty[t.id.Job] = true
+	s.markDirty(t.id.Job)
 	if !t.step().Gang {
 		return
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -167,9 +167,11 @@
 	// services holds the services that the configuration routes work to. Only their
 	// jobs are planned; if it is empty, the jobs of all services are.
 	services map[ident.Service]bool
-	// dirty holds the jobs whose records have changed since Prepare last included
-	// them in a commit.
-	dirty map[ident.Job]bool
+	// dirty holds the jobs whose records have changed since Prepare last included them in a
+	// commit, with the value of commits at the first change.
+	dirty map[ident.Job]int
+	// commits counts the calls of Prepare.
+	commits int
 	// pendingStarts are sent once the records that contain them are durable.
 	pendingStarts []Order
 	// pendingStops do not wait for a commit.
@@ -217,7 +219,7 @@
 		workers:               make(map[ident.Worker]*worker),
 		guarantees:            make(map[ident.Workspace]WorkspaceGuarantee),
 		services:              make(map[ident.Service]bool),
-		dirty:                 make(map[ident.Job]bool),
+		dirty:                 make(map[ident.Job]int),
 		durations:             make(map[string]*durationHistory),
 		earlierLeasesExpireAt: grantedUntil.Add(leaseExpiry(timing.MaxLease)),
 	}
@@ -338,7 +340,7 @@
 func (s *Scheduler) finishJob(j *job, state JobState, now time.Time) {
 	j.record.State = state
 	j.record.EndedMs = now.UnixMilli()
-	s.dirty[j.spec.ID] = true
+	s.markDirty(j.spec.ID)
 	s.logEvent(LogEvent{Event: "job " + string(state), Run: Run{Task: TaskID{Job: j.spec.ID}}})
 }
 
@@ -362,7 +364,7 @@
 		}
 		s.handling = id
 		ended := time.UnixMilli(j.record.EndedMs)
-		if j.record.State.Final() && !s.dirty[id] && !j.hasActive() && now.Sub(ended) > s.timing.Retention {
+		if j.record.State.Final() && !s.isDirty(id) && !j.hasActive() && now.Sub(ended) > s.timing.Retention {
 			removed = append(removed, id)
 			delete(s.jobs, id)
 		}
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -56,7 +56,7 @@
 	b.scheduler.Schedule(b.now)
 	b.scheduler.Tick(b.now)
 	b.stops = b.scheduler.TakeStops()
-	b.starts = b.commit(b.scheduler.Prepare(100))
+	b.starts = b.commit(b.scheduler.Prepare(100, nil))
 	return b.starts
 }
 
@@ -137,7 +137,7 @@
 		b.addWorker("w1", "r1")
 		b.submit(testJob("j1", 1, testStep(1, 1)))
 		b.scheduler.Schedule(b.now)
-		c := b.scheduler.Prepare(100)
+		c := b.scheduler.Prepare(100, nil)
 		So(c.Records["j1"].Tasks[0].Phase, ShouldEqual, TaskActive)
 		So(c.Records["j1"].Tasks[0].Run, ShouldEqual, 1)
 		orders := b.commit(c)
@@ -360,7 +360,7 @@
 		b.addWorker("w1", "r1")
 		b.submit(testJob("j1", 1, testStep(1, 1)))
 		b.scheduler.Schedule(b.now)
-		c := b.scheduler.Prepare(100)
+		c := b.scheduler.Prepare(100, nil)
 		b.scheduler.Cancel("j1", b.now)
 		So(b.commit(c), ShouldBeEmpty)
 		So(b.scheduler.jobs["j1"].tasks[0].Phase, ShouldEqual, TaskWaiting)
--- a/sched/batch/unanswered_test.go
+++ b/sched/batch/unanswered_test.go
@@ -71,7 +71,7 @@
 		b.addWorker("w1", "r1")
 		b.submit(testJob("j1", 1, testStep(1, 1)))
 		b.scheduler.Schedule(b.now)
-		b.scheduler.Committed(b.scheduler.Prepare(100))
+		b.scheduler.Committed(b.scheduler.Prepare(100, nil))
 		So(reportFor(b, 2*maxAnswerTime), ShouldBeEmpty)
 	})
 }
