Ask the placement advisor about all workers in turn

Callers saw a step that never starts, if the advisor allows few workers and one of them is lost (review, "advice", LOST).

Cause: a request names 30 workers at most, chosen by their free accelerators, so that the advisor was asked about the same idle workers each second and never about the others.

Change: after the workers that it has allowed, it is asked about those that it was not asked about for the longest time.

Test: TestAdvisorIsAskedAboutAllWorkers (31 and 300 workers, of which the last one is allowed) fails without the change.

--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,6 +35,8 @@
 	pending     bool
 	requestedAt time.Time
 	tickets     map[ident.Upstream]string
+	// askedAt is when the advisor was last asked about a worker.
+	askedAt map[ident.Upstream]time.Time
 	// validUntil is when the tickets expire.
 	validUntil time.Time
 }
@@ -85,7 +88,7 @@
 	id := u.stepID()
 	a := u.job.advice[id]
 	if a == nil {
-		a = &advice{}
+		a = &advice{askedAt: make(map[ident.Upstream]time.Time)}
 		if u.job.advice == nil {
 			u.job.advice = make(map[StepID]*advice)
 		}
@@ -102,25 +105,29 @@
 }
 
 // candidates returns the workers to ask about: first those that the advisor
-// allowed before, because that does not change, then those that will have the
-// most free accelerators once pending stops have ended.
+// allowed before, because that does not change, then those that it was not asked about for
+// the longest time, and among these those that will have the most free accelerators
+// once pending stops have ended.
 func (p *plan) candidates(u *unit, a *advice) []ident.Upstream {
 	workers := slices.DeleteFunc(slices.Clone(p.workers), func(c *workerCapacity) bool { return !p.suits(u, c) })
 	slices.SortStableFunc(workers, func(x, y *workerCapacity) int {
-		_, xAllowed := a.tickets[x.worker.info.Incarnation.Upstream]
-		_, yAllowed := a.tickets[y.worker.info.Incarnation.Upstream]
+		xID, yID := x.worker.info.Incarnation.Upstream, y.worker.info.Incarnation.Upstream
+		_, xAllowed := a.tickets[xID]
+		_, yAllowed := a.tickets[yID]
 		switch {
 		case xAllowed != yAllowed && xAllowed:
 			return -1
 		case xAllowed != yAllowed:
 			return 1
 		default:
-			return y.freeSoon.Accelerators - x.freeSoon.Accelerators
+			return cmp.Or(a.askedAt[xID].Compare(a.askedAt[yID]), y.freeSoon.Accelerators-x.freeSoon.Accelerators)
 		}
 	})
 	var out []ident.Upstream
 	for _, c := range workers[:min(len(workers), maxWorkersPerRequest)] {
-		out = append(out, c.worker.info.Incarnation.Upstream)
+		id := c.worker.info.Incarnation.Upstream
+		a.askedAt[id] = p.now
+		out = append(out, id)
 	}
 	return out
 }
