Spread a gang over racks if long-running tasks keep it from each

Cause: a gang waits for a rack that could hold it if all of its workers were idle, but long-running tasks never leave them.

Change: the capacity of long-running tasks that the gang may not preempt does not count for what a rack could hold.

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -91,9 +91,24 @@
 	return false
 }
 
+// lastingCapacity returns the capacity of the worker that long-running tasks do not keep
+// from the unit.
+func (p *plan) lastingCapacity(u *unit, c *workerCapacity) Resources {
+	capacity := c.worker.info.Capacity
+	for _, t := range c.worker.active {
+		if t.step().LongRunning && !t.stop.requested && (u.tier > tierNormal || !p.preemptible(u, t)) {
+			capacity = capacity.minus(t.step().demand())
+		}
+	}
+	return capacity
+}
+
 // idleCapacity returns how many tasks of the unit would fit on the worker if it were idle.
-func (u *unit) idleCapacity(c *workerCapacity) int {
-	n := fitCount(c.worker.info.Capacity, u.step.demand())
+func (u *unit) idleCapacity(c *workerCapacity) int { return u.fitWithin(c.worker.info.Capacity) }
+
+// fitWithin returns how many tasks of the unit fit on one worker within the capacity.
+func (u *unit) fitWithin(capacity Resources) int {
+	n := fitCount(capacity, u.step.demand())
 	if u.step.MaxPerWorker > 0 {
 		n = min(n, u.step.MaxPerWorker)
 	}
@@ -264,14 +279,14 @@
 	return racks
 }
 
-// rackCouldHold reports whether n members would fit on the workers of one rack if
-// these were idle.
+// rackCouldHold reports whether n members would fit on the workers of one rack once the
+// runs there have ended, but for long-running ones that the unit may not preempt.
 func (p *plan) rackCouldHold(u *unit, n int) bool {
 	for _, rack := range p.racks() {
 		total := 0
 		for _, c := range rack {
 			if p.eligible(u, c) {
-				total += u.idleCapacity(c)
+				total += u.fitWithin(p.lastingCapacity(u, c))
 			}
 		}
 		if total >= n {
