Take a read in pages to be as old as its oldest page

A read in pages took the version of its first page for all of them. If a later page were older, rows written in between would be removed from the replica, and the watch would start after them. The lowest version of a page counts now.

--- a/control/jobstore/follow.go
+++ b/control/jobstore/follow.go
@@ -85,13 +85,14 @@
 	rangeIndex int
 	next       string
 	rows       []rows.Row
-	// at is the version of the first page.
+	// at is the lowest version of a page, usually that of the first one. Of later rows the
+	// read proves nothing.
 	at rows.Version
 }
 
 // readAll reads all rows, and goes on after a failure with the page that is missing.
-// Changes made during the read arrive through the watch, which starts at the version of
-// the first page.
+// Changes made during the read arrive through the watch, which starts at the lowest version
+// of a page.
 func (f *follower) readAll(ctx context.Context) error {
 	for f.read.rangeIndex < len(readOrder) {
 		if err := f.readPage(ctx, &f.read); err != nil {
@@ -112,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	if r.at == 0 {
+	if r.at == 0 || page.At < r.at {
 		r.at = page.At
 	}
 	f.replica.Apply(page.Rows)
