Accept a worker that was restarted after its clock had been set back

Cause: incarnations are ordered by the time of their start. The last one seems to have started before its predecessor, and the agent and each owner ignored it as late news of a former one.

Change: the agent accepts an announcement of a seemingly earlier incarnation once the announced one has certainly ended: its address refuses connections, or another process responds there. The announcement and the row name the superseded incarnation, by which owners accept it and ignore late news of the other one.

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -42,6 +42,9 @@
 
 	mu           sync.Mutex
 	announcement batchapi.Announcement
+	// gone reports that the announced process does not run any more. Then the next announcement
+	// counts even if its process seems to have started earlier.
+	gone bool
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// epoch is the newest epoch of an owner that has attached.
@@ -64,16 +67,23 @@
 }
 
 // Announce records an announcement of the upstream process. It ignores
-// announcements of an earlier incarnation and those that arrive out of order.
+// announcements that arrive out of order, and those of an earlier incarnation unless the
+// current one has certainly ended.
 func (r *Runner) Announce(a batchapi.Announcement) {
 	a.Info.ID = r.opts.ID
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sameIncarnation := a.Incarnation == r.announcement.Incarnation
-	if a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs || sameIncarnation && a.Sequence <= r.sequence {
+	earlier := a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs
+	if earlier && !r.gone || sameIncarnation && a.Sequence <= r.sequence {
 		r.opts.Count("announcement_stale")
 		return
 	}
+	if earlier {
+		r.opts.Count("announcement_clock_back")
+	}
+	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
+	r.gone = false
 	changed := !sameIncarnation || a.Info.Draining != r.announcement.Info.Draining || r.announcement.Info.Ended
 	r.announcement, r.sequence = a, a.Sequence
 	if !changed {
@@ -89,6 +99,19 @@
 	}
 }
 
+// superseded returns the incarnation that seems to be the latest, if it preceded next but
+// seems to have started after it.
+func superseded(next batch.Incarnation, former batch.WorkerInfo) batch.Incarnation {
+	latest := former.Supersedes
+	if former.Incarnation.StartedMs > latest.StartedMs {
+		latest = former.Incarnation
+	}
+	if latest.StartedMs <= next.StartedMs {
+		return batch.Incarnation{}
+	}
+	return latest
+}
+
 // Leave records that the upstream process is about to end.
 func (r *Runner) Leave(upstream ident.Upstream) {
 	r.mu.Lock()
@@ -103,6 +126,15 @@
 	}
 }
 
+// markReplaced records that another process responds at the address of an incarnation.
+func (r *Runner) markReplaced(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.announcement.Incarnation == incarnation {
+		r.gone = true
+	}
+}
+
 // markEnded records that an incarnation of the upstream process has ended. A
 // later announcement of the same incarnation revokes that.
 func (r *Runner) markEnded(incarnation batch.Incarnation) {
@@ -114,7 +146,7 @@
 	r.opts.Count("upstream_ended")
 	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
 		Int("refusals", refusalsUntilEnded).Msg("upstream process has ended: its address refuses connections")
-	r.announcement.Info.Ended = true
+	r.announcement.Info.Ended, r.gone = true, true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
 	}
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -192,6 +192,9 @@
 	}
 	s.runner.opts.Count("hold_failed")
 	s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
+	if errkind.Is(err, errkind.StaleIncarnation) {
+		s.runner.markReplaced(incarnation)
+	}
 	if !errkind.Is(err, errkind.Unreachable) {
 		refusals = 0
 	} else if refusals++; refusals >= refusalsUntilEnded {
--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -116,6 +116,56 @@
 	})
 }
 
+// Guards against a worker that is ignored for good, or that goes back to a process that has
+// ended, because the time of day of its machine was set back between two restarts.
+func TestIncarnationMaySeemEarlierThanItsPredecessor(t *testing.T) {
+	newSuperseded := func() (*testbed, WorkerInfo, []Order) {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		former := b.scheduler.workers["w1"].info
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		starts := b.runCycle()
+		b.acceptStarts()
+		b.report("w1", []RunningTask{runningRow(starts[0], 1)}, nil)
+		next := former
+		next.Incarnation, next.Supersedes = testIncarnation(0), former.Incarnation
+		b.scheduler.Announced(next, b.now)
+		return b, former, starts
+	}
+	Convey("It replaces the incarnation that it supersedes, whose runs have ended", t, func() {
+		b, _, starts := newSuperseded()
+		w := b.scheduler.workers["w1"]
+		So(w.info.Incarnation, ShouldResemble, testIncarnation(0))
+		b.scheduler.Reported("w1", Report{Incarnation: testIncarnation(0), ClockMs: 1}, b.now)
+		b.scheduler.RenewalFor("w1")
+		again := b.runCycle()
+		So(again, ShouldHaveLength, 1)
+		So(again[0].Run.Number, ShouldEqual, starts[0].Run.Number+1)
+		So(again[0].Incarnation, ShouldResemble, testIncarnation(0))
+	})
+	Convey("What is heard late of the superseded one changes nothing", t, func() {
+		b, former, _ := newSuperseded()
+		b.scheduler.Registered(former, b.now)
+		b.scheduler.Announced(former, b.now)
+		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(0))
+	})
+	Convey("A later one replaces both", t, func() {
+		b, former, _ := newSuperseded()
+		later := former
+		later.Incarnation = testIncarnation(2)
+		b.scheduler.Announced(later, b.now)
+		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(2))
+	})
+	Convey("One that supersedes another incarnation than the known one is ignored", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		info := b.scheduler.workers["w1"].info
+		info.Incarnation, info.Supersedes = testIncarnation(0), testIncarnation(7)
+		b.scheduler.Announced(info, b.now)
+		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(1))
+	})
+}
+
 // Guards against a panic whose job is not known, so that it comes again under each owner.
 func TestHandlingNamesJobThatPanics(t *testing.T) {
 	Convey("After a panic the scheduler names the job", t, func() {
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -16,10 +16,11 @@
 	}
 }
 
-// Announced applies the information that an agent gives about its worker.
+// Announced applies the information that an agent gives about its worker. It ignores an
+// earlier incarnation than the known one.
 func (s *Scheduler) Announced(info WorkerInfo, now time.Time) {
 	w := s.ensureWorker(info.ID)
-	if info.Incarnation.StartedMs < w.info.Incarnation.StartedMs {
+	if w.info.replaces(info) {
 		return
 	}
 	if w.info.Incarnation != info.Incarnation {
@@ -32,6 +33,15 @@
 	}
 }
 
+// replaces reports whether this information is about a later incarnation than other.
+func (i WorkerInfo) replaces(other WorkerInfo) bool {
+	switch i.Incarnation {
+	case other.Incarnation, other.Supersedes:
+		return false
+	}
+	return i.Supersedes == other.Incarnation && i.Supersedes != Incarnation{} || other.Incarnation.StartedMs < i.Incarnation.StartedMs
+}
+
 // Registered applies a worker's durable row, which tells how an incarnation began. What
 // its agent has said about that incarnation since then is newer, for example that it is
 // draining or has ended.
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -25,6 +25,9 @@
 	// Ended reports that the upstream process of this incarnation has ended, and
 	// with it everything that it ran.
 	Ended bool `json:"en,omitempty"`
+	// Supersedes is the incarnation that this one has replaced, if that one seems to have
+	// started later, because the time of day of the machine was set back in between.
+	Supersedes Incarnation `json:"sp,omitzero"`
 }
 
 // RunningTask is an entry of a worker's report about a run in progress.
