Count the failures of a gang's run once across owners

Which run of a gang had failed last was known to one owner only. If the members report their failures on either side of a change of the owner, one run cost two attempts, and the job could fail early.

The number of the run is part of the record of the gang's first task.

Test: TestFailedGangCountsOnceAcrossOwners fails without it (3 attempts counted).

--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -166,6 +166,43 @@
 	})
 }
 
+// Guards against a gang that loses two attempts by one run, because its members report their
+// failures to different owners.
+func TestFailedGangCountsOnceAcrossOwners(t *testing.T) {
+	Convey("The failures of a run count as one attempt", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		step := testStep(3, 1)
+		step.Gang = true
+		j := testJob("g1", 1, step)
+		j.MaxAttempts = 3
+		b.submit(j)
+		starts := b.runCycle()
+		So(starts, ShouldHaveLength, 3)
+		b.acceptStarts()
+		b.report("w1", []RunningTask{runningRow(starts[1], 1), runningRow(starts[2], 1)}, endedRow(1, starts[0], EndFailed))
+		record := b.scheduler.Prepare(100, nil).Records["g1"]
+		info := b.scheduler.workers["w1"].info
+
+		b.scheduler = New(testTiming, b.now)
+		b.scheduler.Load(j, record, false, b.now)
+		b.scheduler.Attached("w1", true)
+		b.scheduler.Announced(info, b.now)
+		b.report("w1", nil, []EndedTask{{Number: 1, Run: starts[0].Run, Kind: EndFailed}, {Number: 2, Run: starts[1].Run, Kind: EndFailed}, {Number: 3, Run: starts[2].Run, Kind: EndFailed}})
+		for _, task := range b.scheduler.jobs["g1"].tasks {
+			So(task.Failures, ShouldEqual, 1)
+		}
+		b.advance(suspectTime)
+		b.report("w1", nil, nil)
+		again := b.runCycle()
+		So(again, ShouldHaveLength, 3)
+		b.acceptStarts()
+		b.advance(4 * time.Second)
+		b.report("w1", nil, []EndedTask{{Number: 4, Run: again[1].Run, Kind: EndFailed}, {Number: 5, Run: again[0].Run, Kind: EndGangBroken}, {Number: 6, Run: again[2].Run, Kind: EndGangBroken}})
+		So(b.scheduler.jobs["g1"].tasks[0].Failures, ShouldEqual, 2)
+	})
+}
+
 // Guards against a panic whose job is not known, so that it comes again under each owner.
 func TestHandlingNamesJobThatPanics(t *testing.T) {
 	Convey("After a panic the scheduler names the job", t, func() {
--- a/sched/batch/job.go
+++ b/sched/batch/job.go
@@ -206,6 +206,9 @@
 	Incarnation Incarnation  `json:"l,omitzero"`
 	// Failures counts the runs that failed.
 	Failures int `json:"f,omitempty"`
+	// FailedRun is the number of the latest failed run of the gang whose first task this is, so
+	// that several failed members of one run count as one failure.
+	FailedRun int `json:"fr,omitempty"`
 	// Checkpoint is the latest known checkpoint, or empty.
 	Checkpoint string `json:"k,omitempty"`
 }
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -315,13 +315,15 @@
 // job if the task has no attempts left. Long-running tasks do not count failures.
 func (s *Scheduler) failTask(t *task, now time.Time) {
 	j := t.job
-	run, first := t.Run, t.position-t.id.Index
-	counted := !t.step().Gang || j.lastFailedRun[first] != run
+	run, first := t.Run, &j.tasks[t.position-t.id.Index]
+	counted := !t.step().Gang || first.FailedRun != run
 	s.requeue(t, now)
 	if t.step().LongRunning || !counted {
 		return
 	}
-	j.lastFailedRun[first] = run
+	if t.step().Gang {
+		first.FailedRun = run
+	}
 	for _, m := range s.members(t) {
 		m.Failures++
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -82,10 +82,6 @@
 	canceled bool
 	// loadedAt is when this owner took the job over or first heard of it.
 	loadedAt time.Time
-	// lastFailedRun holds the number of the latest failed run of each gang, by the
-	// position of its first task, so that several failed members of one run count
-	// as one failure.
-	lastFailedRun map[int]int
 	// advice holds the placement advisor's answers by occurrence and step.
 	advice map[StepID]*advice
 	// waits holds the steps that have waited for a worker.
@@ -254,7 +250,7 @@
 }
 
 func (s *Scheduler) load(spec *Job, record Record, canceled bool, now time.Time) {
-	j := &job{spec: spec, record: record, canceled: canceled, loadedAt: now, lastFailedRun: make(map[int]int)}
+	j := &job{spec: spec, record: record, canceled: canceled, loadedAt: now}
 	s.jobs[spec.ID] = j
 	s.needsPlan = true
 	if j.record.State == "" {
