Do nothing more in a cycle in which the ownership was lost

Found by reading the change: held starts are sent after the queued events, one of which may say that the ownership is lost or released. The cycle went on, decided and began another transaction under the old epoch.

The starts stay unsent, which the next owner finds out by the first report, and the cycle ends. A case of TestHeldStartsAreSentOrGivenUp fails without it.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -212,6 +212,9 @@
 		conn.flush()
 	}
 	l.sendHeldStarts()
+	if l.ownershipLost {
+		return
+	}
 	now := time.Now()
 	l.configure()
 	l.scheduler.Tick(now)
--- a/control/batchowner/unsent.go
+++ b/control/batchowner/unsent.go
@@ -60,6 +60,9 @@
 	}
 	complete := l.candidate.opts.Replica.NewsCompleteTo()
 	l.drainEvents() // The changes up to that version are among them.
+	if l.ownershipLost {
+		return // The next owner finds out that they were not sent.
+	}
 	now := time.Now()
 	held := l.unsent
 	l.unsent = nil
--- a/control/batchowner/unsent_test.go
+++ b/control/batchowner/unsent_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
@@ -187,6 +188,21 @@
 			So(orders, ShouldHaveLength, 1)
 			So(orders[0].Run.Number, ShouldEqual, 2)
 		})
+		Convey("They are not sent once the ownership is lost, nor is anything else decided", t, func() {
+			b := newFollowingLoopbed()
+			defer b.cancel()
+			b.hear(jobRow("j1", oneTask))
+			b.commitUnseen(func() {})
+			b.advance()
+			b.ownerLoop.events <- func() { b.handleCommitted(&batch.Commit{}, errkind.New(errkind.StaleEpoch, "taken over"), time.Now()) }
+			calls := b.store.calls
+			b.runCycle()
+			b.hear(jobRow("j2", oneTask))
+			b.runCycle()
+			So(b.sentOrders(), ShouldBeEmpty)
+			So(b.inFlight, ShouldBeNil)
+			So(b.store.calls, ShouldEqual, calls)
+		})
 		Convey("An owner that shuts down records them as not started", t, func() {
 			b := newFollowingLoopbed()
 			defer b.cancel()
