Let a last attempt wait for the only worker to recover

A last attempt is not used to find out whether a worker on probation works, even if there is no other; it waits for 5 s at most, as for room on other workers.

Test: a case of TestLastAttemptsAvoidFaultsForLimitedTime fails without the change.

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -42,7 +42,13 @@
 	if u.step.BestEffort && p.now.Before(c.worker.noBestEffortUntil) {
 		return false
 	}
-	return !p.avoids(u, c) || !p.hasAlternative(u)
+	return !p.avoids(u, c) || !p.hasAlternative(u) && !p.savesLastAttempt(u, c)
+}
+
+// savesLastAttempt reports whether the unit's last attempt should not be the one that shows
+// whether a worker on probation works, even if there is no other.
+func (p *plan) savesLastAttempt(u *unit, c *workerCapacity) bool {
+	return c.probation && u.lastAttempt && p.now.Sub(u.lastAttemptSince) < maxLastAttemptWait
 }
 
 // meetsRequirements reports whether the worker belongs to the job's service and has the
@@ -52,7 +58,7 @@
 }
 
 // maxLastAttemptWait is how long a last attempt waits for capacity on a worker without a
-// recent fault.
+// recent fault, or for the only worker to recover.
 const maxLastAttemptWait = 5 * time.Second
 
 // avoids reports whether the unit should run on other workers because of the faults of
