--- a/control/jobstore/follow_test.go
+++ b/control/jobstore/follow_test.go
@@ -128,7 +128,10 @@
 			synctest.Wait()
 			So(replica.Ready(), ShouldBeFalse)
 			So(replica.NewsCompleteTo(), ShouldEqual, rows.Version(5))
-			So(replica.completeTo, ShouldEqual, rows.Version(0))
+			replica.mu.Lock()
+			completeTo := replica.completeTo
+			replica.mu.Unlock()
+			So(completeTo, ShouldEqual, rows.Version(0))
 			<-replica.Advanced()
 			cancel()
 			<-done
