--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -83,7 +83,8 @@
 	freeSince time.Time
 	guard     panicguard.Guard
 	// setAside holds the jobs whose handling has panicked in this process, or whose record
-	// the store refuses, as long as the store holds them. It does not schedule them again: the next owner or a restart may.
+	// the store refuses, as long as the store holds them. It does not schedule them again:
+	// the next owner or a restart may.
 	setAside map[ident.Job]bool
 	// backoffUntil is until when this entry leaves the ownership to others.
 	backoffUntil time.Time
@@ -121,7 +122,7 @@
 		return
 	}
 	if job := loop.scheduler.Handling(); job != "" {
-		c.setJobAside(job, loop.epoch)
+		c.setJobAside(job, loop.epoch, "panic")
 	} else {
 		c.opts.Logger.Error().Uint64("epoch", uint64(loop.epoch)).Msg("ownership is left to others after a panic of no known job")
 		c.backoffUntil = time.Now().Add(panicBackoff)
@@ -131,8 +132,8 @@
 }
 
 // setJobAside leaves a job out of the ownerships of this entry from now on.
-func (c *Candidate) setJobAside(id ident.Job, epoch ident.Epoch) {
-	c.opts.Logger.Error().Str("job", string(id)).Uint64("epoch", uint64(epoch)).Msg("job is set aside")
+func (c *Candidate) setJobAside(id ident.Job, epoch ident.Epoch, reason string) {
+	c.opts.Logger.Error().Str("job", string(id)).Uint64("epoch", uint64(epoch)).Str("reason", reason).Msg("job is set aside")
 	c.opts.Count("job_set_aside")
 	c.setAside[id] = true
 }
--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -88,17 +88,12 @@
 	}
 	for start := w.clock(); ; {
 		sentAt := w.clock()
-		version, err := w.store.Commit(ctx, txn(value))
-		answered := version
-		if err != nil {
-			answered = 0
-		}
-		broken := errkind.Is(err, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
-		unavailable := broken || errkind.Is(err, errkind.StoreUnavailable)
-		failure := err
-		applied, err := w.interpretResult(version, err, value)
+		version, failure := w.store.Commit(ctx, txn(value))
+		broken := errkind.Is(failure, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
+		unavailable := broken || errkind.Is(failure, errkind.StoreUnavailable)
+		applied, err := w.interpretResult(version, failure, value)
 		if applied {
-			w.owner, w.lastWritten, w.answeredVersion = next, value, answered
+			w.owner, w.lastWritten, w.answeredVersion = next, value, version
 			w.lastRenewalNs.Store(int64(sentAt))
 			w.releasing.Store(false)
 			return nil
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -46,7 +46,7 @@
 		return
 	}
 	for id := range c.Records {
-		l.candidate.setJobAside(id, l.epoch)
+		l.candidate.setJobAside(id, l.epoch, "record refused by the store")
 	}
 	l.candidate.opts.Replica.Unwatch()
 	l.releaseUnchanged()
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -145,8 +145,11 @@
 // expired reports whether a start must not be sent any more. It may have been delayed on the
 // way, or by a pause of this process, and its job may have been cancelled since.
 func (s *session) expired(o batch.Order) bool {
+	if o.StartByMs == 0 {
+		return false
+	}
 	clock, ok := s.runner.workerClock(o.Incarnation)
-	return o.StartByMs > 0 && ok && clock >= o.StartByMs
+	return ok && clock >= o.StartByMs
 }
 
 // expire returns the result of an order that is not sent again.
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -32,6 +32,7 @@
 	Logger  *log.Logger
 	// Count is called for each counted event.
 	Count func(event string)
+	// Clock includes the time in which the machine was suspended.
 	Clock boottime.Clock
 }
 
--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -132,7 +132,8 @@
 	return out
 }
 
-func (u *unit) stepID() StepID {
-	id := u.tasks[0].id
-	return StepID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step}
+func (u *unit) stepID() StepID { return u.tasks[0].stepID() }
+
+func (t *task) stepID() StepID {
+	return StepID{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step}
 }
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -166,7 +166,7 @@
 	if !t.job.spec.NeedsAdvice {
 		return true
 	}
-	a := t.job.advice[StepID{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step}]
+	a := t.job.advice[t.stepID()]
 	if a == nil || !now.Before(a.validUntil) {
 		return false
 	}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -48,7 +48,13 @@
 // savesLastAttempt reports whether the unit's last attempt should not be the one that shows
 // whether a worker on probation works, even if there is no other.
 func (p *plan) savesLastAttempt(u *unit, c *workerCapacity) bool {
-	return c.probation && u.lastAttempt && p.now.Sub(u.lastAttemptSince) < maxLastAttemptWait
+	return c.probation && p.mayWaitForLastAttempt(u)
+}
+
+// mayWaitForLastAttempt reports whether the unit has a last attempt that has not waited for
+// maxLastAttemptWait.
+func (p *plan) mayWaitForLastAttempt(u *unit) bool {
+	return u.lastAttempt && p.now.Sub(u.lastAttemptSince) < maxLastAttemptWait
 }
 
 // meetsRequirements reports whether the worker belongs to the job's service and has the
@@ -68,26 +74,26 @@
 	if c.probation && (u.step.Gang || u.tier < tierBulk) {
 		return true
 	}
-	return u.lastAttempt && c.worker.hasRecentFault(p.now) && p.now.Sub(u.lastAttemptSince) < maxLastAttemptWait
+	return c.worker.hasRecentFault(p.now) && p.mayWaitForLastAttempt(u)
 }
 
 // hasAlternative reports whether the workers that the unit does not avoid could hold it if
 // they were idle. A gang needs them for all members, other units for one task at a time.
 func (p *plan) hasAlternative(u *unit) bool {
 	if u.alternative == nil {
-		found := p.couldHold(u, func(c *workerCapacity) bool { return !p.avoids(u, c) })
+		found := p.othersCouldHold(u)
 		u.alternative = &found
 	}
 	return *u.alternative
 }
 
-func (p *plan) couldHold(u *unit, accept func(*workerCapacity) bool) bool {
+func (p *plan) othersCouldHold(u *unit) bool {
 	need := 1
 	if u.step.Gang {
 		need = len(u.tasks)
 	}
 	for _, c := range p.workers {
-		if u.hasTicket(c) && u.meetsRequirements(c) && accept(c) {
+		if u.hasTicket(c) && u.meetsRequirements(c) && !p.avoids(u, c) {
 			need -= u.idleCapacity(c)
 		}
 		if need <= 0 {
