Report runs that are still listed after they were taken as ended

The agent withdraws `upstream process has ended` in silence.

Each conclusion now carries its evidence. A report that contradicts it logs `run that was taken as ended is still running` with the evidence, and counts `run_end_contradicted_EVIDENCE`; the agent logs and counts a process that announces itself after it was taken as ended. `upstream announced` names the machine, by which two lives of one machine are told from two machines.

No decision changes.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -410,6 +410,9 @@
 		if event.WaitedMs > 0 {
 			l.candidate.opts.Count("wait_" + event.Reason)
 		}
+		if event.Event == batch.EventContradicted {
+			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
+		}
 		l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
 			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
 			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -85,13 +85,17 @@
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.gone = false
+	if sameIncarnation && r.announcement.Info.Ended {
+		r.opts.Count("upstream_end_contradicted")
+		r.opts.Logger.Warn().Str("upstream", string(a.Incarnation.Upstream)).Msg("upstream process that was taken as ended announces itself again")
+	}
 	changed := !sameIncarnation || a.Info.Draining != r.announcement.Info.Draining || r.announcement.Info.Ended
 	r.announcement, r.sequence = a, a.Sequence
 	if !changed {
 		return
 	}
 	r.opts.Logger.Info().Str("upstream", string(a.Incarnation.Upstream)).Int64("born_ms", a.Incarnation.StartedMs).
-		Bool("draining", a.Info.Draining).Int64("sequence", a.Sequence).Msg("upstream announced")
+		Str("machine", a.Info.Machine).Bool("draining", a.Info.Draining).Int64("sequence", a.Sequence).Msg("upstream announced")
 	if !sameIncarnation {
 		notify(r.publishWakeup)
 	}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		s.logRun("run ended with its worker's incarnation", t, now)
-		s.requeue(t, now)
+		s.conclude(t, EvidenceReplaced, now)
 	}
 }
 
@@ -92,7 +92,7 @@
 func (s *Scheduler) endProcessRuns(w *worker, now time.Time) {
 	for _, t := range w.active {
 		s.logRun("run ended with its worker's process", t, now)
-		s.requeue(t, now)
+		s.conclude(t, EvidenceProcessEnded, now)
 	}
 }
 
@@ -183,7 +183,7 @@
 			continue
 		}
 		s.logRun("run is missing from the report of its worker", t, now)
-		s.requeue(t, now)
+		s.conclude(t, EvidenceNotListed, now)
 	}
 }
 
@@ -238,6 +238,7 @@
 		return
 	}
 	w.orphans[r] = now
+	s.reportContradiction(w, r)
 	s.pendingStops = append(s.pendingStops, Order{Kind: OrderStop, Worker: w.info.ID, Incarnation: w.info.Incarnation, Run: r, Reason: ReasonOrphan})
 }
 
@@ -416,7 +417,7 @@
 		if kind == AnswerRejected {
 			w.recordFault(now, 1)
 		}
-		s.requeue(t, now)
+		s.conclude(t, EvidenceRejected, now)
 	case AnswerUnknown:
 		s.startUnanswered(w, t, clockMs, now)
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -53,6 +53,8 @@
 	// target, or zero.
 	overTargetSince time.Time
 	stop            stopState
+	// concluded is the latest run that was taken as ended without a report of its end.
+	concluded conclusion
 }
 
 // stopState tracks the stop of a run until the run has certainly ended.
