Do not take refused connections as the end of a process

Cause: an agent took three refused connections, 0.1 s apart, as proof that the process beside it had ended, and the owner gave up all its runs. A port that is out of reach for 0.3 s says nothing about the process; its next heartbeat revoked the conclusion, too late. Class of fault: an observation that is no proof starts work again.

Change: a process that refuses connections is unreachable. It gets no new work, its runs keep their lease, and the agent goes on asking for a report, which brings it back without waiting for a heartbeat. Refusals still prove the end of a process that had announced that it drains and has deregistered.

The model test let agents report only true ends, so that it could not find the fault. It now cuts agents off from processes that run; with the former conclusion it fails. TestRefusedConnectionsEndIncarnation stated the fault as a guarantee; TestRefusedConnectionsProveNoEnd replaces it, with the same times.

The work of a process that dies without a word and does not come back now waits for its lease.

--- a/control/runner/clockback_test.go
+++ b/control/runner/clockback_test.go
@@ -44,7 +44,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan struct{})
 				go func() { s.renewLoop(ctx); close(done) }()
-				time.Sleep(refusalsUntilEnded * renewRetryDelay)
+				time.Sleep(refusalsUntilUnreachable * renewRetryDelay)
 				cancel()
 				<-done
 				r.Announce(announcement(3, 2, false))
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -43,9 +43,12 @@
 
 	mu           sync.Mutex
 	announcement batchapi.Announcement
-	// gone reports that the announced process does not run any more. Then the next announcement
-	// counts even if its process seems to have started earlier.
+	// gone reports that the announced process does not respond any more. Then the next
+	// announcement counts even if its process seems to have started earlier.
 	gone bool
+	// leaving reports that the announced process has deregistered, after it had announced that
+	// it drains.
+	leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// epoch is the newest epoch of an owner that has attached.
@@ -85,9 +88,11 @@
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.gone = false
-	if sameIncarnation && r.announcement.Info.Ended {
-		r.opts.Count("upstream_end_contradicted")
-		r.opts.Logger.Warn().Str("upstream", string(a.Incarnation.Upstream)).Msg("upstream process that was taken as ended announces itself again")
+	if sameIncarnation {
+		r.noteContradiction()
+		a.Info.Unreachable = r.announcement.Info.Unreachable
+	} else {
+		r.leaving = false
 	}
 	changed := !sameIncarnation || a.Info.Draining != r.announcement.Info.Draining || r.announcement.Info.Ended
 	r.announcement, r.sequence = a, a.Sequence
@@ -125,6 +130,9 @@
 		return
 	}
 	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
+	// A process under the same id may have been restarted since it deregistered. It has not
+	// announced that it drains.
+	r.leaving = r.announcement.Info.Draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
@@ -140,21 +148,56 @@
 	}
 }
 
-// markEnded records that an incarnation of the upstream process has ended. A
-// later announcement of the same incarnation revokes that.
-func (r *Runner) markEnded(incarnation batch.Incarnation) {
+// markUnreachable records that an incarnation of the upstream process refuses connections.
+// If it had deregistered, it has ended; otherwise it may run on, out of reach.
+func (r *Runner) markUnreachable(incarnation batch.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.announcement.Incarnation != incarnation || r.announcement.Info.Ended {
+	info := &r.announcement.Info
+	if r.announcement.Incarnation != incarnation || info.Ended || info.Unreachable {
 		return
 	}
-	r.opts.Count("upstream_ended")
-	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
-		Int("refusals", refusalsUntilEnded).Msg("upstream process has ended: its address refuses connections")
-	r.announcement.Info.Ended, r.gone = true, true
+	line := r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
+		Int("refusals", refusalsUntilUnreachable)
+	if r.leaving {
+		info.Ended = true
+		r.opts.Count("upstream_ended")
+		line.Msg("upstream process has ended: it was leaving, and its address refuses connections")
+	} else {
+		info.Unreachable = true
+		r.opts.Count("upstream_unreachable")
+		line.Msg("upstream process is out of reach: its address refuses connections")
+	}
+	r.gone = true
 	if r.session != nil {
-		r.session.sendWorker(r.announcement.Info)
+		r.session.sendWorker(*info)
+	}
+}
+
+// markReachable records that an incarnation of the upstream process has sent a report.
+func (r *Runner) markReachable(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	info := &r.announcement.Info
+	if r.announcement.Incarnation != incarnation || !info.Unreachable {
+		return
+	}
+	info.Unreachable, r.gone = false, false
+	r.opts.Logger.Info().Str("upstream", string(incarnation.Upstream)).Msg("upstream process is within reach again")
+	if r.session != nil {
+		r.session.sendWorker(*info)
+	}
+}
+
+// noteContradiction reports that the announced process, which was taken as ended, announces
+// itself again. The caller holds r.mu.
+func (r *Runner) noteContradiction() {
+	if !r.announcement.Info.Ended {
+		return
 	}
+	r.opts.Count("upstream_end_contradicted")
+	r.opts.Logger.Warn().Str("upstream", string(r.announcement.Incarnation.Upstream)).
+		Msg("upstream process that was taken as ended announces itself again")
 }
 
 // notify signals a channel with a buffer of one without blocking.
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -352,14 +353,24 @@
 	})
 }
 
-// deadTasks refuses every connection after the first reports.
-type deadTasks struct {
+// refusingTasks refuses connections after the first report, until it is open again.
+type refusingTasks struct {
 	batchapi.Tasks
+	secondErr error
+
+	mu                sync.Mutex
 	reports, refusals int
-	secondErr         error
 }
 
-func (d *deadTasks) Renew(_ context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+func (d *refusingTasks) open() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports = 1
+}
+
+func (d *refusingTasks) Renew(_ context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.reports > 0 {
 		d.reports--
 		return batch.Report{Incarnation: r.Incarnation}, nil
@@ -371,36 +382,71 @@
 	return batch.Report{}, errkind.New(errkind.Unreachable, "connection refused")
 }
 
-// Guards against a process that is declared ended because one connection
-// failed, and against an ended process that is not detected.
-func TestRefusedConnectionsEndIncarnation(t *testing.T) {
+// nextWorkerInfo returns the next worker info that the session sends.
+func nextWorkerInfo(s *session) string {
+	for {
+		if info := (<-s.outbound).GetWorker(); info != nil {
+			return string(info.GetInfo())
+		}
+	}
+}
+
+// Guards against runs that are started again elsewhere because the port of their process, which
+// works on, refuses connections for a while, and against new work for such a process.
+func TestRefusedConnectionsProveNoEnd(t *testing.T) {
 	for _, c := range []struct {
 		secondErr error
 		after     time.Duration
+		leaving   bool
+		want      string
 	}{
-		{nil, 2 * renewRetryDelay},
-		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay},
+		{nil, 2 * renewRetryDelay, false, `"un":true`},
+		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, false, `"un":true`},
+		{nil, 2 * renewRetryDelay, true, `"lv":true`},
+		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, true, `"lv":true`},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			Convey("Only consecutive refusals end the incarnation", t, func() {
+			Convey("Consecutive refusals prove the end of a process only if it was leaving", t, func() {
 				r := newRunner(&rowWriter{}, func(string) {})
-				r.opts.Tasks = &deadTasks{reports: 1, secondErr: c.secondErr}
-				r.Announce(announcement(5, 1, false))
+				tasks := &refusingTasks{reports: 1, secondErr: c.secondErr}
+				r.opts.Tasks = tasks
+				r.Announce(announcement(5, 1, c.leaving))
+				r.Leave("other")
+				if c.leaving {
+					r.Leave("u")
+				}
 				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 10), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
 				r.session = s
 				ctx, cancel := context.WithCancel(context.Background())
 				done := make(chan struct{})
 				start := time.Now()
 				go func() { s.renewLoop(ctx); close(done) }()
-				<-s.outbound
-				message := <-s.outbound
-				So(string(message.GetWorker().GetInfo()), ShouldContainSubstring, `"en":true`)
+				defer func() { cancel(); <-done }()
+				info := nextWorkerInfo(s)
+				So(info, ShouldContainSubstring, c.want)
 				So(time.Since(start), ShouldEqual, c.after)
-				r.Announce(announcement(5, 2, false))
-				So(r.currentAnnouncement().Info.Ended, ShouldBeFalse)
-				cancel()
-				<-done
+				So(r.currentAnnouncement().Info.Ended, ShouldEqual, c.leaving)
+				if c.leaving {
+					r.Announce(announcement(5, 2, false))
+					So(r.currentAnnouncement().Info.Ended, ShouldBeFalse)
+					return
+				}
+				Convey("Its heartbeats do not bring it within reach, a report does", func() {
+					r.Announce(announcement(5, 2, false))
+					So(r.currentAnnouncement().Info.Unreachable, ShouldBeTrue)
+					tasks.open()
+					So(nextWorkerInfo(s), ShouldNotContainSubstring, `"un"`)
+					So(time.Since(start), ShouldBeLessThanOrEqualTo, c.after+unreachableRetryDelay)
+				})
 			})
 		})
 	}
+	Convey("A restarted process is not leaving because its predecessor's deregistration comes late", t, func() {
+		r := newRunner(&rowWriter{}, func(string) {})
+		r.Announce(announcement(5, 1, false))
+		r.Leave("u")
+		r.markUnreachable(batch.Incarnation{Upstream: "u", StartedMs: 5})
+		So(r.currentAnnouncement().Info.Ended, ShouldBeFalse)
+		So(r.currentAnnouncement().Info.Unreachable, ShouldBeTrue)
+	})
 }
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -126,10 +126,11 @@
 	renewTimeoutMargin = 400 * time.Millisecond
 	// renewRetryDelay is the delay after a failed renewal.
 	renewRetryDelay = 100 * time.Millisecond
-	// refusalsUntilEnded is the number of consecutive refused connections,
-	// renewRetryDelay apart, that prove that the process has ended: it listens
-	// as long as it runs, and the connection does not leave the machine.
-	refusalsUntilEnded = 3
+	// refusalsUntilUnreachable is the number of consecutive refused connections,
+	// renewRetryDelay apart, after which the process counts as out of reach.
+	refusalsUntilUnreachable = 3
+	// unreachableRetryDelay is the delay between two renewals while it is out of reach.
+	unreachableRetryDelay = 300 * time.Millisecond
 	// ackTimeout bounds the wait for the owner to acknowledge ended tasks.
 	ackTimeout = time.Second
 )
@@ -166,6 +167,7 @@
 		if report.MoreEnds {
 			s.runner.opts.Count("report_more_ends")
 		}
+		s.runner.markReachable(announced.Incarnation)
 		s.runner.noteWorkerClock(report)
 		s.send(rpc.ReportMessage(report))
 		s.awaitAck(ctx, report)
@@ -183,26 +185,30 @@
 	return s.renewal
 }
 
-// renewFailed waits before the next attempt and returns the number of
-// consecutive refused connections. When refusalsUntilEnded is reached, it marks the
-// incarnation as ended instead.
+// renewFailed waits before the next attempt and returns the number of consecutive refused
+// connections. From refusalsUntilUnreachable on, the incarnation counts as out of reach.
 func (s *session) renewFailed(ctx context.Context, err error, refusals int, incarnation batch.Incarnation) int {
 	if ctx.Err() != nil {
 		return refusals
 	}
 	s.runner.opts.Count("hold_failed")
-	s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
+	if refusals < refusalsUntilUnreachable {
+		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
+	}
 	if errkind.Is(err, errkind.StaleIncarnation) {
 		s.runner.markReplaced(incarnation)
 	}
 	if !errkind.Is(err, errkind.Unreachable) {
-		refusals = 0
-	} else if refusals++; refusals >= refusalsUntilEnded {
-		s.runner.markEnded(incarnation)
+		sleep(ctx, renewRetryDelay)
 		return 0
 	}
-	// This delay must not be cut short by a wakeup: refusals that are closer
-	// together are weaker proof that the process has ended.
+	if refusals++; refusals >= refusalsUntilUnreachable {
+		s.runner.markUnreachable(incarnation)
+		s.waitForWakeup(ctx, unreachableRetryDelay)
+		return refusals
+	}
+	// This delay must not be cut short by a wakeup: refusals that are closer together say
+	// less about the process.
 	sleep(ctx, renewRetryDelay)
 	return refusals
 }
--- a/sched/batch/model_reports_test.go
+++ b/sched/batch/model_reports_test.go
@@ -18,7 +18,7 @@
 // report delivers the report of a worker whose stream is open, under the owner's
 // epoch, and the lease renewal that follows unless it is lost.
 func (m *model) report(w *modelWorker) {
-	if !w.up || !w.attached {
+	if !w.up || !w.attached || w.unreachable {
 		return
 	}
 	w.highestEpoch = max(w.highestEpoch, m.epoch)
@@ -51,7 +51,7 @@
 func (m *model) renew(w *modelWorker) {
 	renewal, ok := m.scheduler.RenewalFor(w.id)
 	lost := rapid.IntRange(0, 5).Draw(m.t, "renewal lost") == 0
-	if !ok || lost || !w.up || renewal.Incarnation != w.incarnation {
+	if !ok || lost || !w.up || w.unreachable || renewal.Incarnation != w.incarnation {
 		return
 	}
 	w.leaseDeadline = max(w.leaseDeadline, min(renewal.DeadlineMs, w.clockMs(m.now)+testTiming.MaxLease.Milliseconds()))
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -16,15 +16,18 @@
 // modelWorker simulates the specified behaviour of a worker: fencing, leases,
 // numbered ends, and delayed orders.
 type modelWorker struct {
-	id            ident.Worker
-	incarnation   Incarnation
-	startedAt     time.Time
-	up            bool
-	highestEpoch  int
-	leaseDeadline int64
-	running       map[Run]time.Time
-	ended         []EndedTask
-	endNumber     int64
+	id          ident.Worker
+	incarnation Incarnation
+	startedAt   time.Time
+	up          bool
+	// left reports that the process said that it would leave, unreachable that its agent does
+	// not reach it although it runs.
+	left, unreachable bool
+	highestEpoch      int
+	leaseDeadline     int64
+	running           map[Run]time.Time
+	ended             []EndedTask
+	endNumber         int64
 	// endedAt is when the numbered ends happened, and expiredAt when the lease was last
 	// found to be expired.
 	endedAt   map[int64]time.Time
@@ -89,7 +92,7 @@
 }
 
 func (w *modelWorker) info() WorkerInfo {
-	return WorkerInfo{ID: w.id, Service: "svc", Incarnation: w.incarnation, Ended: !w.up, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
+	return WorkerInfo{ID: w.id, Service: "svc", Incarnation: w.incarnation, Ended: !w.up && w.left, Unreachable: w.unreachable || !w.up && !w.left, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
 }
 
 // takeover replaces the owner. The new one knows only the contents of the store.
@@ -188,6 +191,11 @@
 // deliver delivers an order once or twice, has it rejected, loses it, or delays it
 // without an answer.
 func (m *model) deliver(o Order) {
+	if m.worker(o.Worker).unreachable {
+		// The agent's connections are refused, so that the order is not sent.
+		m.scheduler.Answered(o, AnswerRejected, 0, m.now)
+		return
+	}
 	switch rapid.IntRange(0, 9).Draw(m.t, "delivery") {
 	case 2:
 		// An unhealthy worker rejects the order and does nothing.
@@ -387,10 +395,11 @@
 	}
 }
 
-// crash ends the process of a worker. Its agent reports that, if its stream is
-// open; orders in flight are lost with the process.
+// crash ends the process of a worker, which may have said that it would leave. Its agent
+// reports that, if its stream is open; orders in flight are lost with the process.
 func (m *model) crash(w *modelWorker) {
-	m.t.Logf("%s crashes", w.id)
+	w.left = rapid.Bool().Draw(m.t, "had said that it leaves")
+	m.t.Logf("%s ends, leaving: %v", w.id, w.left)
 	w.up = false
 	clear(w.running)
 	m.delayed = slices.DeleteFunc(m.delayed, func(d delayedOrder) bool { return d.order.Worker == w.id })
@@ -399,6 +408,15 @@
 	}
 }
 
+// toggleReach cuts the agent of a worker off from the process beside it, or connects it again.
+func (m *model) toggleReach(w *modelWorker) {
+	w.unreachable = !w.unreachable && w.up
+	m.t.Logf("%s is out of reach: %v", w.id, w.unreachable)
+	if w.attached {
+		m.scheduler.Announced(w.info(), m.now)
+	}
+}
+
 // Guards against work that runs twice, after its success or cancellation, or
 // beyond the capacity of a worker, under takeovers, lost and delayed orders, lost
 // streams and restarted workers.
@@ -407,7 +425,7 @@
 		m := newModel(t)
 		for range 120 {
 			w := rapid.SampledFrom(m.workers).Draw(t, "worker")
-			switch rapid.IntRange(0, 40).Draw(t, "action") {
+			switch rapid.IntRange(0, 41).Draw(t, "action") {
 			case 0, 1, 2, 3, 4:
 				m.submit()
 			case 5:
@@ -431,6 +449,8 @@
 				m.report(w)
 			case 30, 31, 32:
 				m.deliverReports(w)
+			case 33:
+				m.toggleReach(w)
 			default:
 				m.runCycle()
 			}
@@ -444,6 +464,7 @@
 func (m *model) converge() {
 	for range 12 {
 		for _, w := range m.workers {
+			w.unreachable = false
 			if !w.up {
 				m.restart(w)
 			}
