Adopt an announced process only once it responds and the current one does not

Cause: an agent took any announcement with a later start time as proof that the current process had ended, and any with an earlier one once the address had refused connections or belonged to another process. After a restart it took whatever came first. The owner then gave up all runs of the former process.

Change: an announcement of another incarnation is a candidate. The agent asks for its report, under its id and start time and without lease and cursor, and adopts it if it responds and the current incarnation does not, whatever their start times. A worker runs one process at a time, and all call it at this agent, so that this is a proof. `gone` and `markReplaced`, which inferred it, are no longer needed.

--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -191,6 +191,7 @@
 	w.stop = func() { cancel(); server.Stop() }
 	go func() { _ = server.Serve(listener) }()
 	go r.Publish(ctx)
+	go r.Verify(ctx)
 	w.announce(false)
 }
 
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -46,6 +46,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	a.runBackground(background, "publication of the worker", a.runner.Publish)
+	a.runBackground(background, "verification of announcements", a.runner.Verify)
 	<-ctx.Done()
 	cancel()
 	a.stop()
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -41,14 +41,14 @@
 	rpc.UnimplementedTaskRunnerServer
 	opts Options
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// announcement is the latest one of the current incarnation.
 	announcement batchapi.Announcement
-	// gone reports that the announced process does not respond any more. Then the next
-	// announcement counts even if its process seems to have started earlier.
-	gone bool
-	// leaving reports that the announced process has deregistered, after it had announced that
-	// it drains.
-	leaving bool
+	// candidates holds the announcements of other incarnations, which have not responded yet.
+	candidates map[batch.Incarnation]*candidate
+	// draining reports that the current process has announced that it drains, and leaving that
+	// it has deregistered since.
+	draining, leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// epoch is the newest epoch of an owner that has attached.
@@ -57,53 +57,67 @@
 	session *session
 	// clock is the latest reading of the worker's clock.
 	clock clockReading
-	// publishWakeup wakes Publish.
-	publishWakeup chan struct{}
-	guard         panicguard.Guard
+	// publishWakeup wakes Publish, and verifyWakeup wakes Verify.
+	publishWakeup, verifyWakeup chan struct{}
+	// replacing is held while the current incarnation is compared with its successor.
+	replacing sync.Mutex
+	guard     panicguard.Guard
 }
 
 // New returns a runner without an announced upstream process.
 func New(opts Options) *Runner {
 	return &Runner{
-		opts: opts, publishWakeup: make(chan struct{}, 1),
-		guard: panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
+		opts: opts, publishWakeup: make(chan struct{}, 1), verifyWakeup: make(chan struct{}, 1),
+		candidates: make(map[batch.Incarnation]*candidate),
+		guard:      panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
 	}
 }
 
-// Announce records an announcement of the upstream process. It ignores
-// announcements that arrive out of order, and those of an earlier incarnation unless the
-// current one has certainly ended.
+// Announce records an announcement of the upstream process, unless a later one of the same
+// incarnation is known. Another incarnation than the current one has to respond first: its
+// announcement may be delayed, or come from another writer.
 func (r *Runner) Announce(a batchapi.Announcement) {
 	a.Info.ID = r.opts.ID
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sameIncarnation := a.Incarnation == r.announcement.Incarnation
-	earlier := a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs
-	if earlier && !r.gone || sameIncarnation && a.Sequence <= r.sequence {
+	if a.Incarnation != r.announcement.Incarnation {
+		r.addCandidate(a)
+		return
+	}
+	if a.Sequence <= r.sequence {
 		r.opts.Count("announcement_stale")
 		return
 	}
-	if earlier {
+	r.noteContradiction()
+	former := r.announcement.Info
+	a.Info.Unreachable, a.Info.Supersedes = former.Unreachable, former.Supersedes
+	r.announcement, r.sequence = a, a.Sequence
+	r.draining, r.leaving = a.Info.Draining, r.leaving && a.Info.Draining
+	if a.Info.Draining != former.Draining || former.Ended {
+		r.publishAnnouncement()
+	}
+}
+
+// adopt makes an incarnation that has responded the current one.
+func (r *Runner) adopt(a batchapi.Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs {
 		r.opts.Count("announcement_clock_back")
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
-	r.gone = false
-	if sameIncarnation {
-		r.noteContradiction()
-		a.Info.Unreachable = r.announcement.Info.Unreachable
-	} else {
-		r.leaving = false
-	}
-	changed := !sameIncarnation || a.Info.Draining != r.announcement.Info.Draining || r.announcement.Info.Ended
 	r.announcement, r.sequence = a, a.Sequence
-	if !changed {
-		return
-	}
+	r.draining, r.leaving = a.Info.Draining, false
+	notify(r.publishWakeup)
+	r.publishAnnouncement()
+}
+
+// publishAnnouncement logs the current announcement and sends it to the owner. The caller
+// holds r.mu.
+func (r *Runner) publishAnnouncement() {
+	a := &r.announcement
 	r.opts.Logger.Info().Str("upstream", string(a.Incarnation.Upstream)).Int64("born_ms", a.Incarnation.StartedMs).
 		Str("machine", a.Info.Machine).Bool("draining", a.Info.Draining).Int64("sequence", a.Sequence).Msg("upstream announced")
-	if !sameIncarnation {
-		notify(r.publishWakeup)
-	}
 	if r.session != nil {
 		r.session.sendWorker(a.Info)
 	}
@@ -132,22 +146,13 @@
 	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
 	// A process under the same id may have been restarted since it deregistered. It has not
 	// announced that it drains.
-	r.leaving = r.announcement.Info.Draining
+	r.leaving = r.draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
 	}
 }
 
-// markReplaced records that another process responds at the address of an incarnation.
-func (r *Runner) markReplaced(incarnation batch.Incarnation) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.announcement.Incarnation == incarnation {
-		r.gone = true
-	}
-}
-
 // markUnreachable records that an incarnation of the upstream process refuses connections.
 // If it had deregistered, it has ended; otherwise it may run on, out of reach.
 func (r *Runner) markUnreachable(incarnation batch.Incarnation) {
@@ -168,7 +173,6 @@
 		r.opts.Count("upstream_unreachable")
 		line.Msg("upstream process is out of reach: its address refuses connections")
 	}
-	r.gone = true
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
@@ -182,7 +186,7 @@
 	if r.announcement.Incarnation != incarnation || !info.Unreachable {
 		return
 	}
-	info.Unreachable, r.gone = false, false
+	info.Unreachable = false
 	r.opts.Logger.Info().Str("upstream", string(incarnation.Upstream)).Msg("upstream process is within reach again")
 	if r.session != nil {
 		r.session.sendWorker(*info)
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -195,9 +195,6 @@
 	if refusals < refusalsUntilUnreachable {
 		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
 	}
-	if errkind.Is(err, errkind.StaleIncarnation) {
-		s.runner.markReplaced(incarnation)
-	}
 	if !errkind.Is(err, errkind.Unreachable) {
 		sleep(ctx, renewRetryDelay)
 		return 0
--- /dev/null
+++ b/control/runner/verify.go
@@ -0,0 +1,141 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/sched/batch"
+	"github.com/lacewingpier/lacewingpier/sched/batchapi"
+)
+
+const (
+	// maxCandidates bounds the incarnations that are verified at the same time. Others are
+	// verified after their next announcement.
+	maxCandidates = 8
+	// verifyAttempts bounds the calls to an announced incarnation, renewRetryDelay apart, until
+	// its next announcement.
+	verifyAttempts = 4
+)
+
+// candidate is an announced incarnation that has not responded yet.
+type candidate struct {
+	announcement batchapi.Announcement
+	verifying    bool
+}
+
+// addCandidate records the announcement of another incarnation than the current one. The
+// caller holds r.mu.
+func (r *Runner) addCandidate(a batchapi.Announcement) {
+	c := r.candidates[a.Incarnation]
+	switch {
+	case c != nil && a.Sequence <= c.announcement.Sequence:
+		r.opts.Count("announcement_stale")
+		return
+	case c != nil:
+		c.announcement = a
+	case len(r.candidates) >= maxCandidates:
+		r.opts.Count("announcement_deferred")
+		return
+	default:
+		r.candidates[a.Incarnation] = &candidate{announcement: a}
+	}
+	notify(r.verifyWakeup)
+}
+
+// Verify makes each announced incarnation that responds the current one. It returns when ctx
+// ends.
+func (r *Runner) Verify(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.verifyWakeup:
+		}
+		for _, incarnation := range r.takeCandidates() {
+			group.Go(func() {
+				_ = r.guard.Run("verification of "+string(incarnation.Upstream), func() { r.verify(ctx, incarnation) })
+				r.dropCandidate(incarnation)
+			})
+		}
+	}
+}
+
+// takeCandidates returns the candidates that are not being verified yet.
+func (r *Runner) takeCandidates() []batch.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []batch.Incarnation
+	for incarnation, c := range r.candidates {
+		if !c.verifying {
+			c.verifying = true
+			out = append(out, incarnation)
+		}
+	}
+	return out
+}
+
+func (r *Runner) dropCandidate(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.candidates, incarnation)
+}
+
+// candidateAnnouncement returns the latest announcement of a candidate.
+func (r *Runner) candidateAnnouncement(incarnation batch.Incarnation) batchapi.Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.candidates[incarnation].announcement
+}
+
+// verify adopts a candidate if it responds and the current incarnation does not: a worker
+// runs one process at a time.
+func (r *Runner) verify(ctx context.Context, incarnation batch.Incarnation) {
+	var err error
+	for range verifyAttempts {
+		a := r.candidateAnnouncement(incarnation)
+		if err = r.probe(ctx, a); err == nil {
+			r.replaceCurrent(ctx, a)
+			return
+		}
+		if errkind.Is(err, errkind.StaleIncarnation) || ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, renewRetryDelay)
+	}
+	r.opts.Count("announcement_unverified")
+	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).Err(err).
+		Msg("announcement is ignored: the process does not respond")
+}
+
+// replaceCurrent adopts an incarnation that responds, unless the current one does so, too.
+func (r *Runner) replaceCurrent(ctx context.Context, a batchapi.Announcement) {
+	r.replacing.Lock()
+	defer r.replacing.Unlock()
+	current := r.currentAnnouncement()
+	if current.Incarnation != (batch.Incarnation{}) && r.probe(ctx, current) == nil {
+		r.opts.Count("announcement_overlap")
+		r.opts.Logger.Warn().Str("upstream", string(a.Incarnation.Upstream)).Int64("born_ms", a.Incarnation.StartedMs).
+			Str("current", string(current.Incarnation.Upstream)).Msg("announcement is ignored: the current process responds")
+		return
+	}
+	r.adopt(a)
+}
+
+// probe returns nil if the announced incarnation responds at its address. An error of kind
+// StaleIncarnation means that another one does.
+func (r *Runner) probe(ctx context.Context, a batchapi.Announcement) error {
+	r.mu.Lock()
+	epoch := r.epoch
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+	defer cancel()
+	_, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Epoch: epoch, Incarnation: a.Incarnation})
+	if errkind.Is(err, errkind.StaleEpoch) {
+		return nil // It has heard of a newer owner than this agent.
+	}
+	return err
+}
