Do not pass the lease of a process on to its successor

A process that restarts under its former id takes calls for its predecessor. Until its heartbeat came, the agent repeated the predecessor's lease renewal every 0.1 s: the successor got a lease that ended later than the owner counts, and its first ends were acknowledged up to the predecessor's cursor. A start in flight at the restart could so run on beyond the owner's bound, or end unseen.

Once another incarnation has responded, the agent asks for reports without lease and cursor. TestRestartedProcessDoesNotInheritLease failed before. The first call after the restart still carries both, as requests can't state the start time.

--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -141,6 +141,9 @@
 // wait either, because the lost report may have listed an ended task.
 func (s *session) renewLoop(ctx context.Context) {
 	wait, refusals := time.Duration(0), 0
+	// stale reports that another incarnation responded. It may have the same id, and must not
+	// take over the lease and the cursor of its predecessor.
+	stale := false
 	for ctx.Err() == nil {
 		announced := s.runner.currentAnnouncement()
 		if announced.Incarnation == (batch.Incarnation{}) || announced.Info.Ended {
@@ -148,11 +151,15 @@
 			continue
 		}
 		renewal := s.renewalFor(announced.Incarnation)
+		if stale {
+			renewal = batch.LeaseRenewal{}
+		}
 		renewCtx, cancel := context.WithTimeout(ctx, wait+renewTimeoutMargin)
 		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
 			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
 		})
 		cancel()
+		stale = errkind.Is(err, errkind.StaleIncarnation)
 		if err != nil {
 			wait = 0
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
@@ -45,6 +47,13 @@
 	m.failing[address] = err
 }
 
+// requests returns the calls so far.
+func (m *machine) requests() []batchapi.RenewRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.calls)
+}
+
 func (m *machine) Renew(_ context.Context, address string, r batchapi.RenewRequest) (batch.Report, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -175,9 +184,7 @@
 		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
 		m.set("a", 6)
 		So(announceAndWait(r, processAt("a", 6, 1)), ShouldEqual, 6)
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		for _, call := range m.calls {
+		for _, call := range m.requests() {
 			So(call.DeadlineMs, ShouldEqual, 0)
 			So(call.Cursor, ShouldEqual, 0)
 		}
@@ -218,3 +225,29 @@
 		})
 	}
 }
+
+// Guards against a process that gets the lease of its predecessor, beyond the time after which
+// the owner takes that as expired, or forgets ends that its predecessor had listed.
+func TestRestartedProcessDoesNotInheritLease(t *testing.T) {
+	withVerification(t, "A process that was restarted under the same id is asked for a report only", func(r *Runner, m *machine, _ *eventCounts) {
+		former := m.set("a", 5)
+		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
+		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 1000), wakeup: make(chan struct{}, 1)}
+		s.renewal = batch.LeaseRenewal{Incarnation: former, DeadlineMs: 9000, Cursor: 7}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		m.set("a", 6)
+		begin := len(m.requests())
+		go func() { s.renewLoop(ctx); close(done) }()
+		time.Sleep(10 * renewRetryDelay)
+		cancel()
+		<-done
+		calls := m.requests()[begin:]
+		So(len(calls), ShouldBeGreaterThan, 5)
+		So(calls[0].DeadlineMs, ShouldEqual, 9000)
+		for _, call := range calls[1:] {
+			So(call.DeadlineMs, ShouldEqual, 0)
+			So(call.Cursor, ShouldEqual, 0)
+		}
+	})
+}
