Do not take a deregistration and refused connections as the end of a process

A process whose deregistration gets no response ends some seconds later, and a later heartbeat did not revoke the conclusion.

No proof but the lease, or a successor, is left; the flag and its rules are gone.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -32,8 +32,6 @@
 	switch {
 	case announced.Incarnation != o.Incarnation:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
-	case announced.Info.Ended:
-		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the upstream process has ended"}
 	case o.Kind == batch.OrderStop:
 		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.epoch, o)
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -46,9 +46,6 @@
 	announcement batchapi.Announcement
 	// candidates holds the announcements of other incarnations, which have not responded yet.
 	candidates map[batch.Incarnation]*candidate
-	// draining reports that the current process has announced that it drains, and leaving that
-	// it has deregistered since.
-	draining, leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// epoch is the newest epoch of an owner that has attached.
@@ -88,12 +85,10 @@
 		r.opts.Count("announcement_stale")
 		return
 	}
-	r.noteContradiction()
 	former := r.announcement.Info
 	a.Info.Unreachable, a.Info.Supersedes = former.Unreachable, former.Supersedes
 	r.announcement, r.sequence = a, a.Sequence
-	r.draining, r.leaving = a.Info.Draining, r.leaving && a.Info.Draining
-	if a.Info.Draining != former.Draining || former.Ended {
+	if a.Info.Draining != former.Draining {
 		r.publishAnnouncement()
 	}
 }
@@ -107,7 +102,6 @@
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.announcement, r.sequence = a, a.Sequence
-	r.draining, r.leaving = a.Info.Draining, false
 	notify(r.publishWakeup)
 	r.publishAnnouncement()
 }
@@ -144,35 +138,25 @@
 		return
 	}
 	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
-	// A process under the same id may have been restarted since it deregistered. It has not
-	// announced that it drains.
-	r.leaving = r.draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
 	}
 }
 
-// markUnreachable records that an incarnation of the upstream process refuses connections.
-// If it had deregistered, it has ended; otherwise it may run on, out of reach.
+// markUnreachable records that an incarnation of the upstream process refuses connections. It
+// may run on, also if it has deregistered: it ends later if the response to that was lost.
 func (r *Runner) markUnreachable(incarnation batch.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	info := &r.announcement.Info
-	if r.announcement.Incarnation != incarnation || info.Ended || info.Unreachable {
+	if r.announcement.Incarnation != incarnation || info.Unreachable {
 		return
 	}
-	line := r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
-		Int("refusals", refusalsUntilUnreachable)
-	if r.leaving {
-		info.Ended = true
-		r.opts.Count("upstream_ended")
-		line.Msg("upstream process has ended: it was leaving, and its address refuses connections")
-	} else {
-		info.Unreachable = true
-		r.opts.Count("upstream_unreachable")
-		line.Msg("upstream process is out of reach: its address refuses connections")
-	}
+	info.Unreachable = true
+	r.opts.Count("upstream_unreachable")
+	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
+		Int("refusals", refusalsUntilUnreachable).Msg("upstream process is out of reach: its address refuses connections")
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
@@ -193,17 +177,6 @@
 	}
 }
 
-// noteContradiction reports that the announced process, which was taken as ended, announces
-// itself again. The caller holds r.mu.
-func (r *Runner) noteContradiction() {
-	if !r.announcement.Info.Ended {
-		return
-	}
-	r.opts.Count("upstream_end_contradicted")
-	r.opts.Logger.Warn().Str("upstream", string(r.announcement.Incarnation.Upstream)).
-		Msg("upstream process that was taken as ended announces itself again")
-}
-
 // notify signals a channel with a buffer of one without blocking.
 func notify(c chan struct{}) {
 	select {
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -412,20 +412,17 @@
 		secondErr error
 		after     time.Duration
 		leaving   bool
-		want      string
 	}{
-		{nil, 2 * renewRetryDelay, false, `"un":true`},
-		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, false, `"un":true`},
-		{nil, 2 * renewRetryDelay, true, `"lv":true`},
-		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, true, `"lv":true`},
+		{nil, 2 * renewRetryDelay, false},
+		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, false},
+		{nil, 2 * renewRetryDelay, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			Convey("Consecutive refusals prove the end of a process only if it was leaving", t, func() {
+			Convey("Consecutive refusals put a process out of reach, also if it was leaving", t, func() {
 				r := newRunner(&rowWriter{}, func(string) {})
 				tasks := &refusingTasks{reports: 1, secondErr: c.secondErr}
 				r.opts.Tasks = tasks
 				announce(r, announcement(5, 1, c.leaving))
-				r.Leave("other")
 				if c.leaving {
 					r.Leave("u")
 				}
@@ -436,18 +433,11 @@
 				start := time.Now()
 				go func() { s.renewLoop(ctx); close(done) }()
 				defer func() { cancel(); <-done }()
-				info := nextWorkerInfo(s)
-				So(info, ShouldContainSubstring, c.want)
+				So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
 				// Nobody renews the lease after the first report.
 				So(time.Since(start), ShouldEqual, c.after+renewalTimeout)
-				So(r.currentAnnouncement().Info.Ended, ShouldEqual, c.leaving)
-				if c.leaving {
-					announce(r, announcement(5, 2, false))
-					So(r.currentAnnouncement().Info.Ended, ShouldBeFalse)
-					return
-				}
 				Convey("Its heartbeats do not bring it within reach, a report does", func() {
-					announce(r, announcement(5, 2, false))
+					announce(r, announcement(5, 2, c.leaving))
 					So(r.currentAnnouncement().Info.Unreachable, ShouldBeTrue)
 					tasks.open()
 					So(nextWorkerInfo(s), ShouldNotContainSubstring, `"un"`)
@@ -456,12 +446,4 @@
 			})
 		})
 	}
-	Convey("A restarted process is not leaving because its predecessor's deregistration comes late", t, func() {
-		r := newRunner(&rowWriter{}, func(string) {})
-		announce(r, announcement(5, 1, false))
-		r.Leave("u")
-		r.markUnreachable(batch.Incarnation{Upstream: "u", StartedMs: 5})
-		So(r.currentAnnouncement().Info.Ended, ShouldBeFalse)
-		So(r.currentAnnouncement().Info.Unreachable, ShouldBeTrue)
-	})
 }
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -151,7 +151,7 @@
 	stale := false
 	for ctx.Err() == nil {
 		announced := s.runner.currentAnnouncement()
-		if announced.Incarnation == (batch.Incarnation{}) || announced.Info.Ended {
+		if announced.Incarnation == (batch.Incarnation{}) {
 			s.waitForWakeup(ctx, renewWait)
 			continue
 		}
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -208,7 +208,6 @@
 			So(announceAndWait(r, processAt("b", 3, 2)), ShouldEqual, 3)
 			current := r.currentAnnouncement()
 			So(current.Info.Supersedes, ShouldResemble, batch.Incarnation{Upstream: ident.Upstream("u"), StartedMs: 5})
-			So(current.Info.Ended, ShouldBeFalse)
 			So(events.count("announcement_clock_back"), ShouldEqual, 1)
 			Convey("and keeps what it supersedes", func() {
 				r.Announce(processAt("b", 3, 3))
--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -87,7 +87,7 @@
 	})
 }
 
-// Guards against a worker that drains or has ended and gets new work again, because its
+// Guards against a worker that drains or is out of reach and gets new work again, because its
 // row, which was written before that, is read later.
 func TestRowDoesNotRevertAnnouncement(t *testing.T) {
 	Convey("A row of the same or of an earlier incarnation changes nothing", t, func() {
@@ -96,11 +96,11 @@
 		w := b.scheduler.workers["w1"]
 		row := w.info
 		leaving := row
-		leaving.Draining, leaving.Ended = true, true
+		leaving.Draining, leaving.Unreachable = true, true
 		b.scheduler.Announced(leaving, b.now)
 		b.scheduler.Registered(row, b.now)
 		So(w.info.Draining, ShouldBeTrue)
-		So(w.info.Ended, ShouldBeTrue)
+		So(w.info.Unreachable, ShouldBeTrue)
 		row.Incarnation.StartedMs--
 		b.scheduler.Registered(row, b.now)
 		So(w.info.Draining, ShouldBeTrue)
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -20,14 +20,13 @@
 	incarnation Incarnation
 	startedAt   time.Time
 	up          bool
-	// left reports that the process said that it would leave, unreachable that its agent does
-	// not reach it although it runs.
-	left, unreachable bool
-	highestEpoch      int
-	leaseDeadline     int64
-	running           map[Run]time.Time
-	ended             []EndedTask
-	endNumber         int64
+	// unreachable reports that the agent does not reach the process although it runs.
+	unreachable   bool
+	highestEpoch  int
+	leaseDeadline int64
+	running       map[Run]time.Time
+	ended         []EndedTask
+	endNumber     int64
 	// endedAt is when the numbered ends happened, and expiredAt when the lease was last
 	// found to be expired.
 	endedAt   map[int64]time.Time
@@ -92,7 +91,7 @@
 }
 
 func (w *modelWorker) info() WorkerInfo {
-	return WorkerInfo{ID: w.id, Service: "svc", Incarnation: w.incarnation, Ended: !w.up && w.left, Unreachable: w.unreachable || !w.up && !w.left, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
+	return WorkerInfo{ID: w.id, Service: "svc", Incarnation: w.incarnation, Unreachable: w.unreachable || !w.up, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
 }
 
 // takeover replaces the owner. The new one knows only the contents of the store.
@@ -395,11 +394,10 @@
 	}
 }
 
-// crash ends the process of a worker, which may have said that it would leave. Its agent
-// reports that, if its stream is open; orders in flight are lost with the process.
+// crash ends the process of a worker. Its agent reports that it does not reach it, if its
+// stream is open; orders in flight are lost with the process.
 func (m *model) crash(w *modelWorker) {
-	w.left = rapid.Bool().Draw(m.t, "had said that it leaves")
-	m.t.Logf("%s ends, leaving: %v", w.id, w.left)
+	m.t.Logf("%s crashes", w.id)
 	w.up = false
 	clear(w.running)
 	m.delayed = slices.DeleteFunc(m.delayed, func(d delayedOrder) bool { return d.order.Worker == w.id })
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -28,9 +28,6 @@
 	}
 	w.info = info
 	s.needsPlan = true
-	if info.Ended {
-		s.endProcessRuns(w, now)
-	}
 }
 
 // replaces reports whether this information is about a later incarnation than other.
@@ -88,14 +85,6 @@
 	}
 }
 
-// endProcessRuns ends all runs of a worker whose upstream process has ended.
-func (s *Scheduler) endProcessRuns(w *worker, now time.Time) {
-	for _, t := range w.active {
-		s.logRun("run ended with its worker's process", t, now)
-		s.conclude(t, EvidenceProcessEnded, now)
-	}
-}
-
 // Reported applies a worker's report, which was made under this owner's epoch.
 func (s *Scheduler) Reported(id ident.Worker, r Report, now time.Time) {
 	w := s.workers[id]
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -433,33 +433,6 @@
 	})
 }
 
-// Guards against work that waits for the longest lease to expire although the
-// process that ran it is known to have ended.
-func TestWorkMovesWhenTheProcessEnds(t *testing.T) {
-	Convey("The runs of an ended process start elsewhere at once", t, func() {
-		b := newTestbed()
-		b.addWorker("w1", "r1")
-		b.submit(testJob("j1", 1, testStep(1, 8)))
-		So(b.runCycle(), ShouldHaveLength, 1)
-		b.acceptStarts()
-		b.addWorker("w2", "r1")
-		info := b.scheduler.workers["w1"].info
-		info.Ended = true
-		b.scheduler.Announced(info, b.now)
-		starts := b.runCycle()
-		So(starts, ShouldHaveLength, 1)
-		So(starts[0].Worker, ShouldEqual, ident.Worker("w2"))
-		So(starts[0].Run.Number, ShouldEqual, 2)
-		Convey("and the process gets no work until it announces itself again", func() {
-			b.submit(testJob("j2", 1, testStep(1, 8)))
-			So(b.runCycle(), ShouldBeEmpty)
-			info.Ended = false
-			b.scheduler.Announced(info, b.now)
-			So(b.runCycle(), ShouldHaveLength, 1)
-		})
-	})
-}
-
 // Guards against a run that is considered to have ended with the previous
 // incarnation, although the worker was restarted under the same id and took the
 // order in the new one.
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -22,9 +22,6 @@
 	Rack ident.Rack `json:"rk,omitempty"`
 	// Draining reports that the upstream process is about to leave.
 	Draining bool `json:"dr,omitempty"`
-	// Ended reports that the upstream process of this incarnation said that it would leave,
-	// and has ended since, with everything that it ran.
-	Ended bool `json:"lv,omitempty"`
 	// Unreachable reports that the upstream process refuses connections. It may run on, so
 	// that this proves nothing about its runs.
 	Unreachable bool `json:"un,omitempty"`
@@ -153,7 +150,7 @@
 // usable reports whether new work may be placed on the worker, apart from faults: see
 // trusted.
 func (w *worker) usable(now time.Time, lease time.Duration) bool {
-	return w.attached && w.fenced && !w.info.Draining && !w.info.Ended && !w.info.Unreachable &&
+	return w.attached && w.fenced && !w.info.Draining && !w.info.Unreachable &&
 		now.Sub(w.reportedAt) < maxReportAge(lease)
 }
 
