Ask for a report first after each failed call to a worker

Either could extend a lease beyond the time that the owner counts, or acknowledge ends that nobody has listed.

The first call after any failure now carries neither, and the look for a run never does.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -67,11 +67,10 @@
 // run, the start counts as carried out; if a complete report does not, the result has the
 // time of the report.
 func (s *session) lookForRun(ctx context.Context, announced batchapi.Announcement, o batch.Order, result *batchapi.OrderResult) {
-	renewal := s.renewalFor(announced.Incarnation)
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
 	report, err := s.runner.opts.Tasks.Renew(ctx, announced.Address, batchapi.RenewRequest{
-		Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor,
+		Epoch: s.epoch, Incarnation: announced.Incarnation,
 	})
 	if err != nil {
 		result.ClockMs = 0
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -146,9 +146,9 @@
 // wait either, because the lost report may have listed an ended task.
 func (s *session) renewLoop(ctx context.Context) {
 	wait, refusals := time.Duration(0), 0
-	// stale reports that another incarnation responded. It may have the same id, and must not
-	// take over the lease and the cursor of its predecessor.
-	stale := false
+	// failed reports that the latest call failed. Another process may respond since then, under
+	// the same id, and must not take over the lease and the cursor of its predecessor.
+	failed := false
 	for ctx.Err() == nil {
 		announced := s.runner.currentAnnouncement()
 		if announced.Incarnation == (batch.Incarnation{}) {
@@ -156,7 +156,7 @@
 			continue
 		}
 		renewal := s.renewalFor(announced.Incarnation)
-		if stale {
+		if failed {
 			renewal = batch.LeaseRenewal{}
 		}
 		renewCtx, cancel := context.WithTimeout(ctx, wait+renewTimeoutMargin)
@@ -164,8 +164,7 @@
 			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
 		})
 		cancel()
-		stale = errkind.Is(err, errkind.StaleIncarnation)
-		if err != nil {
+		if failed = err != nil; failed {
 			wait = 0
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
