Take only an answer that names the incarnation as proof that it runs

After a restart of its agent, a worker refuses calls until an owner has brought its epoch. The verification of announcements took such a refusal as the answer of the announced process, whichever it was.

A refusal counts for a candidate only if it states the start time. Otherwise the agent waits for an owner, and writes its row without a process if it knows none, so that owners find it. For the current process a refusal still counts as a response. Further, as the review showed: the candidate is asked again right before it is adopted, since it may have ended while it waited; the current process is asked again after an error that says nothing about it; and what the candidate said during the verification is not lost.

The sub-case "A process that has heard of a newer owner responds" stated the fault; three others replace it.

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -134,6 +134,9 @@
 func (r *Runner) Leave(upstream ident.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for incarnation, c := range r.candidates {
+		c.announcement.Info.Draining = c.announcement.Info.Draining || incarnation.Upstream == upstream
+	}
 	if r.announcement.Incarnation.Upstream != upstream {
 		return
 	}
@@ -188,8 +191,8 @@
 // publishRetryDelay is the delay between two attempts to write the worker's row.
 const publishRetryDelay = 500 * time.Millisecond
 
-// Publish writes the worker's row, by which owners find this agent, whenever a
-// new incarnation of the upstream process is announced. It returns when ctx ends.
+// Publish writes the worker's row, by which owners find this agent, whenever a new incarnation
+// of the upstream process is adopted, or waits for an owner. It returns when ctx ends.
 func (r *Runner) Publish(ctx context.Context) {
 	for {
 		select {
@@ -213,6 +216,7 @@
 	r.mu.Lock()
 	row := jobstore.Worker{Address: r.opts.Address, Info: r.announcement.Info}
 	r.mu.Unlock()
+	row.Info.ID, row.Info.Unreachable = r.opts.ID, false
 	value, err := jobstore.Encode(row)
 	if err != nil {
 		return err
--- a/control/runner/verify.go
+++ b/control/runner/verify.go
@@ -14,9 +14,12 @@
 	// maxCandidates bounds the incarnations that are verified at the same time. Others are
 	// verified after their next announcement.
 	maxCandidates = 8
-	// verifyAttempts bounds the calls to an announced incarnation, renewRetryDelay apart, until
-	// its next announcement.
+	// verifyAttempts bounds the calls to an incarnation, renewRetryDelay apart, until the next
+	// announcement.
 	verifyAttempts = 4
+	// refusedAttempts is their bound if the process refuses the epoch of an agent to which no
+	// owner has attached yet.
+	refusedAttempts = 15
 )
 
 // candidate is an announced incarnation that has not responded yet.
@@ -95,15 +98,19 @@
 // runs one process at a time.
 func (r *Runner) verify(ctx context.Context, incarnation batch.Incarnation) {
 	var err error
-	for range verifyAttempts {
-		a := r.candidateAnnouncement(incarnation)
-		if err = r.probe(ctx, a); err == nil {
-			r.replaceCurrent(ctx, a)
+	asked := false
+	for attempts := verifyAttempts; attempts > 0; attempts-- {
+		if err = r.probe(ctx, r.candidateAnnouncement(incarnation)); err == nil {
+			r.replaceCurrent(ctx, incarnation)
 			return
 		}
 		if errkind.Is(err, errkind.StaleIncarnation) || ctx.Err() != nil {
 			break
 		}
+		if errkind.Is(err, errkind.StaleEpoch) && !asked {
+			asked, attempts = true, refusedAttempts
+			r.askForOwner()
+		}
 		sleep(ctx, renewRetryDelay)
 	}
 	r.opts.Count("announcement_unverified")
@@ -111,31 +118,58 @@
 		Msg("announcement is ignored: the process does not respond")
 }
 
-// replaceCurrent adopts an incarnation that responds, unless the current one does so, too.
-func (r *Runner) replaceCurrent(ctx context.Context, a batchapi.Announcement) {
+// askForOwner lets owners find this agent if it knows no process yet: a worker refuses its calls
+// until an owner has attached and brought a newer epoch.
+func (r *Runner) askForOwner() {
+	if r.currentAnnouncement().Incarnation == (batch.Incarnation{}) {
+		notify(r.publishWakeup)
+	}
+}
+
+// replaceCurrent adopts a candidate, unless the current incarnation responds, or the candidate
+// does not any more.
+func (r *Runner) replaceCurrent(ctx context.Context, incarnation batch.Incarnation) {
 	r.replacing.Lock()
 	defer r.replacing.Unlock()
 	current := r.currentAnnouncement()
-	if current.Incarnation != (batch.Incarnation{}) && r.probe(ctx, current) == nil {
+	if current.Incarnation != (batch.Incarnation{}) && r.mayRespond(ctx, current) {
 		r.opts.Count("announcement_overlap")
-		r.opts.Logger.Warn().Str("upstream", string(a.Incarnation.Upstream)).Int64("born_ms", a.Incarnation.StartedMs).
+		r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
 			Str("current", string(current.Incarnation.Upstream)).Msg("announcement is ignored: the current process responds")
 		return
 	}
-	r.adopt(a)
+	if r.probe(ctx, r.candidateAnnouncement(incarnation)) == nil {
+		r.adopt(r.candidateAnnouncement(incarnation))
+	}
+}
+
+// mayRespond reports whether an incarnation responds, possibly with a refusal. It asks again
+// after an error that says nothing about the process.
+func (r *Runner) mayRespond(ctx context.Context, a batchapi.Announcement) bool {
+	for range verifyAttempts {
+		switch err := r.probe(ctx, a); {
+		case err == nil, errkind.Is(err, errkind.StaleEpoch):
+			return true
+		case errkind.Is(err, errkind.StaleIncarnation), errkind.Is(err, errkind.Unreachable):
+			return false
+		}
+		sleep(ctx, renewRetryDelay)
+	}
+	return false
 }
 
 // probe returns nil if the announced incarnation responds at its address. An error of kind
-// StaleIncarnation means that another one does.
+// StaleIncarnation means that another one does, and StaleEpoch that a process refuses which may
+// be either.
 func (r *Runner) probe(ctx context.Context, a batchapi.Announcement) error {
 	r.mu.Lock()
 	epoch := r.epoch
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
-	_, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Epoch: epoch, Incarnation: a.Incarnation})
-	if errkind.Is(err, errkind.StaleEpoch) {
-		return nil // It has heard of a newer owner than this agent.
+	report, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Epoch: epoch, Incarnation: a.Incarnation})
+	if errkind.Is(err, errkind.StaleEpoch) && report.Incarnation == a.Incarnation {
+		return nil // The refusal names the incarnation.
 	}
 	return err
 }
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -26,6 +26,8 @@
 	running map[string]batch.Incarnation
 	failing map[string]error
 	calls   []batchapi.RenewRequest
+	// namesItself reports that refusals of the epoch name the incarnation.
+	namesItself bool
 }
 
 func newMachine() *machine {
@@ -58,7 +60,11 @@
 	defer m.mu.Unlock()
 	m.calls = append(m.calls, r)
 	if err := m.failing[address]; err != nil {
-		return batch.Report{}, err
+		var report batch.Report
+		if m.namesItself {
+			report.Incarnation = m.running[address]
+		}
+		return report, err
 	}
 	switch running, ok := m.running[address]; {
 	case !ok:
@@ -164,10 +170,66 @@
 		time.Sleep(2 * renewRetryDelay)
 		So(r.currentAnnouncement().Incarnation.StartedMs, ShouldEqual, 5)
 	})
-	withVerification(t, "A process that has heard of a newer owner responds", func(r *Runner, m *machine, _ *eventCounts) {
+	refusal := errkind.New(errkind.StaleEpoch, "fence")
+	withVerification(t, "A refusal that does not name the incarnation proves nothing", func(r *Runner, m *machine, _ *eventCounts) {
+		m.set("a", 5)
+		m.fail("a", refusal)
+		So(announceAndWait(r, processAt("a", 9, 1)), ShouldEqual, 0)
+		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 0)
+		Convey("so that the process is adopted once an owner has brought a newer epoch", func() {
+			m.fail("a", nil)
+			time.Sleep(2 * renewRetryDelay)
+			So(r.currentAnnouncement().Incarnation.StartedMs, ShouldEqual, 5)
+		})
+	})
+	withVerification(t, "A refusal that names the incarnation proves that it runs", func(r *Runner, m *machine, _ *eventCounts) {
+		m.set("a", 5)
+		m.fail("a", refusal)
+		m.namesItself = true
+		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
+	})
+	withVerification(t, "A current process that refuses may run on", func(r *Runner, m *machine, events *eventCounts) {
+		m.set("a", 5)
+		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
+		m.fail("a", refusal)
+		m.set("b", 6)
+		So(announceAndWait(r, processAt("b", 6, 1)), ShouldEqual, 5)
+		So(events.count("announcement_overlap"), ShouldEqual, 1)
+	})
+	withVerification(t, "A current process that fails for a moment may run on", func(r *Runner, m *machine, events *eventCounts) {
+		m.set("a", 5)
+		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
+		m.fail("a", errkind.New(errkind.UpstreamFailed, "status 503"))
+		m.set("b", 6)
+		r.Announce(processAt("b", 6, 1))
+		time.Sleep(renewRetryDelay + renewRetryDelay/2)
+		m.fail("a", nil)
+		time.Sleep(time.Second)
+		So(r.currentAnnouncement().Incarnation.StartedMs, ShouldEqual, 5)
+	})
+	withVerification(t, "A candidate that has ended while it waited is not adopted", func(r *Runner, m *machine, _ *eventCounts) {
 		m.set("a", 5)
-		m.fail("a", errkind.New(errkind.StaleEpoch, "fence"))
 		So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
+		m.set("a", 7)
+		So(announceAndWait(r, processAt("a", 7, 1)), ShouldEqual, 7)
+		m.fail("a", errkind.New(errkind.OutcomeUnknown, "deadline"))
+		r.mu.Lock()
+		r.candidates[batch.Incarnation{Upstream: "u", StartedMs: 6}] = &candidate{announcement: processAt("a", 6, 1), verifying: true}
+		r.mu.Unlock()
+		r.replaceCurrent(context.Background(), batch.Incarnation{Upstream: "u", StartedMs: 6})
+		So(r.currentAnnouncement().Incarnation.StartedMs, ShouldEqual, 7)
+	})
+	withVerification(t, "What it says while it is being verified counts", func(r *Runner, m *machine, _ *eventCounts) {
+		m.set("a", 5)
+		m.fail("a", errkind.New(errkind.UpstreamFailed, "status 503"))
+		r.Announce(processAt("a", 5, 1))
+		synctest.Wait()
+		draining := processAt("a", 5, 2)
+		draining.Info.Draining = true
+		r.Announce(draining)
+		m.fail("a", nil)
+		time.Sleep(time.Second)
+		So(r.currentAnnouncement().Info.Draining, ShouldBeTrue)
 	})
 	withVerification(t, "Many unknown processes do not keep the real one from being adopted", func(r *Runner, m *machine, events *eventCounts) {
 		m.set("a", 5)
--- a/sched/batchapi/batchapi.go
+++ b/sched/batchapi/batchapi.go
@@ -95,7 +95,9 @@
 	// Stop sends the order to stop a run. If the start has not arrived yet, it is
 	// rejected from then on.
 	Stop(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) OrderResult
-	// Renew renews the lease and returns the worker's report. An error of kind
-	// Unreachable means that no process listens at the address.
+	// Renew renews the lease and returns the worker's report. An error of kind Unreachable means
+	// that no process listens at the address, StaleIncarnation that another incarnation responds.
+	// With StaleEpoch, the worker has seen a newer epoch; if it says which incarnation it is, the
+	// report names that.
 	Renew(ctx context.Context, address string, r RenewRequest) (batch.Report, error)
 }
