Refuse a second owner with the same epoch

Two entries that claim the same epoch replaced each other's streams to an agent for ever.

An epoch belongs to one owner. An agent now refuses a stream with the epoch of another entry, logs and counts it (`owner_conflict`).

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -48,8 +48,9 @@
 	candidates map[batch.Incarnation]*candidate
 	// sequence is the number of the latest announcement.
 	sequence int64
-	// epoch is the newest epoch of an owner that has attached.
+	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
 	epoch ident.Epoch
+	owner string
 	// session is the stream to the current owner, or nil.
 	session *session
 	// clock is the latest reading of the worker's clock.
@@ -238,7 +239,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	s := &session{
-		runner: r, epoch: ident.Epoch(hello.GetEpoch()), cancel: cancel,
+		runner: r, epoch: ident.Epoch(hello.GetEpoch()), owner: hello.GetOwner(), cancel: cancel,
 		outbound: make(chan *rpc.FromRunner, outboundQueueLimit), wakeup: make(chan struct{}, 1),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 	}
@@ -250,18 +251,24 @@
 	return s.serve(ctx, stream)
 }
 
-// attachSession replaces the current session. It refuses an owner with an older
-// epoch, which serves as the fencing token.
+// attachSession replaces the current session. It refuses an owner with an older epoch, which
+// serves as the fencing token, and a second owner with the same one.
 func (r *Runner) attachSession(s *session) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.epoch < r.epoch {
 		return errkind.New(errkind.StaleEpoch, "epoch %d is older than the current epoch %d", s.epoch, r.epoch)
 	}
+	if s.epoch == r.epoch && r.owner != "" && s.owner != r.owner {
+		r.opts.Count("owner_conflict")
+		r.opts.Logger.Error().Uint64("epoch", uint64(s.epoch)).Str("owner", s.owner).Str("current", r.owner).
+			Msg("second owner with the same epoch is refused")
+		return errkind.New(errkind.StaleEpoch, "epoch %d belongs to %s", s.epoch, r.owner)
+	}
 	if r.session != nil {
 		r.session.cancel()
 	}
-	r.epoch, r.session = s.epoch, s
+	r.epoch, r.owner, r.session = s.epoch, s.owner, s
 	if r.announcement.Incarnation != (batch.Incarnation{}) {
 		s.sendWorker(r.announcement.Info)
 	}
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -28,6 +28,7 @@
 type session struct {
 	runner   *Runner
 	epoch    ident.Epoch
+	owner    string
 	cancel   context.CancelFunc
 	outbound chan *rpc.FromRunner
 	// wakeup wakes renewLoop when the renewal or the announced upstream process has
