Keep a job's state within a row of the store, or refuse the job

Callers could submit a job that was accepted and then stuck: its record exceeds a row of the store once it holds long checkpoints, 80 bytes or more for 400 tasks. The owner's transaction is refused, the job set aside, and the ownership changes; each later owner repeats this. A description of up to 256 KiB was written without a look at the size of a row either.

Cause: only the number of tasks was limited. Checkpoints have no limit, and the size of a row that the settings name was not read.

Checkpoints that find no room are now left out of the record, with a log line and `checkpoints_omitted`; those of runs in progress first, as workers report them again. The owner keeps all of them in memory. A record that is refused alone is written once without any checkpoint before its job is set aside. An entry refuses a job with status 400 and a reason in the body if its description, or its largest record without checkpoints on the workers of its service, exceeds a row. `store_row_bytes` of the settings comes from the platform's `row_bytes`.

Splitting a record over rows was ruled out: pages, watches and single reads would show parts of different times.

TestRecordsStayWithinRow on the former code: one refusal and no start; after: no refusal, 400 starts with their checkpoints.

The check that a record refused alone has its job set aside used a checkpoint of 10 KB, which is now left out. It uses a record that cannot be made smaller instead, counts the refusals, and passes on the former code too.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -3,6 +3,7 @@
 package batchowner
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"time"
@@ -61,7 +62,9 @@
 	Relay   Relay
 	Store   rows.Store
 	Replica *jobstore.Replica
-	Timing  batch.Timing
+	// RowBytes is the largest value of a row of the store, or zero for the usual one.
+	RowBytes int
+	Timing   batch.Timing
 	// Catalog returns the active configuration, or nil.
 	Catalog func() *catalog.Catalog
 	// Advise asks the placement advisor, or is nil if there is none.
@@ -82,6 +85,9 @@
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
 	guard     panicguard.Guard
+	// withoutCheckpoints holds the jobs whose records the store has refused with checkpoints,
+	// as long as the store holds them.
+	withoutCheckpoints map[ident.Job]bool
 	// setAside holds the jobs whose handling has panicked in this process, or whose record
 	// the store refuses, as long as the store holds them. It does not schedule them again:
 	// the next owner or a restart may.
@@ -92,8 +98,9 @@
 
 // New returns a candidate.
 func New(opts Options) *Candidate {
+	opts.RowBytes = cmp.Or(opts.RowBytes, rows.DefaultRowBytes)
 	return &Candidate{
-		opts: opts, setAside: make(map[ident.Job]bool),
+		opts: opts, setAside: make(map[ident.Job]bool), withoutCheckpoints: make(map[ident.Job]bool),
 		guard: panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
 	}
 }
@@ -166,12 +173,14 @@
 	return newOwnerLoop(c, writer, grantedUntil(reason, time.Now()))
 }
 
-// forgetRemovedJobs drops the jobs that the store no longer holds from those set aside.
+// forgetRemovedJobs forgets what is kept of jobs that the store no longer holds.
 func (c *Candidate) forgetRemovedJobs() {
-	maps.DeleteFunc(c.setAside, func(id ident.Job, _ bool) bool {
+	removed := func(id ident.Job, _ bool) bool {
 		_, held := c.opts.Replica.Job(id)
 		return !held
-	})
+	}
+	maps.DeleteFunc(c.setAside, removed)
+	maps.DeleteFunc(c.withoutCheckpoints, removed)
 }
 
 // grantedUntil returns until when earlier owners may grant leases if one was replaced now.
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -28,6 +28,8 @@
 	puts map[string]string
 	// maxBytes is the size of the values above which a transaction is refused, or zero.
 	maxBytes int
+	// maxRowBytes is the same for a single value.
+	maxRowBytes int
 	// largest is the size of the largest transaction that was applied, and refused counts the
 	// refused ones.
 	largest, refused int
@@ -42,11 +44,12 @@
 	if s.unavailable {
 		return 0, errkind.New(errkind.StoreUnavailable, "refused")
 	}
-	size := 0
+	size, longest := 0, 0
 	for _, p := range txn.Put {
 		size += len(p.Value)
+		longest = max(longest, len(p.Value))
 	}
-	if s.maxBytes > 0 && size > s.maxBytes {
+	if s.maxBytes > 0 && size > s.maxBytes || s.maxRowBytes > 0 && longest > s.maxRowBytes {
 		s.refused++
 		return 0, errkind.New(errkind.InvalidArgument, "the transaction is too large")
 	}
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -1,6 +1,10 @@
 package batchowner
 
 import (
+	"slices"
+
+	"github.com/lacewingpier/lacewingpier/control/jobstore"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
@@ -33,9 +37,29 @@
 	c.records, c.bytes = min(2*c.records, maxCommitRecords), min(2*c.bytes, maxCommitBytes)
 }
 
+// encodeRecord encodes a job's record and removes the checkpoints for which a row has no room.
+// It logs only the first time for each job.
+func (l *ownerLoop) encodeRecord(id ident.Job, record batch.Record) ([]byte, error) {
+	limit := l.candidate.opts.RowBytes
+	if l.candidate.withoutCheckpoints[id] {
+		limit = 0
+	}
+	value, omitted, err := jobstore.EncodeRecord(record, limit)
+	if omitted == 0 {
+		return value, err
+	}
+	l.candidate.opts.Count("checkpoints_omitted")
+	if !l.shortened[id] {
+		l.shortened[id] = true
+		l.candidate.opts.Logger.Warn().Str("job", string(id)).Uint64("epoch", uint64(l.epoch)).Int("checkpoints", omitted).
+			Int("tasks", len(record.Tasks)).Int("bytes", len(value)).Msg("job record has no room for all checkpoints")
+	}
+	return value, err
+}
+
 // handleRefused handles a transaction that the store will never apply. Its records are written
-// again in smaller ones. A record that is refused alone has its job set aside: this entry
-// releases the ownership and takes it without the job.
+// again in smaller ones. A record that is refused alone is written without checkpoints; if it
+// has none, its job is set aside: this entry releases the ownership and takes it without the job.
 func (l *ownerLoop) handleRefused(c *batch.Commit, err error) {
 	l.candidate.opts.Count("commit_refused")
 	l.candidate.opts.Logger.Error().Uint64("epoch", uint64(l.epoch)).Err(err).Int("records", len(c.Records)).
@@ -45,10 +69,18 @@
 		l.limits.shrink(len(c.Records))
 		return
 	}
-	for id := range c.Records {
+	for id, record := range c.Records {
+		if hasCheckpoint(record) && !l.candidate.withoutCheckpoints[id] {
+			l.candidate.withoutCheckpoints[id] = true
+			return
+		}
 		l.candidate.setJobAside(id, l.epoch, "record refused by the store")
 	}
 	l.candidate.opts.Replica.Unwatch()
 	l.releaseUnchanged()
 	l.ownershipLost = true
 }
+
+func hasCheckpoint(r batch.Record) bool {
+	return slices.ContainsFunc(r.Tasks, func(t batch.TaskRecord) bool { return t.Checkpoint != "" })
+}
--- a/control/batchowner/limits_test.go
+++ b/control/batchowner/limits_test.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// submitIrreducible submits a job whose record has about the given size without any checkpoint.
+func (b *loopbed) submitIrreducible(size int) {
+	b.scheduler.Load(&batch.Job{
+		ID: "large", Service: "svc", AcceptedMs: time.Now().UnixMilli(), MaxAttempts: 1,
+		Steps: []batch.Step{{Tasks: 2, PerTask: batch.Resources{MilliCores: 1}}},
+	}, batch.Record{State: batch.JobRunning, Tasks: []batch.TaskRecord{{Phase: batch.TaskActive, Run: 1, Worker: ident.Worker(strings.Repeat("w", size))}}}, false, time.Now())
+}
+
 // Guards against an owner whose transaction exceeds the size that the store takes, so that
 // neither it nor any later owner makes anything durable.
 func TestTransactionsStayWithinStoreLimit(t *testing.T) {
@@ -73,11 +81,12 @@
 			b := newLoopbed()
 			defer b.cancel()
 			So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
-			b.submitLarge(1, 10_000)
+			b.submitIrreducible(10_000)
 			b.submit("small")
 			b.store.maxBytes = 5_000
 			commitCycles(b, 4)
-			So(b.candidate.setAside, ShouldResemble, map[ident.Job]bool{"large000": true})
+			So(b.candidate.setAside, ShouldResemble, map[ident.Job]bool{"large": true})
+			So(b.store.refused, ShouldEqual, 2) // with the other record, and alone
 			So(b.ownershipLost, ShouldBeTrue)
 			So(b.store.released(), ShouldBeTrue)
 		})
@@ -92,3 +101,51 @@
 		})
 	})
 }
+
+// Guards against a job that is accepted and then stuck, because its record with all checkpoints
+// exceeds a row of the store.
+func TestRecordsStayWithinRow(t *testing.T) {
+	const checkpointBytes = 10 * rows.DefaultRowBytes / batch.MaxTasks
+	submit := func(b *loopbed) {
+		record := batch.Record{State: batch.JobRunning, Started: true}
+		for range batch.MaxTasks {
+			record.Tasks = append(record.Tasks, batch.TaskRecord{Run: 1, Checkpoint: strings.Repeat("c", checkpointBytes)})
+		}
+		b.scheduler.Load(&batch.Job{
+			ID: "j1", Service: "svc", AcceptedMs: time.Now().UnixMilli(),
+			Steps: []batch.Step{{Tasks: batch.MaxTasks, PerTask: batch.Resources{MilliCores: 1}, Checkpoints: true}},
+		}, record, false, time.Now())
+	}
+	play := func(rowBytes, storeRowBytes int) (*loopbed, []batch.Order) {
+		b := newLoopbed()
+		So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
+		b.candidate.opts.RowBytes, b.store.maxRowBytes = rowBytes, storeRowBytes
+		submit(b)
+		var orders []batch.Order
+		for range 4 {
+			b.commitAll(func() {})
+			orders = append(orders, b.sentOrders()...)
+		}
+		return b, orders
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A record of ten rows goes into one, and the job's tasks start from their checkpoints", t, func() {
+			b, orders := play(rows.DefaultRowBytes, rows.DefaultRowBytes)
+			defer b.cancel()
+			So(b.store.refused, ShouldEqual, 0)
+			So(orders, ShouldHaveLength, batch.MaxTasks)
+			So(orders[batch.MaxTasks-1].Checkpoint, ShouldHaveLength, checkpointBytes)
+			So(b.candidate.setAside, ShouldBeEmpty)
+			So(b.events["checkpoints_omitted"], ShouldBeGreaterThan, 0)
+			So(b.shortened, ShouldHaveLength, 1)
+		})
+		Convey("If the store refuses it nevertheless, it is written without checkpoints", t, func() {
+			b, orders := play(rows.DefaultRowBytes, rows.DefaultRowBytes*3/4)
+			defer b.cancel()
+			So(b.store.refused, ShouldEqual, 1)
+			So(orders, ShouldHaveLength, batch.MaxTasks)
+			So(b.candidate.setAside, ShouldBeEmpty)
+			So(b.ownershipLost, ShouldBeFalse)
+		})
+	})
+}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -38,6 +38,8 @@
 	// overflowing counts the changes that did not fit into events and may be out of order.
 	overflowing atomic.Int32
 	limits      commitLimits
+	// shortened holds the jobs whose records had no room for all checkpoints.
+	shortened map[ident.Job]bool
 	// lastCommitStart is when the newest transaction was started.
 	lastCommitStart time.Time
 	// catalog is the configuration that the scheduler uses.
@@ -69,7 +71,7 @@
 	return &ownerLoop{
 		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: batch.New(candidate.opts.Timing, grantedUntil),
 		events: make(chan func(), eventQueueSize), conns: make(map[ident.Worker]*agentConn),
-		limits: newCommitLimits(),
+		limits: newCommitLimits(), shortened: make(map[ident.Job]bool),
 	}
 }
 
@@ -301,6 +303,7 @@
 func (l *ownerLoop) cleanupKeys(now time.Time) []string {
 	var keys []string
 	for _, id := range l.scheduler.Forget(now, maxCleanupJobs) {
+		delete(l.shortened, id)
 		keys = append(keys, jobstore.JobKey(id), jobstore.StateKey(id), jobstore.CancelKey(id))
 	}
 	return keys
@@ -312,7 +315,7 @@
 	var puts []rows.Put
 	size := 0
 	c := l.scheduler.Prepare(l.limits.records, func(id ident.Job, record batch.Record) bool {
-		value, err := jobstore.Encode(record)
+		value, err := l.encodeRecord(id, record)
 		if err != nil {
 			l.candidate.opts.Logger.Error().Str("job", string(id)).Err(err).Msg("failed to encode job record; abandoning ownership")
 			l.ownershipLost = true
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -39,7 +39,7 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + b.pause + time.Hour }
 	candidate := New(Options{
-		Entry: "e1", Store: b.store, Replica: jobstore.NewReplica(func(string, error) {}),
+		Entry: "e1", Store: b.store, Replica: jobstore.NewReplica(func(string, error) {}), RowBytes: rows.MaxBytes,
 		Timing:  batch.Timing{MaxLease: 6 * time.Second, Restore: time.Second, Retention: time.Minute},
 		Catalog: func() *catalog.Catalog { return catalog.New(catalog.Catalog{}) }, Clock: clock,
 		Logger: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -23,7 +25,9 @@
 	Catalog func() *catalog.Catalog
 	Replica *jobstore.Replica
 	Writer  *jobstore.Writer
-	Logger  *log.Logger
+	// RowBytes is the largest value of a row of the store, or zero for the usual one.
+	RowBytes int
+	Logger   *log.Logger
 	// Count is called with the name and the result kind of each call, Observe with
 	// its duration.
 	Count   func(call, kind string)
@@ -40,7 +44,10 @@
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway {
+	opts.RowBytes = cmp.Or(opts.RowBytes, rows.DefaultRowBytes)
+	return &Gateway{opts: opts}
+}
 
 // Limits of a call.
 const (
@@ -117,9 +124,29 @@
 	if err != nil {
 		return err
 	}
+	if err := g.checkRows(job, value); err != nil {
+		return err
+	}
 	return g.createRow(ctx, jobstore.JobKey(t.job), value)
 }
 
+// checkRows returns an error of kind InvalidArgument if the store cannot hold the row of a job,
+// or the record that its owner writes later.
+func (g *Gateway) checkRows(job *batch.Job, value []byte) error {
+	if len(value) > g.opts.RowBytes {
+		return errkind.New(errkind.InvalidArgument, "the job has %d bytes; a row of the store holds %d", len(value), g.opts.RowBytes)
+	}
+	worker, upstream := g.opts.Replica.LongestNames(job.Service)
+	size, err := jobstore.MaxRecordBytes(job, worker, upstream)
+	if err != nil {
+		return err
+	}
+	if size > g.opts.RowBytes {
+		return errkind.New(errkind.InvalidArgument, "the state of the job's tasks may need %d bytes; a row of the store holds %d", size, g.opts.RowBytes)
+	}
+	return nil
+}
+
 // createRow writes a row unless it already exists.
 func (g *Gateway) createRow(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -361,6 +361,27 @@
 	return n
 }
 
+// LongestNames returns the longest id of a worker of the service, and the longest id of an
+// upstream process of one.
+func (r *Replica) LongestNames(service ident.Service) (ident.Worker, ident.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var worker ident.Worker
+	var upstream ident.Upstream
+	for id, w := range r.workers {
+		if w.Info.Service != service {
+			continue
+		}
+		if len(id) > len(worker) {
+			worker = id
+		}
+		if len(w.Info.Incarnation.Upstream) > len(upstream) {
+			upstream = w.Info.Incarnation.Upstream
+		}
+	}
+	return worker, upstream
+}
+
 // OwnerView is the state of the ownership as seen by a candidate.
 type OwnerView struct {
 	Owner   Owner
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -91,7 +91,8 @@
 func (e *Entry) listen() error {
 	gw := gateway.New(gateway.Options{
 		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
-		Writer: &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
+		RowBytes: e.settings.StoreRowBytes,
+		Writer:   &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
 	})
 	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
@@ -171,6 +172,7 @@
 		Store:       e.store,
 		Relay:       e.peers,
 		Replica:     e.replica,
+		RowBytes:    e.settings.StoreRowBytes,
 		Timing:      e.settings.Tasks.Timing(),
 		Catalog:     e.config.Current,
 		Connect:     connect,
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -56,6 +56,8 @@
 	ReadyAddr  string `json:"ready_addr"`
 	// AdvisorAddr is the address of the placement advisor. It may be empty.
 	AdvisorAddr string `json:"advisor_addr"`
+	// StoreRowBytes is the largest value of a row of the store, or zero for the usual one.
+	StoreRowBytes int `json:"store_row_bytes"`
 	// CPU is the CPU time that the process may use. Entries with a larger CPU
 	// share take the ownership first.
 	CPU   CPUSettings  `json:"processor"`
@@ -71,6 +73,9 @@
 	if s.AdvisorAddr != "" {
 		problems.RequireAddr("advisor_addr", s.AdvisorAddr)
 	}
+	if s.StoreRowBytes < 0 {
+		problems.Add("store_row_bytes", "must not be negative")
+	}
 	if s.CPU.cpuShare() <= 0 {
 		problems.Add("processor", "share and speed must be above zero")
 	}
--- a/control/process/settings_test.go
+++ b/control/process/settings_test.go
@@ -24,7 +24,7 @@
 		"{{listen_addrs.front|json}}", `"10.1.0.19:8521"`, "{{listen_addrs.ready_addr|json}}", `"10.1.0.19:8523"`,
 		"{{listen_addrs.control_plane|json}}", `"10.1.0.19:8526"`, "{{placement_advisor}}", "10.200.1.9:8524",
 		"{{bounds.max_hold_ms}}", "10000", "{{bounds.restore_ms}}", "600", "{{bounds.status_s}}", "120",
-		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "2",
+		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "2", "{{platform.row_bytes|json}}", "32768",
 	).Replace(string(raw))
 }
 
@@ -35,6 +35,7 @@
 		So(settings.Decode([]byte(renderTemplate(t, "entry.json.tmpl")), &s), ShouldBeNil)
 		So(s.GRPCAddr, ShouldEqual, "10.1.0.19:7000")
 		So(s.CPU.cpuShare(), ShouldAlmostEqual, 0.8)
+		So(s.StoreRowBytes, ShouldEqual, 32768)
 		So(s.Tasks.Timing().MaxLease, ShouldEqual, 10*time.Second)
 		So(s.Tasks.Timing().Retention, ShouldEqual, 130*time.Second)
 	})
@@ -50,9 +51,9 @@
 	})
 	Convey("All invalid fields are reported at once", t, func() {
 		var s EntrySettings
-		err := settings.Decode([]byte(`{"node":"","caller_addr":"nowhere"}`), &s)
+		err := settings.Decode([]byte(`{"node":"","caller_addr":"nowhere","store_row_bytes":-1}`), &s)
 		So(errkind.Of(err), ShouldEqual, errkind.InvalidArgument)
-		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "processor", "max_lease_ms"} {
+		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "store_row_bytes", "processor", "max_lease_ms"} {
 			So(err.Error(), ShouldContainSubstring, field)
 		}
 	})
--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -48,6 +48,9 @@
 // MaxBytes is the largest size of a transaction in bytes, as the platform's store documents it.
 const MaxBytes = 1_000_000
 
+// DefaultRowBytes is the largest value of a row, in bytes, if a deployment states none.
+const DefaultRowBytes = 64 << 10
+
 // Page is the result of a range read or a watch, consistent at one version.
 type Page struct {
 	Rows []Row
