Don't repeat a row that the store refuses as invalid

The refusal was counted among the answers that leave open whether the row was written.

It now ends the call with `invalid_argument`, unless another attempt has had no answer; then the outcome stays unknown.

--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -40,7 +40,8 @@
 )
 
 // Create writes a row that must not exist yet, and returns false if it did. An error
-// of kind StoreUnavailable means that the row has not been written and will not be.
+// of kind StoreUnavailable or InvalidArgument means that the row has not been written and will
+// not be; the store will never take the latter.
 // OutcomeUnknown means that it may have been or may still be written. The writes are
 // hedged: an attempt without a response continues while the next one takes the other
 // path. The condition that the row is absent lets only one of them succeed. The result
@@ -58,8 +59,8 @@
 	if c.hasArrived() {
 		return false, nil
 	}
-	for c.started < maxWriteAttempts || c.inFlight > 0 {
-		if c.started < maxWriteAttempts {
+	for c.mayTryAgain() || c.inFlight > 0 {
+		if c.mayTryAgain() {
 			c.startAttempt(ctx)
 		}
 		created, done := c.awaitResult(ctx)
@@ -96,9 +97,13 @@
 	inFlight int
 	// ambiguous is set if an attempt ended with an unknown outcome.
 	ambiguous bool
-	lastErr   error
+	// invalid is set if the store refused the row as invalid.
+	invalid bool
+	lastErr error
 }
 
+func (c *rowCreation) mayTryAgain() bool { return !c.invalid && c.started < maxWriteAttempts }
+
 // startAttempt starts an attempt. The first one goes to the store directly if the last
 // call to it succeeded, and through another entry if not. Later ones alternate.
 func (c *rowCreation) startAttempt(ctx context.Context) {
@@ -147,6 +152,10 @@
 		return c.ambiguous || c.inFlight > 0, true
 	}
 	c.lastErr = err
+	if errkind.Is(err, errkind.InvalidArgument) {
+		c.invalid = true
+		return false, false
+	}
 	c.ambiguous = c.ambiguous || !errkind.Is(err, errkind.StoreUnavailable)
 	if c.inFlight == 0 && !timeForRetry(ctx) {
 		return false, false
@@ -177,10 +186,13 @@
 }
 
 // failure returns OutcomeUnknown if an attempt may have written the row, and otherwise
-// StoreUnavailable.
+// InvalidArgument or StoreUnavailable.
 func (c *rowCreation) failure() error {
 	if c.ambiguous || c.inFlight > 0 {
 		return errkind.New(errkind.OutcomeUnknown, "write row %s: %v", c.key, c.lastErr)
 	}
+	if c.invalid {
+		return errkind.Wrap(errkind.InvalidArgument, c.lastErr, "write row "+c.key)
+	}
 	return errkind.Wrap(errkind.StoreUnavailable, c.lastErr, "write row "+c.key)
 }
--- a/control/jobstore/write_test.go
+++ b/control/jobstore/write_test.go
@@ -228,3 +228,27 @@
 		})
 	})
 }
+
+// Guards against a row that the store will never take and that is sent again unchanged, until
+// its caller gets an unknown outcome.
+func TestInvalidRowIsNotRepeated(t *testing.T) {
+	invalid := func(context.Context, rows.Txn) (rows.Version, error) {
+		return 0, errkind.New(errkind.InvalidArgument, "the value is too large")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A refusal as invalid is the result of the call", t, func() {
+			store, relay := &fakeStore{commit: invalid}, &fakeStore{commit: invalid}
+			start := time.Now()
+			_, err := newWriter(store, relay, true).Create(context.Background(), "j/1", nil)
+			So(errkind.Of(err), ShouldEqual, errkind.InvalidArgument)
+			So(store.commits.Load()+relay.commits.Load(), ShouldEqual, 1)
+			So(time.Since(start), ShouldEqual, 0)
+		})
+		Convey("After an attempt without an answer the outcome is unknown", t, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := newWriter(&fakeStore{commit: commitTimesOut}, &fakeStore{commit: invalid}, true).Create(ctx, "j/1", nil)
+			So(errkind.Of(err), ShouldEqual, errkind.OutcomeUnknown)
+		})
+	})
+}
