Summarize what the scheduler waits for, in logs and metrics

An operator who asked why a task does not run found the reason of a waiting step, but not the starts that had neither an answer nor a report, runs whose stop had no end, or the workers that got no new work and why.

The owner now logs `scheduler summary`, at most every 30 s and only while something has waited for 5 s: starts that are not durable, or sent without an outcome, runs of earlier owners that no report has listed, runs being stopped and steps that wait, each with the number and the oldest, and the workers by state with up to 8 that get no work.

No decision changes.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -82,6 +83,8 @@
 // scheduler while it is the owner.
 type Candidate struct {
 	opts Options
+	// summary is the latest one of the ownership, or nil without one.
+	summary atomic.Pointer[batch.Summary]
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
 	guard     panicguard.Guard
@@ -125,6 +128,7 @@
 // because the state in memory may be inconsistent, and sets the job aside whose handling
 // panicked. The next owner, which may be this entry, starts from the durable state.
 func (c *Candidate) runLoop(ctx context.Context, loop *ownerLoop) {
+	defer c.summary.Store(nil)
 	if c.guard.Run("scheduler", func() { loop.run(ctx) }) == nil {
 		return
 	}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -48,6 +48,9 @@
 	// draining is set on shutdown, when nothing more is started.
 	draining    bool
 	lastCleanup time.Time
+	// summarizedAt is when the scheduler was last summarized, summaryLoggedAt when that was
+	// last logged.
+	summarizedAt, summaryLoggedAt time.Time
 }
 
 const (
@@ -227,6 +230,7 @@
 	l.sendStops(l.scheduler.TakeStops())
 	l.requestAdvice(l.scheduler.TakeAdviceRequests())
 	l.logEvents()
+	l.summarize(now)
 	l.commit(now)
 }
 
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -70,6 +70,10 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	candidate := e.newCandidate()
+	if err := e.publishSummary(candidate.Summary); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.Background())
 	e.runBackground(background, "replica of the store", func(ctx context.Context) {
 		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
@@ -78,7 +82,7 @@
 	e.runBackground(background, "configuration from the store", e.config.WatchStore)
 	e.runBackground(background, "configuration from entries", e.config.WatchPeers)
 	e.runBackground(background, "publication of the entry", e.publish)
-	e.runBackground(ctx, "candidate", e.newCandidate().Run)
+	e.runBackground(ctx, "candidate", candidate.Run)
 	<-ctx.Done()
 	e.draining.Store(true)
 	e.logger.Info().Msg("entry is draining")
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -61,7 +61,9 @@
 type stopState struct {
 	requested bool
 	reason    Reason
-	sentAt    time.Time
+	// since is when the stop was requested, to the resolution of Tick.
+	since  time.Time
+	sentAt time.Time
 	// answeredMs is the worker's clock at the answer, or zero.
 	answeredMs int64
 }
@@ -347,7 +349,7 @@
 	if t.Phase != TaskActive || t.stop.requested {
 		return
 	}
-	t.stop = stopState{requested: true, reason: reason}
+	t.stop = stopState{requested: true, reason: reason, since: s.tickedAt}
 }
 
 func (s *Scheduler) logEvent(event LogEvent) { s.logEvents = append(s.logEvents, event) }
