Don't reserve capacity for the expected end of long-running tasks

Callers whose task suits one idle worker alone waited for ever beside it: a gang that also needed a worker full of long-running tasks had reserved the idle one. Its expected start was the end of these tasks, estimated from their declared duration; once that had passed, the gang was expected to start at once, on each planning pass anew, and whatever would take longer was kept off the idle worker. Only the expiry of the gang's job, three times its objective, ended that, and a long-running gang never expires.

Long-running tasks are no longer among the expected completions. A unit that fits only once they have ended gets no reservation.

TestNothingIsReservedForTheEndOfLongRunningTasks failed before.

--- a/sched/batch/backfill.go
+++ b/sched/batch/backfill.go
@@ -121,14 +121,14 @@
 
 // expectedCompletions returns the expected ends of the runs on the worker, in
 // order of time. Runs that are being stopped are left out: freeSoon already
-// counts their capacity.
+// counts their capacity. So are long-running ones, which do not end by themselves.
 func (p *plan) expectedCompletions(c *workerCapacity) []completion {
 	if c.completions != nil {
 		return c.completions
 	}
 	c.completions = make([]completion, 0, len(c.worker.active))
 	for _, t := range c.worker.active {
-		if !t.stop.requested {
+		if !t.stop.requested && !t.step().LongRunning {
 			c.completions = append(c.completions, completion{p.scheduler.expectedRemaining(t, p.now), t.step().demand()})
 		}
 	}
