Log for which job a run is preempted, and what the stop costs

Change: `run is preempted` names the job that gets the capacity (`for`) and the cost that the planner counted (`cost_core_seconds`). One line for each stopped run, no other decision changes.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -413,10 +413,14 @@
 		if event.Event == batch.EventContradicted {
 			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
 		}
-		l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
+		line := l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
 			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
 			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
-			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch)).Msg(event.Event)
+			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch))
+		if event.For != "" {
+			line = line.Str("for", string(event.For)).Float64("cost_core_seconds", event.CostCoreSeconds)
+		}
+		line.Msg(event.Event)
 	}
 }
 
--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -272,6 +272,7 @@
 	for _, v := range chosen.victims {
 		for _, m := range p.scheduler.members(v) {
 			if m.Phase == TaskActive && !m.stop.requested {
+				p.logPreemption(u, m, reason)
 				p.scheduler.requestStop(m, reason)
 				p.creditStopping(m)
 			}
@@ -282,6 +283,14 @@
 	}
 }
 
+// logPreemption names the job for which the run is stopped, and what the stop costs.
+func (p *plan) logPreemption(u *unit, m *task, reason Reason) {
+	p.scheduler.logEvent(LogEvent{
+		Event: "run is preempted", Run: m.run(), Worker: m.Worker, Reason: string(reason),
+		For: u.job.spec.ID, CostCoreSeconds: p.stopCost(m),
+	})
+}
+
 // creditStopping counts the capacity of a run that is being stopped as free soon.
 func (p *plan) creditStopping(m *task) {
 	for _, c := range p.workers {
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -153,6 +153,10 @@
 	AgeMs int64
 	// WaitedMs is how long the step has waited, in milliseconds, if it waits.
 	WaitedMs int64
+	// For is the job for which a run is preempted, and CostCoreSeconds the cost of the
+	// stop, for a member of a gang that of the whole gang.
+	For             ident.Job
+	CostCoreSeconds float64
 }
 
 // Scheduler holds the state of the jobs and workers of all services. It is not safe
