Stop a task that holds up its job's later steps last, and only for a guarantee

Cause: the end of the last task of step 0 was not recorded before all machines lost power, so the task ran again. It has no checkpoints and takes 18.5 s; the whole job waited for it. After 11 s an urgent job outside its guarantee stopped it. Nothing bounds how often such a task is stopped, and what waits for it counts nowhere. Ruled out: room that was not used (the task was placed 0.1 to 0.3 s after it was stopped, and step 1 0.05 s after its end), a start without an outcome.

Change: a run without checkpoints that has started over, on whose step another one waits and of whose step at most a quarter is still to be done, is stopped only for a guarantee, and costs three of its durations more than its lost work, as urgent runs do. The two new tests failed before.

--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -175,8 +175,8 @@
 }
 
 // preemptible reports whether the unit may preempt the run. The run must belong to a
-// less urgent tier. Normal units also spare bulk work that would lose its progress,
-// and bulk gangs.
+// less urgent tier. Work outside a guarantee spares runs that hold up later steps.
+// Normal units also spare bulk work that would lose its progress, and bulk gangs.
 func (p *plan) preemptible(u *unit, t *task) bool {
 	if t.stop.requested || t.job == u.job {
 		return false
@@ -185,12 +185,42 @@
 	if !ok || runTier <= u.tier {
 		return false
 	}
+	if u.tier > tierGuaranteed && t.holdsUpSteps() {
+		return false
+	}
 	if u.tier >= tierNormal {
 		return runTier == tierExpired || runTier == tierBulk && t.step().Checkpoints && !t.step().Gang
 	}
 	return true
 }
 
+// holdsUpSteps reports whether later steps wait for a task that has started over and
+// would have to do so again, while most of its step is done. Without a bound on its stops
+// the job might never go on.
+func (t *task) holdsUpSteps() bool {
+	if t.Run < 2 || t.step().Checkpoints {
+		return false
+	}
+	awaited := slices.ContainsFunc(t.job.spec.Steps, func(s Step) bool { return slices.Contains(s.DependsOn, t.id.Step) })
+	return awaited && t.inLastTasks()
+}
+
+// lastTasksShare is the share of a step's tasks that count as its last ones.
+const lastTasksShare = 0.25
+
+// inLastTasks reports whether the task is the only one of its step that has not succeeded,
+// or one of a few.
+func (t *task) inLastTasks() bool {
+	first := t.position - t.id.Index
+	remaining := 0
+	for i := range t.step().Tasks {
+		if t.job.tasks[first+i].Phase != TaskSucceeded {
+			remaining++
+		}
+	}
+	return remaining <= max(1, int(lastTasksShare*float64(t.step().Tasks)))
+}
+
 // minReadyTime is how long after its start a long-running task still counts as
 // unavailable.
 const minReadyTime = 5500 * time.Millisecond
@@ -225,11 +255,11 @@
 	// restartCostCoreSeconds is the fixed cost of a stop, in addition to the lost
 	// work.
 	restartCostCoreSeconds = 4
-	// urgentStopDurations is the cost of stopping an urgent run in addition to the
-	// work that it loses, in multiples of its expected duration: the run will
-	// hardly meet its objective any more. The operators value the core-seconds of
-	// urgent work about four times as high as those of lost work, which stopCost
-	// counts once in any case.
+	// urgentStopDurations is the cost of stopping an urgent run, or one that holds up
+	// its job, in addition to the work that it loses, in multiples of its expected
+	// duration: the run will hardly meet its objective any more. The operators value
+	// the core-seconds of urgent work about four times as high as those of lost work,
+	// which stopCost counts once in any case.
 	urgentStopDurations = 3
 )
 
@@ -245,7 +275,7 @@
 		// is lost.
 		lost = min(lost, p.scheduler.timing.Restore)
 	}
-	if p.tiers[t.job] <= tierUrgent {
+	if p.tiers[t.job] <= tierUrgent || t.holdsUpSteps() {
 		lost += urgentStopDurations * expected
 	}
 	members := 1
--- a/sched/batch/preempt_test.go
+++ b/sched/batch/preempt_test.go
@@ -3,12 +3,32 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
+// loadRunning adds a job whose first task has the given run in progress on worker w1.
+func (b *testbed) loadRunning(j *Job, run int) {
+	record := Record{State: JobRunning, Started: true, Tasks: []TaskRecord{{Phase: TaskActive, Run: run, Worker: "w1", Incarnation: testIncarnation(1)}}}
+	b.scheduler.Load(j, record, false, b.now)
+}
+
+// stoppedFor returns the jobs whose runs are stopped for an urgent job, which asks for all
+// accelerators of the only worker.
+func (b *testbed) stoppedFor(urgent *Job) []ident.Job {
+	b.advance(4 * time.Second)
+	b.submit(urgent)
+	b.runCycle()
+	var out []ident.Job
+	for _, o := range b.stops {
+		out = append(out, o.Run.Task.Job)
+	}
+	return out
+}
+
 // Guards against stopped runs of which no log line says for whom they were stopped.
 func TestPreemptionNamesItsCause(t *testing.T) {
 	Convey("A stopped run is logged with the job that gets its capacity and with its cost", t, func() {
@@ -28,3 +48,59 @@
 		So(events[at].CostCoreSeconds, ShouldBeGreaterThanOrEqualTo, restartCostCoreSeconds)
 	})
 }
+
+// Guards against a job that stands still because the task for which its later steps wait
+// is stopped again and again, and does all its work anew each time.
+func TestTaskThatHoldsUpLaterStepsIsNotStoppedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		run, tasks             int
+		dependent, checkpoints bool
+		workspace              ident.Workspace
+		stopped                bool
+	}{
+		{"A repeated run for which a later step waits goes on", 2, 1, true, false, "guest", false},
+		{"The first run is stopped", 1, 1, true, false, "guest", true},
+		{"A run for which no step waits is stopped", 2, 1, false, false, "guest", true},
+		{"A run that resumes is stopped", 2, 1, true, true, "guest", true},
+		{"A run whose step has many more tasks to do is stopped", 2, 2, true, false, "guest", true},
+		{"A run in the way of a guarantee is stopped", 2, 1, true, false, "owner", true},
+	} {
+		Convey(c.name, t, func() {
+			b := newTestbed()
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}}, map[ident.Service]bool{"svc": true})
+			b.addWorker("w1", "r1")
+			first, second := testStep(c.tasks, 8), testStep(1, 1)
+			first.Checkpoints = c.checkpoints
+			steps := []Step{first}
+			if c.dependent {
+				second.DependsOn = []int{0}
+				steps = append(steps, second)
+			}
+			b.loadRunning(testJob("bulk", 2, steps...), c.run)
+			b.report("w1", []RunningTask{{Run: Run{Task: TaskID{Job: "bulk"}, Number: c.run}, Percent: 1}}, nil)
+			urgent := testJob("urgent", 0, testStep(1, 8))
+			urgent.Workspace = c.workspace
+			So(len(b.stoppedFor(urgent)) > 0, ShouldEqual, c.stopped)
+		})
+	}
+}
+
+// Guards against a guarantee that is reclaimed from the one task for which the rest of a job
+// waits, although other work would do.
+func TestTaskThatHoldsUpLaterStepsIsStoppedLast(t *testing.T) {
+	Convey("A guarantee is reclaimed from a run that nothing waits for, although it loses more work", t, func() {
+		b := newTestbed()
+		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
+		b.addWorker("w1", "r1")
+		second := testStep(1, 4)
+		second.DependsOn = []int{0}
+		b.loadRunning(testJob("awaited", 2, testStep(1, 4), second), 2)
+		b.loadRunning(testJob("other", 2, testStep(1, 4)), 2)
+		rows := []RunningTask{{Run: Run{Task: TaskID{Job: "awaited"}, Number: 2}, Percent: 1}, {Run: Run{Task: TaskID{Job: "other"}, Number: 2}, Percent: 90}}
+		b.report("w1", rows, nil)
+		guaranteed := testJob("guaranteed", 0, testStep(1, 4))
+		guaranteed.Workspace = "owner"
+		So(b.stoppedFor(guaranteed), ShouldResemble, []ident.Job{"other"})
+	})
+}
