--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -32,8 +32,6 @@
 	switch {
 	case announced.Incarnation != o.Incarnation:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
-	case announced.Info.Ended:
-		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the upstream process has ended"}
 	case o.Kind == batch.OrderStop:
 		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.epoch, o)
@@ -69,11 +67,10 @@
 // run, the start counts as carried out; if a complete report does not, the result has the
 // time of the report.
 func (s *session) lookForRun(ctx context.Context, announced batchapi.Announcement, o batch.Order, result *batchapi.OrderResult) {
-	renewal := s.renewalFor(announced.Incarnation)
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
 	report, err := s.runner.opts.Tasks.Renew(ctx, announced.Address, batchapi.RenewRequest{
-		Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor,
+		Epoch: s.epoch, Incarnation: announced.Incarnation,
 	})
 	if err != nil {
 		result.ClockMs = 0
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -46,13 +46,11 @@
 	announcement batchapi.Announcement
 	// candidates holds the announcements of other incarnations, which have not responded yet.
 	candidates map[batch.Incarnation]*candidate
-	// draining reports that the current process has announced that it drains, and leaving that
-	// it has deregistered since.
-	draining, leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
-	// epoch is the newest epoch of an owner that has attached.
+	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
 	epoch ident.Epoch
+	owner string
 	// session is the stream to the current owner, or nil.
 	session *session
 	// clock is the latest reading of the worker's clock.
@@ -88,12 +86,10 @@
 		r.opts.Count("announcement_stale")
 		return
 	}
-	r.noteContradiction()
 	former := r.announcement.Info
 	a.Info.Unreachable, a.Info.Supersedes = former.Unreachable, former.Supersedes
 	r.announcement, r.sequence = a, a.Sequence
-	r.draining, r.leaving = a.Info.Draining, r.leaving && a.Info.Draining
-	if a.Info.Draining != former.Draining || former.Ended {
+	if a.Info.Draining != former.Draining {
 		r.publishAnnouncement()
 	}
 }
@@ -107,7 +103,6 @@
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.announcement, r.sequence = a, a.Sequence
-	r.draining, r.leaving = a.Info.Draining, false
 	notify(r.publishWakeup)
 	r.publishAnnouncement()
 }
@@ -140,39 +135,32 @@
 func (r *Runner) Leave(upstream ident.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for incarnation, c := range r.candidates {
+		c.announcement.Info.Draining = c.announcement.Info.Draining || incarnation.Upstream == upstream
+	}
 	if r.announcement.Incarnation.Upstream != upstream {
 		return
 	}
 	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
-	// A process under the same id may have been restarted since it deregistered. It has not
-	// announced that it drains.
-	r.leaving = r.draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
 	}
 }
 
-// markUnreachable records that an incarnation of the upstream process refuses connections.
-// If it had deregistered, it has ended; otherwise it may run on, out of reach.
+// markUnreachable records that an incarnation of the upstream process refuses connections. It
+// may run on, also if it has deregistered: it ends later if the response to that was lost.
 func (r *Runner) markUnreachable(incarnation batch.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	info := &r.announcement.Info
-	if r.announcement.Incarnation != incarnation || info.Ended || info.Unreachable {
+	if r.announcement.Incarnation != incarnation || info.Unreachable {
 		return
 	}
-	line := r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
-		Int("refusals", refusalsUntilUnreachable)
-	if r.leaving {
-		info.Ended = true
-		r.opts.Count("upstream_ended")
-		line.Msg("upstream process has ended: it was leaving, and its address refuses connections")
-	} else {
-		info.Unreachable = true
-		r.opts.Count("upstream_unreachable")
-		line.Msg("upstream process is out of reach: its address refuses connections")
-	}
+	info.Unreachable = true
+	r.opts.Count("upstream_unreachable")
+	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
+		Int("refusals", refusalsUntilUnreachable).Msg("upstream process is out of reach: its address refuses connections")
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
@@ -193,17 +181,6 @@
 	}
 }
 
-// noteContradiction reports that the announced process, which was taken as ended, announces
-// itself again. The caller holds r.mu.
-func (r *Runner) noteContradiction() {
-	if !r.announcement.Info.Ended {
-		return
-	}
-	r.opts.Count("upstream_end_contradicted")
-	r.opts.Logger.Warn().Str("upstream", string(r.announcement.Incarnation.Upstream)).
-		Msg("upstream process that was taken as ended announces itself again")
-}
-
 // notify signals a channel with a buffer of one without blocking.
 func notify(c chan struct{}) {
 	select {
@@ -215,8 +192,8 @@
 // publishRetryDelay is the delay between two attempts to write the worker's row.
 const publishRetryDelay = 500 * time.Millisecond
 
-// Publish writes the worker's row, by which owners find this agent, whenever a
-// new incarnation of the upstream process is announced. It returns when ctx ends.
+// Publish writes the worker's row, by which owners find this agent, whenever a new incarnation
+// of the upstream process is adopted, or waits for an owner. It returns when ctx ends.
 func (r *Runner) Publish(ctx context.Context) {
 	for {
 		select {
@@ -240,6 +217,7 @@
 	r.mu.Lock()
 	row := jobstore.Worker{Address: r.opts.Address, Info: r.announcement.Info}
 	r.mu.Unlock()
+	row.Info.ID, row.Info.Unreachable = r.opts.ID, false
 	value, err := jobstore.Encode(row)
 	if err != nil {
 		return err
@@ -261,7 +239,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	s := &session{
-		runner: r, epoch: ident.Epoch(hello.GetEpoch()), cancel: cancel,
+		runner: r, epoch: ident.Epoch(hello.GetEpoch()), owner: hello.GetOwner(), cancel: cancel,
 		outbound: make(chan *rpc.FromRunner, outboundQueueLimit), wakeup: make(chan struct{}, 1),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 	}
@@ -273,18 +251,24 @@
 	return s.serve(ctx, stream)
 }
 
-// attachSession replaces the current session. It refuses an owner with an older
-// epoch, which serves as the fencing token.
+// attachSession replaces the current session. It refuses an owner with an older epoch, which
+// serves as the fencing token, and a second owner with the same one.
 func (r *Runner) attachSession(s *session) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.epoch < r.epoch {
 		return errkind.New(errkind.StaleEpoch, "epoch %d is older than the current epoch %d", s.epoch, r.epoch)
 	}
+	if s.epoch == r.epoch && r.owner != "" && s.owner != r.owner {
+		r.opts.Count("owner_conflict")
+		r.opts.Logger.Error().Uint64("epoch", uint64(s.epoch)).Str("owner", s.owner).Str("current", r.owner).
+			Msg("second owner with the same epoch is refused")
+		return errkind.New(errkind.StaleEpoch, "epoch %d belongs to %s", s.epoch, r.owner)
+	}
 	if r.session != nil {
 		r.session.cancel()
 	}
-	r.epoch, r.session = s.epoch, s
+	r.epoch, r.owner, r.session = s.epoch, s.owner, s
 	if r.announcement.Incarnation != (batch.Incarnation{}) {
 		s.sendWorker(r.announcement.Info)
 	}
