Preempt outside a guarantee only at up to twice the work that it makes room for

Cause: a preemption picks the cheapest victims, but takes any price. Work beyond a guarantee may so throw away far more than it does itself.

Change: outside a guarantee a preemption whose cost is more than twice the work of the tasks that it makes room for is not made; the unit keeps its turn by a reservation. The two new tests failed before.

--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -2,14 +2,15 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // preempt stops runs, as cheaply as it can, to make room for n tasks of the unit,
 // and allocates the capacity that they free to the unit. It does nothing and returns
-// false if the unit may not preempt, has not waited for its preemption delay, or
-// would not fit even with preemption.
+// false if the unit may not preempt, has not waited for its preemption delay, would
+// not fit even with preemption, or is not worth the work that would be lost.
 func (p *plan) preempt(u *unit, n int) bool {
 	if u.tier > tierNormal || p.now.Before(u.waitingSince().Add(u.preemptionDelay())) {
 		return false
@@ -21,7 +22,7 @@
 			best = option
 		}
 	}
-	if best == nil {
+	if best == nil || best.cost > u.maxPreemptionCost(n) {
 		return false
 	}
 	p.applyPreemption(u, best)
@@ -46,6 +47,20 @@
 	return normalPreemptionDelay
 }
 
+// maxPreemptionWork bounds the cost of a preemption, in multiples of the work of the
+// tasks that it makes room for.
+const maxPreemptionWork = 2
+
+// maxPreemptionCost returns up to which cost in core-seconds the unit may preempt other
+// work for n of its tasks. A guarantee is reclaimed at any cost. Other units wait for runs
+// that have done much more work than they will do themselves.
+func (u *unit) maxPreemptionCost(n int) float64 {
+	if u.tier == tierGuaranteed || u.duration <= 0 {
+		return math.Inf(1)
+	}
+	return maxPreemptionWork * float64(n) * (u.duration.Seconds()*u.step.PerTask.coreEquivalents() + restartCostCoreSeconds)
+}
+
 // waitingSince returns when the last of the unit's tasks began to wait, which is not
 // before the job's acceptance.
 func (u *unit) waitingSince() time.Time {
--- a/sched/batch/preempt_test.go
+++ b/sched/batch/preempt_test.go
@@ -104,3 +104,53 @@
 		So(b.stoppedFor(guaranteed), ShouldResemble, []ident.Job{"other"})
 	})
 }
+
+// Guards against a short urgent task for which far more work is thrown away than it does
+// itself, although that work would soon have ended.
+func TestPreemptionCostsNoMoreThanItIsWorth(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		duration  time.Duration
+		workspace ident.Workspace
+		stopped   bool
+	}{
+		{"A short task waits for a run that has worked for long", time.Second, "guest", false},
+		{"A task that takes as long as the lost work does not wait", 30 * time.Second, "guest", true},
+		{"A guarantee is reclaimed at any cost", time.Second, "owner", true},
+	} {
+		Convey(c.name, t, func() {
+			b := newTestbed()
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}}, map[ident.Service]bool{"svc": true})
+			b.addWorker("w1", "r1")
+			step := testStep(1, 8)
+			step.EstimateMs = (40 * time.Second).Milliseconds()
+			b.loadRunning(testJob("bulk", 2, step), 1)
+			b.report("w1", []RunningTask{{Run: Run{Task: TaskID{Job: "bulk"}, Number: 1}, Percent: 75}}, nil)
+			urgent := testJob("urgent", 0, testStep(1, 8))
+			urgent.Workspace = c.workspace
+			urgent.Steps[0].EstimateMs = c.duration.Milliseconds()
+			So(len(b.stoppedFor(urgent)) > 0, ShouldEqual, c.stopped)
+		})
+	}
+}
+
+// Guards against a unit that gives up a preemption and then loses its turn to later work.
+func TestWorkThatIsNotWorthPreemptionKeepsItsTurn(t *testing.T) {
+	Convey("The capacity goes to the urgent task once the run has ended", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		step := testStep(1, 8)
+		step.EstimateMs = (40 * time.Second).Milliseconds()
+		b.loadRunning(testJob("bulk", 2, step), 1)
+		row := RunningTask{Run: Run{Task: TaskID{Job: "bulk"}, Number: 1}, Percent: 75}
+		b.report("w1", []RunningTask{row}, nil)
+		urgent := testJob("urgent", 0, testStep(1, 8))
+		urgent.Steps[0].EstimateMs = 1000
+		So(b.stoppedFor(urgent), ShouldBeEmpty)
+		b.submit(testJob("later", 2, testStep(8, 1)))
+		b.report("w1", nil, []EndedTask{{Number: 1, Run: row.Run, Kind: EndSucceeded}})
+		starts := b.runCycle()
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Run.Task.Job, ShouldEqual, ident.Job("urgent"))
+	})
+}
