Do not reserve capacity for good beside long-running tasks

Callers would see jobs wait for ever while a worker that suits them has room. Found by a model of fleets in which few workers have what the work needs.

Cause: reservations take long-running runs for runs that end. A task for whose room others of them would have to end gets a reservation as from their expected end, which has passed; and a step that has reached its limit per worker there gets one at once. The tasks that wait are long-running themselves, so that they never expire, and others may not use what is reserved.

Evidence: the planning pass of the failing case (rapid of TestScarceWorkEndsAfterFaults while it was being written) holds a reservation that starts in 0 s and leaves 0 of 4 idle accelerators, for a step with one run per worker whose run is on that worker. Ruled out: headroom, which had decayed.

Change: long-running runs do not count among the expected ends, and count against the limit per worker. Other work is planned as before.

--- a/sched/batch/backfill.go
+++ b/sched/batch/backfill.go
@@ -93,7 +93,7 @@
 func (p *plan) startOptions(u *unit, c *workerCapacity, n int) []startOption {
 	limit := n
 	if u.step.MaxPerWorker > 0 {
-		limit = min(n, u.step.MaxPerWorker)
+		limit = min(n, u.step.MaxPerWorker-c.worker.lastingRunsOf(u))
 	}
 	for _, r := range c.reservations {
 		limit = min(limit, fitCount(r.spare, u.step.demand()))
@@ -113,6 +113,15 @@
 	return out
 }
 
+// lastingRunsOf returns how many runs of the unit's step are on the worker that do not end by
+// themselves.
+func (w *worker) lastingRunsOf(u *unit) int {
+	if !u.step.LongRunning {
+		return 0
+	}
+	return w.runsOf(u)
+}
+
 // completion is the expected end of a run on a worker.
 type completion struct {
 	endsIn time.Duration
@@ -120,15 +129,15 @@
 }
 
 // expectedCompletions returns the expected ends of the runs on the worker, in
-// order of time. Runs that are being stopped are left out: freeSoon already
-// counts their capacity.
+// order of time. Long-running ones do not end by themselves. Those that are being stopped are
+// left out: freeSoon already counts their capacity.
 func (p *plan) expectedCompletions(c *workerCapacity) []completion {
 	if c.completions != nil {
 		return c.completions
 	}
 	c.completions = make([]completion, 0, len(c.worker.active))
 	for _, t := range c.worker.active {
-		if !t.stop.requested {
+		if !t.stop.requested && !t.step().LongRunning {
 			c.completions = append(c.completions, completion{p.scheduler.expectedRemaining(t, p.now), t.step().demand()})
 		}
 	}
