Search for scarce work that never ends, and for clocks that step

The model test checked that nothing runs that must not.

TestScarceWorkEndsAfterFaults draws fleets in which one worker has a label, a rack has one or two workers and the advisor allows one or two of up to 36; jobs that need them, long-running ones beside them, jobs of which all attempts but the last fail, orders that are dropped without any answer, and clocks that are set back between two restarts. After all faults have ended, each job that has room beside long-running tasks must end: within 40 s something must start or end, and all must within 10 minutes.

The actions of TestInvariantsUnderFaults and its invariants are as before; it also drops orders and sets clocks back now.

TestWorkerIsKnownAfterClockSteps found that a worker is ignored for good after a series of clock steps of which the owner missed one.

--- a/sched/batch/model_reports_test.go
+++ b/sched/batch/model_reports_test.go
@@ -1,10 +1,6 @@
 package batch
 
-import (
-	"slices"
-
-	"pgregory.net/rapid"
-)
+import "slices"
 
 // modelMaxEnds is how many ends a report lists at the most.
 const modelMaxEnds = 2
@@ -31,7 +27,7 @@
 		r.Running = append(r.Running, RunningTask{Run: run, Percent: int(m.now.UnixMilli() % 97)})
 	}
 	w.sent = append(w.sent, sentReport{r, w.info()})
-	if rapid.IntRange(0, 2).Draw(m.t, "report delayed") > 0 {
+	if !m.chance(2, "report delayed") {
 		m.deliverReports(w)
 	}
 }
@@ -50,7 +46,7 @@
 
 func (m *model) renew(w *modelWorker) {
 	renewal, ok := m.scheduler.RenewalFor(w.id)
-	lost := rapid.IntRange(0, 5).Draw(m.t, "renewal lost") == 0
+	lost := m.chance(5, "renewal lost")
 	if !ok || lost || !w.up || w.unreachable || renewal.Incarnation != w.incarnation {
 		return
 	}
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -16,6 +15,7 @@
 // modelWorker simulates the specified behaviour of a worker: fencing, leases,
 // numbered ends, and delayed orders.
 type modelWorker struct {
+	modelSite
 	id          ident.Worker
 	incarnation Incarnation
 	startedAt   time.Time
@@ -65,36 +65,29 @@
 	// succeeded holds the tasks whose success is recorded in the store.
 	succeeded    map[TaskID]bool
 	incarnations int64
+	// failing holds the jobs of which all attempts but the last fail.
+	failing map[ident.Job]bool
+	// scarce makes jobs need what few workers have. calm ends all faults.
+	scarce, calm bool
+	// clocksStepOnce lets the clock of a worker be set back once at a time, and the owner hear
+	// of it at once.
+	clocksStepOnce bool
 }
 
-func newModel(t *rapid.T) *model {
+func newModel(t *rapid.T, sites []modelSite) *model {
 	m := &model{
 		t: t, now: testStart, jobs: make(map[ident.Job]*Job), records: make(map[ident.Job]Record),
-		canceled: make(map[ident.Job]bool), succeeded: make(map[TaskID]bool),
+		canceled: make(map[ident.Job]bool), succeeded: make(map[TaskID]bool), failing: make(map[ident.Job]bool),
 	}
-	for i := range 3 {
-		w := &modelWorker{id: ident.Worker(fmt.Sprintf("w%d", i))}
+	for i, site := range sites {
+		w := &modelWorker{id: ident.Worker(fmt.Sprintf("w%d", i)), modelSite: site}
 		m.workers = append(m.workers, w)
-		m.startProcess(w, "u0")
+		m.startProcess(w, "u0", 0)
 	}
 	m.takeover()
 	return m
 }
 
-func (m *model) startProcess(w *modelWorker, upstream string) {
-	m.incarnations++
-	m.t.Logf("process start of %s, incarnation %d", w.id, m.incarnations)
-	*w = modelWorker{
-		id: w.id, up: true, startedAt: m.now, attached: w.attached,
-		incarnation: Incarnation{Upstream: ident.Upstream(string(w.id) + upstream), StartedMs: m.incarnations},
-		running:     make(map[Run]time.Time), finished: make(map[TaskID]int), endedAt: make(map[int64]time.Time),
-	}
-}
-
-func (w *modelWorker) info() WorkerInfo {
-	return WorkerInfo{ID: w.id, Service: "svc", Incarnation: w.incarnation, Ended: !w.up && w.left, Unreachable: w.unreachable || !w.up && !w.left, Rack: "r1", Labels: []string{"r1"}, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}}
-}
-
 // takeover replaces the owner. The new one knows only the contents of the store.
 func (m *model) takeover() {
 	m.epoch++
@@ -109,22 +102,6 @@
 	}
 }
 
-func (m *model) submit() {
-	id := ident.Job(fmt.Sprintf("j%d", len(m.jobs)))
-	step := Step{
-		Tasks: rapid.IntRange(1, 4).Draw(m.t, "tasks"), EstimateMs: 1000,
-		PerTask:     Resources{Accelerators: rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(m.t, "accelerators")},
-		Gang:        rapid.Bool().Draw(m.t, "gang"),
-		Checkpoints: rapid.Bool().Draw(m.t, "checkpoints"),
-	}
-	j := testJob(string(id), rapid.IntRange(0, 2).Draw(m.t, "priority"), step)
-	j.AcceptedMs = m.now.UnixMilli()
-	j.MaxAttempts = 3
-	m.jobs[id] = j
-	m.t.Logf("submit %s p%d %+v", id, j.Priority, step)
-	m.scheduler.Load(j, Record{}, false, m.now)
-}
-
 func (m *model) cancel() {
 	ids := slices.Sorted(maps.Keys(m.jobs))
 	if len(ids) == 0 {
@@ -142,21 +119,22 @@
 	m.scheduler.Tick(m.now)
 	m.scheduler.Schedule(m.now)
 	m.scheduler.Tick(m.now)
+	m.advise()
 	stops := m.scheduler.TakeStops()
 	c := m.scheduler.Prepare(100, nil)
-	if rapid.IntRange(0, 60).Draw(m.t, "crash before commit") == 0 {
+	if m.chance(60, "crash before commit") {
 		m.takeover()
 		return
 	}
 	for id, record := range c.Records {
 		m.persist(id, record)
 	}
-	if rapid.IntRange(0, 60).Draw(m.t, "crash after commit") == 0 {
+	if m.chance(60, "crash after commit") {
 		m.takeover()
 		return
 	}
 	m.scheduler.Committed(c)
-	if rapid.IntRange(0, 9).Draw(m.t, "cancel during commit") == 0 {
+	if m.chance(9, "cancel during commit") {
 		m.cancel()
 	}
 	starts := m.scheduler.ReleaseStarts(c, m.now)
@@ -196,6 +174,10 @@
 		m.scheduler.Answered(o, AnswerRejected, 0, m.now)
 		return
 	}
+	if m.calm {
+		m.deliverAtOnce(o)
+		return
+	}
 	switch rapid.IntRange(0, 9).Draw(m.t, "delivery") {
 	case 2:
 		// An unhealthy worker rejects the order and does nothing.
@@ -208,12 +190,18 @@
 		m.scheduler.Answered(o, AnswerUnknown, 0, m.now)
 	case 3:
 		m.deliverTwice(o)
+	case 4:
+		m.drop(o)
 	default:
-		kind, clock := m.apply(o, m.epoch)
-		m.scheduler.Answered(o, kind, clock, m.now)
+		m.deliverAtOnce(o)
 	}
 }
 
+func (m *model) deliverAtOnce(o Order) {
+	kind, clock := m.apply(o, m.epoch)
+	m.scheduler.Answered(o, kind, clock, m.now)
+}
+
 // deliverTwice carries out an order whose first attempt had no answer and arrives
 // later.
 func (m *model) deliverTwice(o Order) {
@@ -329,7 +317,11 @@
 // advance advances the clock: delayed orders arrive, leases expire and runs end.
 func (m *model) advance() {
 	longest := rapid.SampledFrom([]int{1500, 1500, 1500, 1500, 1500, 12000}).Draw(m.t, "longest")
-	m.now = m.now.Add(time.Duration(rapid.IntRange(50, longest).Draw(m.t, "pass")) * time.Millisecond)
+	m.elapse(time.Duration(rapid.IntRange(50, longest).Draw(m.t, "pass")) * time.Millisecond)
+}
+
+func (m *model) elapse(d time.Duration) {
+	m.now = m.now.Add(d)
 	m.delayed = slices.DeleteFunc(m.delayed, func(d delayedOrder) bool {
 		if d.arrivesAt.After(m.now) {
 			return false
@@ -344,11 +336,16 @@
 			w.expiredAt = m.now
 		}
 		for _, run := range sortedRuns(w.running) {
+			if _, ok := w.running[run]; !ok {
+				continue // It ended with its gang.
+			}
 			switch {
 			case w.leaseDeadline < w.clockMs(m.now):
 				m.endRun(w, run, EndLeaseExpired)
-			case m.now.Sub(w.running[run]) > 2*time.Second && m.canEnd(run) && rapid.Bool().Draw(m.t, "ends"):
-				m.endRun(w, run, rapid.SampledFrom([]EndKind{EndSucceeded, EndSucceeded, EndFailed}).Draw(m.t, "how"))
+			case m.now.Sub(w.running[run]) > modelGangTimeout && !m.gangComplete(run):
+				m.recordEnd(w, run, EndGangIncomplete)
+			case m.now.Sub(w.running[run]) > 2*time.Second && m.canEnd(run) && (m.calm || rapid.Bool().Draw(m.t, "ends")):
+				m.endRun(w, run, m.drawEnd(run))
 			}
 		}
 	}
@@ -357,6 +354,13 @@
 // canEnd reports whether a run makes progress and so may end by itself: the members
 // of a gang make progress only while all of them run.
 func (m *model) canEnd(run Run) bool {
+	return !m.jobs[run.Task.Job].Steps[0].LongRunning && m.gangComplete(run)
+}
+
+// modelGangTimeout is how long a member of a gang waits for the others.
+const modelGangTimeout = 4 * time.Second
+
+func (m *model) gangComplete(run Run) bool {
 	step := m.jobs[run.Task.Job].Steps[0]
 	present := 0
 	for _, w := range m.workers {
@@ -389,8 +393,9 @@
 // restart replaces the incarnation of a worker, under its old id or a new one.
 func (m *model) restart(w *modelWorker) {
 	upstream := rapid.SampledFrom([]string{"u0", "u1"}).Draw(m.t, "id")
-	m.startProcess(w, upstream)
-	if w.attached && rapid.Bool().Draw(m.t, "announced at once") {
+	back := m.drawClockStep(w)
+	m.startProcess(w, upstream, back)
+	if w.attached && (m.clocksStepOnce && back > 0 || rapid.Bool().Draw(m.t, "announced at once")) {
 		m.scheduler.Announced(w.info(), m.now)
 	}
 }
@@ -417,48 +422,6 @@
 	}
 }
 
-// Guards against work that runs twice, after its success or cancellation, or
-// beyond the capacity of a worker, under takeovers, lost and delayed orders, lost
-// streams and restarted workers.
-func TestInvariantsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		for range 120 {
-			w := rapid.SampledFrom(m.workers).Draw(t, "worker")
-			switch rapid.IntRange(0, 41).Draw(t, "action") {
-			case 0, 1, 2, 3, 4:
-				m.submit()
-			case 5:
-				m.cancel()
-			case 6:
-				if rapid.Bool().Draw(t, "crash first") {
-					m.crash(w)
-				} else {
-					m.restart(w)
-				}
-			case 7:
-				m.takeover()
-			case 8:
-				m.toggleStream(w)
-			case 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20:
-				m.advance()
-			case 21, 22, 23, 24, 25, 26, 27, 28, 29:
-				if !w.attached {
-					m.toggleStream(w)
-				}
-				m.report(w)
-			case 30, 31, 32:
-				m.deliverReports(w)
-			case 33:
-				m.toggleReach(w)
-			default:
-				m.runCycle()
-			}
-		}
-		m.converge()
-	})
-}
-
 // converge lets the owner reach every worker for a while. Afterwards no run may
 // exist that it does not know of.
 func (m *model) converge() {
