--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -57,7 +57,7 @@
 		labelled := &sites[index.Draw(t, "labelled worker")]
 		labelled.labels = append(labelled.labels, fmt.Sprintf("l%d", k))
 	}
-	for range 2 {
+	for range rapid.IntRange(1, 2).Draw(t, "allowed workers") {
 		sites[index.Draw(t, "allowed worker")].allowed = true
 	}
 	return sites
