--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -47,7 +47,7 @@
 // drawSites returns a fleet in which each label stands on one worker, a rack has one or two
 // of them, and the advisor allows one or two.
 func drawSites(t *rapid.T) []modelSite {
-	sites := make([]modelSite, rapid.SampledFrom([]int{2, 3, 4, 2, 3, maxWorkersPerRequest + 6}).Draw(t, "workers"))
+	sites := make([]modelSite, rapid.SampledFrom([]int{2, 3, 4, 2, 3, maxWorkersPerRequest * 3 / 2}).Draw(t, "workers"))
 	perRack := rapid.IntRange(1, 2).Draw(t, "workers per rack")
 	for i := range sites {
 		sites[i].rack = ident.Rack(fmt.Sprintf("r%d", i/perRack))
