Take a departure as the end of a process again, in a stricter form

Since nothing but the lease, or a successor, proved the end of a process that leaves as announced.

A process has left if it had announced that it drains, deregistered, and then refuses connections five times in a row, 0.1 s apart. Another heartbeat or a report revokes that, and is logged and counted. Runs whose start may still be carried out keep their lease.

TestProcessHasLeftAfterDeregistrationAndRefusals and TestRunsOfLeftProcessStartElsewhere are new; the model draws departures again.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -36,7 +36,7 @@
 		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.epoch, o)
 		})
-	case announced.Info.Unreachable:
+	case announced.Info.Unreachable || announced.Info.Left:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process is out of reach"}
 	case announced.Info.Draining:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "draining"}
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -46,6 +46,9 @@
 	announcement batchapi.Announcement
 	// candidates holds the announcements of other incarnations, which have not responded yet.
 	candidates map[batch.Incarnation]*candidate
+	// draining reports that the current process has announced that it drains, and leaving that
+	// it has deregistered since and has not announced itself again.
+	draining, leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
@@ -89,7 +92,9 @@
 	former := r.announcement.Info
 	a.Info.Unreachable, a.Info.Supersedes = former.Unreachable, former.Supersedes
 	r.announcement, r.sequence = a, a.Sequence
-	if a.Info.Draining != former.Draining {
+	r.draining, r.leaving = a.Info.Draining, false
+	r.noteContradiction(former)
+	if a.Info.Draining != former.Draining || former.Left {
 		r.publishAnnouncement()
 	}
 }
@@ -103,6 +108,7 @@
 	}
 	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.announcement, r.sequence = a, a.Sequence
+	r.draining, r.leaving = a.Info.Draining, false
 	notify(r.publishWakeup)
 	r.publishAnnouncement()
 }
@@ -142,25 +148,45 @@
 		return
 	}
 	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
+	// Only a process that has announced that it drains is known to mean itself: one that was
+	// restarted under the same id may get its predecessor's deregistration.
+	r.leaving = r.draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
 		r.session.sendWorker(r.announcement.Info)
 	}
 }
 
-// markUnreachable records that an incarnation of the upstream process refuses connections. It
-// may run on, also if it has deregistered: it ends later if the response to that was lost.
-func (r *Runner) markUnreachable(incarnation batch.Incarnation) {
+// isLeaving reports whether the current process has deregistered as it had announced.
+func (r *Runner) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// markUnreachable records that an incarnation of the upstream process has refused connections
+// several times in a row. It may run on, unless it is leaving and has refused them for long
+// enough.
+func (r *Runner) markUnreachable(incarnation batch.Incarnation, refusals int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	info := &r.announcement.Info
-	if r.announcement.Incarnation != incarnation || info.Unreachable {
+	if r.announcement.Incarnation != incarnation {
+		return
+	}
+	line := r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).Int("refusals", refusals)
+	switch {
+	case r.leaving && refusals >= refusalsUntilLeft && !info.Left:
+		info.Left = true
+		r.opts.Count("upstream_left")
+		line.Msg("upstream process has left: it deregistered, and its address refuses connections")
+	case !info.Unreachable:
+		info.Unreachable = true
+		r.opts.Count("upstream_unreachable")
+		line.Msg("upstream process is out of reach: its address refuses connections")
+	default:
 		return
 	}
-	info.Unreachable = true
-	r.opts.Count("upstream_unreachable")
-	r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).
-		Int("refusals", refusalsUntilUnreachable).Msg("upstream process is out of reach: its address refuses connections")
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
@@ -171,16 +197,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	info := &r.announcement.Info
-	if r.announcement.Incarnation != incarnation || !info.Unreachable {
+	if r.announcement.Incarnation != incarnation || !info.Unreachable && !info.Left {
 		return
 	}
-	info.Unreachable = false
+	r.noteContradiction(*info)
+	info.Unreachable, info.Left, r.leaving = false, false, false
 	r.opts.Logger.Info().Str("upstream", string(incarnation.Upstream)).Msg("upstream process is within reach again")
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
 }
 
+// noteContradiction reports that the current process, which seemed to have left, still runs.
+// The caller holds r.mu.
+func (r *Runner) noteContradiction(former batch.WorkerInfo) {
+	if !former.Left {
+		return
+	}
+	r.opts.Count("upstream_left_contradicted")
+	r.opts.Logger.Warn().Str("upstream", string(r.announcement.Incarnation.Upstream)).Msg("upstream process that seemed to have left still runs")
+}
+
 // notify signals a channel with a buffer of one without blocking.
 func notify(c chan struct{}) {
 	select {
@@ -217,7 +254,7 @@
 	r.mu.Lock()
 	row := jobstore.Worker{Address: r.opts.Address, Info: r.announcement.Info}
 	r.mu.Unlock()
-	row.Info.ID, row.Info.Unreachable = r.opts.ID, false
+	row.Info.ID, row.Info.Unreachable, row.Info.Left = r.opts.ID, false, false
 	value, err := jobstore.Encode(row)
 	if err != nil {
 		return err
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -410,40 +410,87 @@
 func TestRefusedConnectionsProveNoEnd(t *testing.T) {
 	for _, c := range []struct {
 		secondErr error
-		after     time.Duration
-		leaving   bool
+		// draining and deregistered say what the process has announced.
+		draining, deregistered bool
+		after                  time.Duration
 	}{
-		{nil, 2 * renewRetryDelay, false},
-		{errkind.New(errkind.OutcomeUnknown, "reset"), 4 * renewRetryDelay, false},
-		{nil, 2 * renewRetryDelay, true},
+		{nil, false, false, 2 * renewRetryDelay},
+		{errkind.New(errkind.OutcomeUnknown, "reset"), false, false, 4 * renewRetryDelay},
+		{nil, true, false, 2 * renewRetryDelay},
+		// The deregistration may be that of a predecessor under the same id.
+		{nil, false, true, 2 * renewRetryDelay},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			Convey("Consecutive refusals put a process out of reach, also if it was leaving", t, func() {
-				r := newRunner(&rowWriter{}, func(string) {})
-				tasks := &refusingTasks{reports: 1, secondErr: c.secondErr}
-				r.opts.Tasks = tasks
-				announce(r, announcement(5, 1, c.leaving))
-				if c.leaving {
-					r.Leave("u")
-				}
-				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 10), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
-				r.session = s
-				ctx, cancel := context.WithCancel(context.Background())
-				done := make(chan struct{})
+			Convey("Consecutive refusals put a process out of reach", t, func() {
+				r, s, tasks, stop := newRefusedSession(c.secondErr, c.draining, c.deregistered)
+				defer stop()
 				start := time.Now()
-				go func() { s.renewLoop(ctx); close(done) }()
-				defer func() { cancel(); <-done }()
 				So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
 				// Nobody renews the lease after the first report.
 				So(time.Since(start), ShouldEqual, c.after+renewalTimeout)
+				time.Sleep(10 * unreachableRetryDelay)
+				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
 				Convey("Its heartbeats do not bring it within reach, a report does", func() {
-					announce(r, announcement(5, 2, c.leaving))
+					announce(r, announcement(5, 2, c.draining || c.deregistered))
 					So(r.currentAnnouncement().Info.Unreachable, ShouldBeTrue)
+					opened := time.Now()
 					tasks.open()
 					So(nextWorkerInfo(s), ShouldNotContainSubstring, `"un"`)
-					So(time.Since(start), ShouldBeLessThanOrEqualTo, c.after+renewalTimeout+unreachableRetryDelay)
+					So(time.Since(opened), ShouldBeLessThanOrEqualTo, unreachableRetryDelay)
 				})
 			})
 		})
 	}
 }
+
+// Guards against work that waits for its lease although its process has left as announced, and
+// against a departure that is inferred too early or outlives what contradicts it.
+func TestProcessHasLeftAfterDeregistrationAndRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Five refusals after the deregistration of a draining process", t, func() {
+			r, s, tasks, stop := newRefusedSession(nil, true, true)
+			defer stop()
+			start := time.Now()
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
+			So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"lv":true`)
+			So(time.Since(start), ShouldEqual, (refusalsUntilLeft-1)*renewRetryDelay+renewalTimeout)
+			Convey("mean that it has left, until it announces itself", func() {
+				announce(r, announcement(5, 2, true))
+				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+				time.Sleep(10 * unreachableRetryDelay)
+				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+			})
+			Convey("or sends a report", func() {
+				tasks.open()
+				So(nextWorkerInfo(s), ShouldNotContainSubstring, `"lv"`)
+			})
+		})
+		Convey("A heartbeat after the deregistration revokes it", t, func() {
+			r, s, _, stop := newRefusedSession(nil, true, true)
+			defer stop()
+			announce(r, announcement(5, 2, true))
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
+			time.Sleep(10 * unreachableRetryDelay)
+			So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+		})
+	})
+}
+
+// newRefusedSession returns the session of an agent whose process sends one report and refuses
+// all connections from then on, and a function that ends it.
+func newRefusedSession(secondErr error, draining, deregistered bool) (*Runner, *session, *refusingTasks, func()) {
+	r := newRunner(&rowWriter{}, func(string) {})
+	tasks := &refusingTasks{reports: 1, secondErr: secondErr}
+	r.opts.Tasks = tasks
+	announce(r, announcement(5, 1, draining))
+	if deregistered {
+		r.Leave("u")
+	}
+	s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 10), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+	r.session = s
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.renewLoop(ctx); close(done) }()
+	return r, s, tasks, func() { cancel(); <-done }
+}
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -132,6 +132,9 @@
 	// refusalsUntilUnreachable is the number of consecutive refused connections,
 	// renewRetryDelay apart, after which the process counts as out of reach.
 	refusalsUntilUnreachable = 3
+	// refusalsUntilLeft is the same for a process that has deregistered, after which it counts
+	// as ended.
+	refusalsUntilLeft = 5
 	// unreachableRetryDelay is the delay between two renewals while it is out of reach.
 	unreachableRetryDelay = 300 * time.Millisecond
 	// renewalTimeout bounds the wait for the renewal that answers a report: a round trip between
@@ -214,9 +217,11 @@
 		return 0
 	}
 	if refusals++; refusals >= refusalsUntilUnreachable {
-		s.runner.markUnreachable(incarnation)
-		s.waitForWakeup(ctx, unreachableRetryDelay)
-		return refusals
+		s.runner.markUnreachable(incarnation, refusals)
+		if refusals >= refusalsUntilLeft || !s.runner.isLeaving() {
+			s.waitForWakeup(ctx, unreachableRetryDelay)
+			return refusals
+		}
 	}
 	// This delay must not be cut short by a wakeup: refusals that are closer together say
 	// less about the process.
--- a/sched/batch/evidence.go
+++ b/sched/batch/evidence.go
@@ -14,6 +14,8 @@
 const (
 	// EvidenceReplaced means that another incarnation of the worker has replaced the run's.
 	EvidenceReplaced Evidence = "incarnation_replaced"
+	// EvidenceLeft means that the upstream process has left as it had announced.
+	EvidenceLeft Evidence = "process_left"
 	// EvidenceLeaseExpired means that every lease that may have been granted has expired.
 	EvidenceLeaseExpired Evidence = "lease_expired"
 	// EvidenceNotListed means that a complete report, made after the run was confirmed or its
--- a/sched/batch/evidence_test.go
+++ b/sched/batch/evidence_test.go
@@ -76,3 +76,39 @@
 		})
 	})
 }
+
+// Guards against work that waits for its lease although its process has left, and against a
+// second run of a task whose start the successor of that process may still carry out.
+func TestRunsOfLeftProcessStartElsewhere(t *testing.T) {
+	leave := func(listed bool) (*testbed, []Order) {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 8)))
+		first := b.runCycle()
+		if listed {
+			b.acceptStarts()
+			b.report("w1", []RunningTask{runningRow(first[0], 1)}, nil)
+		} else {
+			b.scheduler.Answered(first[0], AnswerUnknown, 0, b.now)
+		}
+		b.addWorker("w2", "r1")
+		info := b.scheduler.workers["w1"].info
+		info.Left = true
+		b.scheduler.Announced(info, b.now)
+		return b, b.runCycle()
+	}
+	Convey("A run that was listed starts elsewhere at once", t, func() {
+		_, starts := leave(true)
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Worker, ShouldEqual, ident.Worker("w2"))
+		So(starts[0].Run.Number, ShouldEqual, 2)
+	})
+	Convey("One whose start had no answer keeps its lease", t, func() {
+		b, starts := leave(false)
+		So(starts, ShouldBeEmpty)
+		run := Run{Task: TaskID{Job: "j1"}, Number: 1}
+		So(b.scheduler.activeTask(run), ShouldNotBeNil)
+		b.runFor(leaseExpiry(testTiming.MaxLease) + 200*time.Millisecond)
+		So(b.scheduler.activeTask(run), ShouldBeNil)
+	})
+}
--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -25,8 +25,8 @@
 func (w *modelWorker) info() WorkerInfo {
 	return WorkerInfo{
 		ID: w.id, Service: "svc", Incarnation: w.incarnation, Supersedes: w.supersedes,
-		Unreachable: w.unreachable || !w.up,
-		Rack:        w.rack, Labels: w.labels, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8},
+		Left: !w.up && w.left, Unreachable: w.unreachable || !w.up,
+		Rack: w.rack, Labels: w.labels, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8},
 	}
 }
 
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -20,13 +20,14 @@
 	incarnation Incarnation
 	startedAt   time.Time
 	up          bool
-	// unreachable reports that the agent does not reach the process although it runs.
-	unreachable   bool
-	highestEpoch  int
-	leaseDeadline int64
-	running       map[Run]time.Time
-	ended         []EndedTask
-	endNumber     int64
+	// left reports that the process said that it would leave, unreachable that the agent does
+	// not reach it although it runs.
+	left, unreachable bool
+	highestEpoch      int
+	leaseDeadline     int64
+	running           map[Run]time.Time
+	ended             []EndedTask
+	endNumber         int64
 	// endedAt is when the numbered ends happened, and expiredAt when the lease was last
 	// found to be expired.
 	endedAt   map[int64]time.Time
@@ -403,7 +404,8 @@
 // crash ends the process of a worker. Its agent reports that it does not reach it, if its
 // stream is open; orders in flight are lost with the process.
 func (m *model) crash(w *modelWorker) {
-	m.t.Logf("%s crashes", w.id)
+	w.left = rapid.Bool().Draw(m.t, "had said that it leaves")
+	m.t.Logf("%s ends, leaving: %v", w.id, w.left)
 	w.up = false
 	clear(w.running)
 	m.delayed = slices.DeleteFunc(m.delayed, func(d delayedOrder) bool { return d.order.Worker == w.id })
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -28,6 +28,9 @@
 	}
 	w.info = info
 	s.needsPlan = true
+	if info.Left {
+		s.endRunsOfLeftProcess(w, now)
+	}
 }
 
 // replaces reports whether this information is about a later incarnation than other.
@@ -85,6 +88,18 @@
 	}
 }
 
+// endRunsOfLeftProcess ends the runs of a worker whose upstream process has left. A start that
+// may still be carried out by its successor keeps its lease.
+func (s *Scheduler) endRunsOfLeftProcess(w *worker, now time.Time) {
+	for _, t := range w.active {
+		if !t.recovered && !t.startConcluded() {
+			continue
+		}
+		s.logRun("run ended with its worker's process", t, now)
+		s.conclude(t, EvidenceLeft, now)
+	}
+}
+
 // Reported applies a worker's report, which was made under this owner's epoch.
 func (s *Scheduler) Reported(id ident.Worker, r Report, now time.Time) {
 	w := s.workers[id]
--- a/sched/batch/summary.go
+++ b/sched/batch/summary.go
@@ -143,7 +143,7 @@
 func (w *worker) state(now time.Time, lease time.Duration) WorkerState {
 	probation, _ := w.onProbation(now)
 	switch {
-	case w.info.Unreachable:
+	case w.info.Unreachable || w.info.Left:
 		return WorkerUnreachable
 	case !w.attached:
 		return WorkerNotAttached
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -22,6 +22,9 @@
 	Rack ident.Rack `json:"rk,omitempty"`
 	// Draining reports that the upstream process is about to leave.
 	Draining bool `json:"dr,omitempty"`
+	// Left reports that the upstream process of this incarnation has announced its departure
+	// and deregistered, and does not listen any more.
+	Left bool `json:"lv,omitempty"`
 	// Unreachable reports that the upstream process refuses connections. It may run on, so
 	// that this proves nothing about its runs.
 	Unreachable bool `json:"un,omitempty"`
@@ -150,7 +153,7 @@
 // usable reports whether new work may be placed on the worker, apart from faults: see
 // trusted.
 func (w *worker) usable(now time.Time, lease time.Duration) bool {
-	return w.attached && w.fenced && !w.info.Draining && !w.info.Unreachable &&
+	return w.attached && w.fenced && !w.info.Draining && !w.info.Left && !w.info.Unreachable &&
 		now.Sub(w.reportedAt) < maxReportAge(lease)
 }
 
