Look for the longest names of workers only after a change of a worker

Callers of large deployments waited for it: each submission looked at all workers under the replica's lock, to bound the size of the job's record. Found by reading the change; no run showed a delay, and none is claimed.

The replica keeps the result for each service until a worker's row changes. TestLargestRecordIsBounded has a new case for a row that comes, and one that goes, after the first look. Measured: the tests of jobstore and gateway pass with the race detector; the time of a submission was not measured.

--- a/control/jobstore/record_test.go
+++ b/control/jobstore/record_test.go
@@ -126,5 +126,15 @@
 		worker, upstream := r.LongestNames("a")
 		So(worker, ShouldEqual, ident.Worker("ww"))
 		So(upstream, ShouldHaveLength, 2)
+		Convey("also those that come or leave later", func() {
+			raw, err := Encode(Worker{Address: "10.0.0.1:7000", Info: batch.WorkerInfo{ID: "wwwww", Service: "a"}})
+			So(err, ShouldBeNil)
+			r.Apply([]rows.Row{{Key: WorkerKey("wwwww"), Version: 9, Value: raw}})
+			worker, _ = r.LongestNames("a")
+			So(worker, ShouldEqual, ident.Worker("wwwww"))
+			r.Apply([]rows.Row{{Key: WorkerKey("wwwww"), Version: 10, Deleted: true}})
+			worker, _ = r.LongestNames("a")
+			So(worker, ShouldEqual, ident.Worker("ww"))
+		})
 	})
 }
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -42,10 +42,12 @@
 // Replica is an in-memory copy of the rows in the store. It is safe for concurrent
 // use.
 type Replica struct {
-	mu           sync.Mutex
-	versions     map[string]rows.Version
-	jobs         map[ident.Job]*Job
-	workers      map[ident.Worker]Worker
+	mu       sync.Mutex
+	versions map[string]rows.Version
+	jobs     map[ident.Job]*Job
+	workers  map[ident.Worker]Worker
+	// longest holds the results of LongestNames since a worker's row last changed.
+	longest      map[ident.Service]longestNames
 	entries      map[ident.Entry]Entry
 	owner        Owner
 	ownerVersion rows.Version
@@ -86,6 +88,7 @@
 		versions: make(map[string]rows.Version),
 		jobs:     make(map[ident.Job]*Job),
 		workers:  make(map[ident.Worker]Worker),
+		longest:  make(map[ident.Service]longestNames),
 		entries:  make(map[ident.Entry]Entry),
 		onError:  onError,
 		arrivals: make(map[string]*arrival),
@@ -250,6 +253,7 @@
 		return err
 	}
 	r.workers[id] = w
+	clear(r.longest)
 	r.notifyLocked(Change{WorkerID: id, Worker: w})
 	return nil
 }
@@ -271,6 +275,7 @@
 		delete(r.jobs, ident.Job(name))
 	case workerPrefix:
 		delete(r.workers, ident.Worker(name))
+		clear(r.longest)
 	case entryPrefix:
 		delete(r.entries, ident.Entry(name))
 	}
@@ -361,25 +366,34 @@
 	return n
 }
 
+// longestNames holds the longest ids of workers and upstream processes.
+type longestNames struct {
+	worker   ident.Worker
+	upstream ident.Upstream
+}
+
 // LongestNames returns the longest id of a worker of the service, and the longest id of an
 // upstream process of one.
 func (r *Replica) LongestNames(service ident.Service) (ident.Worker, ident.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var worker ident.Worker
-	var upstream ident.Upstream
+	if n, ok := r.longest[service]; ok {
+		return n.worker, n.upstream
+	}
+	var n longestNames
 	for id, w := range r.workers {
 		if w.Info.Service != service {
 			continue
 		}
-		if len(id) > len(worker) {
-			worker = id
+		if len(id) > len(n.worker) {
+			n.worker = id
 		}
-		if len(w.Info.Incarnation.Upstream) > len(upstream) {
-			upstream = w.Info.Incarnation.Upstream
+		if len(w.Info.Incarnation.Upstream) > len(n.upstream) {
+			n.upstream = w.Info.Incarnation.Upstream
 		}
 	}
-	return worker, upstream
+	r.longest[service] = n
+	return n.worker, n.upstream
 }
 
 // OwnerView is the state of the ownership as seen by a candidate.
