Write a worker's row once while its agent waits for an owner

Operators would see a write to the store with each heartbeat of each worker whose agent was restarted, as long as no owner has attached to it: the agent, which the worker refuses, asked for its row to be written whenever it tried to verify an announcement. Found by reading the change.

The new case of TestOnlyRespondingProcessReplacesTheCurrentOne counts the writes over five heartbeats. The number of attempts follows from the last error in one place, and refused connections are noted in one method, which took a line from the log's pool on each refusal of a dead process before.

Measured: five heartbeats lead to one write; the cases of the runner pass with the race detector, and the ten cases of TestRunsOnUndisturbedProcessesAreNotRepeated held in one play.

--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -54,6 +54,9 @@
 	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
 	epoch ident.Epoch
 	owner string
+	// ownerSought reports that the worker's row was written for an owner to attach, although no
+	// process is known.
+	ownerSought bool
 	// session is the stream to the current owner, or nil.
 	session *session
 	// clock is the latest reading of the worker's clock.
@@ -157,36 +160,34 @@
 	}
 }
 
-// isLeaving reports whether the current process has deregistered as it had announced.
-func (r *Runner) isLeaving() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.leaving
-}
-
-// markUnreachable records that an incarnation of the upstream process has refused connections
+// noteRefusals records that an incarnation of the upstream process has refused connections
 // several times in a row. It may run on, unless it is leaving and has refused them for long
-// enough.
-func (r *Runner) markUnreachable(incarnation batch.Incarnation, refusals int) {
+// enough. It returns false if further refusals may tell more.
+func (r *Runner) noteRefusals(incarnation batch.Incarnation, refusals int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	info := &r.announcement.Info
 	if r.announcement.Incarnation != incarnation {
-		return
+		return true
 	}
-	line := r.opts.Logger.Warn().Str("upstream", string(incarnation.Upstream)).Int64("born_ms", incarnation.StartedMs).Int("refusals", refusals)
-	switch {
-	case r.leaving && refusals >= refusalsUntilLeft && !info.Left:
-		info.Left = true
-		r.opts.Count("upstream_left")
-		line.Msg("upstream process has left: it deregistered, and its address refuses connections")
-	case !info.Unreachable:
+	if !info.Unreachable {
 		info.Unreachable = true
-		r.opts.Count("upstream_unreachable")
-		line.Msg("upstream process is out of reach: its address refuses connections")
-	default:
-		return
+		r.publishRefusals("upstream_unreachable", "upstream process is out of reach: its address refuses connections", refusals)
+	}
+	if r.leaving && !info.Left && refusals >= refusalsUntilLeft {
+		info.Left = true
+		r.publishRefusals("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
 	}
+	return !r.leaving || info.Left
+}
+
+// publishRefusals counts and logs what refused connections mean, and tells the owner. The
+// caller holds r.mu.
+func (r *Runner) publishRefusals(event, message string, refusals int) {
+	info := &r.announcement.Info
+	r.opts.Count(event)
+	r.opts.Logger.Warn().Str("upstream", string(info.Incarnation.Upstream)).Int64("born_ms", info.Incarnation.StartedMs).
+		Int("refusals", refusals).Msg(message)
 	if r.session != nil {
 		r.session.sendWorker(*info)
 	}
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -217,8 +217,7 @@
 		return 0
 	}
 	if refusals++; refusals >= refusalsUntilUnreachable {
-		s.runner.markUnreachable(incarnation, refusals)
-		if refusals >= refusalsUntilLeft || !s.runner.isLeaving() {
+		if s.runner.noteRefusals(incarnation, refusals) {
 			s.waitForWakeup(ctx, unreachableRetryDelay)
 			return refusals
 		}
--- a/control/runner/verify.go
+++ b/control/runner/verify.go
@@ -98,18 +98,16 @@
 // runs one process at a time.
 func (r *Runner) verify(ctx context.Context, incarnation batch.Incarnation) {
 	var err error
-	asked := false
-	for attempts := verifyAttempts; attempts > 0; attempts-- {
+	for attempt := 0; attempt < attemptsAfter(err) && ctx.Err() == nil; attempt++ {
 		if err = r.probe(ctx, r.candidateAnnouncement(incarnation)); err == nil {
 			r.replaceCurrent(ctx, incarnation)
 			return
 		}
-		if errkind.Is(err, errkind.StaleIncarnation) || ctx.Err() != nil {
+		if errkind.Is(err, errkind.StaleIncarnation) {
 			break
 		}
-		if errkind.Is(err, errkind.StaleEpoch) && !asked {
-			asked, attempts = true, refusedAttempts
-			r.askForOwner()
+		if errkind.Is(err, errkind.StaleEpoch) {
+			r.seekOwner()
 		}
 		sleep(ctx, renewRetryDelay)
 	}
@@ -118,12 +116,24 @@
 		Msg("announcement is ignored: the process does not respond")
 }
 
-// askForOwner lets owners find this agent if it knows no process yet: a worker refuses its calls
-// until an owner has attached and brought a newer epoch.
-func (r *Runner) askForOwner() {
-	if r.currentAnnouncement().Incarnation == (batch.Incarnation{}) {
-		notify(r.publishWakeup)
+// attemptsAfter returns how often an incarnation is called whose latest call ended with err.
+func attemptsAfter(err error) int {
+	if errkind.Is(err, errkind.StaleEpoch) {
+		return refusedAttempts
 	}
+	return verifyAttempts
+}
+
+// seekOwner lets owners find this agent if it knows no process yet: a worker refuses its calls
+// until an owner has attached and brought a newer epoch. The row is written once.
+func (r *Runner) seekOwner() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.announcement.Incarnation != (batch.Incarnation{}) || r.ownerSought {
+		return
+	}
+	r.ownerSought = true
+	notify(r.publishWakeup)
 }
 
 // replaceCurrent adopts a candidate, unless the current incarnation responds, or the candidate
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -182,6 +182,23 @@
 			So(r.currentAnnouncement().Incarnation.StartedMs, ShouldEqual, 5)
 		})
 	})
+	withVerification(t, "An agent that waits for an owner writes its row once", func(r *Runner, m *machine, _ *eventCounts) {
+		store := &rowWriter{}
+		r.opts.Store = store
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { r.Publish(ctx); close(done) }()
+		m.set("a", 5)
+		m.fail("a", refusal)
+		for sequence := range int64(5) {
+			announceAndWait(r, processAt("a", 5, sequence+1))
+		}
+		cancel()
+		<-done
+		So(store.written, ShouldHaveLength, 1)
+		So(string(store.written[0].Value), ShouldContainSubstring, `"id":"w1"`)
+		So(string(store.written[0].Value), ShouldNotContainSubstring, `"u":"u"`)
+	})
 	withVerification(t, "A refusal that names the incarnation proves that it runs", func(r *Runner, m *machine, _ *eventCounts) {
 		m.set("a", 5)
 		m.fail("a", refusal)
