Log a conclusion where it is drawn, and tidy up reservations

Five places logged why a run counts as ended and then recorded the evidence, so that text and evidence could differ. conclude() does both; the texts stay. Found by reading the change; no decision changes.

The comment of MaxTasks states the row of 64 KiB again, which is the reason for its value.

--- a/sched/batch/backfill.go
+++ b/sched/batch/backfill.go
@@ -93,7 +93,7 @@
 func (p *plan) startOptions(u *unit, c *workerCapacity, n int) []startOption {
 	limit := n
 	if u.step.MaxPerWorker > 0 {
-		limit = min(n, u.step.MaxPerWorker-c.worker.lastingRunsOf(u))
+		limit = min(n, u.step.MaxPerWorker-c.worker.longRunningRunsOf(u))
 	}
 	for _, r := range c.reservations {
 		limit = min(limit, fitCount(r.spare, u.step.demand()))
@@ -113,9 +113,9 @@
 	return out
 }
 
-// lastingRunsOf returns how many runs of the unit's step are on the worker that do not end by
+// longRunningRunsOf returns how many runs of the unit's step are on the worker that do not end by
 // themselves.
-func (w *worker) lastingRunsOf(u *unit) int {
+func (w *worker) longRunningRunsOf(u *unit) int {
 	if !u.step.LongRunning {
 		return 0
 	}
--- a/sched/batch/evidence.go
+++ b/sched/batch/evidence.go
@@ -36,8 +36,18 @@
 	evidence Evidence
 }
 
+// evidenceEvents holds the events that are logged for a conclusion.
+var evidenceEvents = map[Evidence]string{
+	EvidenceReplaced:     "run ended with its worker's incarnation",
+	EvidenceLeft:         "run ended with its worker's process",
+	EvidenceLeaseExpired: "lease expired",
+	EvidenceNotListed:    "run is missing from the report of its worker",
+	EvidenceRejected:     "start was rejected",
+}
+
 // conclude ends a run because of evidence other than a report of its end.
 func (s *Scheduler) conclude(t *task, evidence Evidence, now time.Time) {
+	s.logRun(evidenceEvents[evidence], t, now)
 	t.concluded = conclusion{t.Run, t.Worker, evidence}
 	s.requeue(t, now)
 }
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -71,7 +71,6 @@
 			s.moveTo(t, incarnation)
 			continue
 		}
-		s.logRun("run ended with its worker's incarnation", t, now)
 		s.conclude(t, EvidenceReplaced, now)
 	}
 }
@@ -95,7 +94,6 @@
 		if !t.recovered && !t.startConcluded() {
 			continue
 		}
-		s.logRun("run ended with its worker's process", t, now)
 		s.conclude(t, EvidenceLeft, now)
 	}
 }
@@ -186,7 +184,6 @@
 		if !t.absenceProvesEnd(r.ClockMs) {
 			continue
 		}
-		s.logRun("run is missing from the report of its worker", t, now)
 		s.conclude(t, EvidenceNotListed, now)
 	}
 }
@@ -417,7 +414,6 @@
 			t.confirmed, t.confirmedMs = true, clockMs
 		}
 	case AnswerRejected, AnswerRejectedNoCapacity:
-		s.logRun("start was rejected", t, now)
 		if kind == AnswerRejected {
 			w.recordFault(now, 1)
 		}
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -53,7 +53,6 @@
 	}
 	for _, t := range w.active {
 		s.handling = t.id.Job
-		s.logRun("lease expired", t, now)
 		s.conclude(t, EvidenceLeaseExpired, now)
 	}
 }
--- a/sched/batch/validate.go
+++ b/sched/batch/validate.go
@@ -9,8 +9,8 @@
 // Bounds of what jobs and workers may state. They are far above what any deployment uses,
 // and low enough that sums over all jobs and workers cannot overflow.
 const (
-	// MaxTasks limits the tasks of all occurrences of a job. The store may allow fewer,
-	// because a job's durable record has to fit into a row.
+	// MaxTasks limits the tasks of all occurrences of a job, so that its durable record without
+	// checkpoints fits into a row of 64 KiB. A store with smaller rows allows fewer.
 	MaxTasks = 400
 	// maxAmount bounds thousandths of cores and megabytes of memory, maxAccelerators the
 	// number of accelerators.
