Log how many calls a stopping process cuts off

Callers may see the end of their connection instead of a response when an entry stops, and its log did not tell how many connections and calls there were: only that an HTTP server had not shut down cleanly. Whether a request was lost at the end of the drain, at the end of the shutdown or not at all could not be told.

No change of logic.

--- a/control/process/process.go
+++ b/control/process/process.go
@@ -29,6 +29,9 @@
 	guard    panicguard.Guard
 	// calls are the HTTP calls in flight.
 	calls sync.WaitGroup
+	// connStates holds the state of each HTTP connection, by which a stop reports what it cut.
+	connMu     sync.Mutex
+	connStates map[net.Conn]http.ConnState
 }
 
 // Timeouts of the HTTP servers.
@@ -43,7 +46,7 @@
 
 func newProcess(role string, s CommonSettings, logger *log.Logger) *process {
 	identity := telemetry.Identity{Process: role, ID: s.Node, Zone: s.Zone, Region: s.Region}
-	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity)}
+	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity), connStates: make(map[net.Conn]http.ConnState)}
 	p.guard = panicguard.Guard{Logger: logger, Count: p.count}
 	return p
 }
@@ -74,7 +77,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	server := &http.Server{Handler: p.trackCalls(p.guard.HTTP(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: p.trackCalls(p.guard.HTTP(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: p.connStateChanged}
 	p.servers = append(p.servers, server)
 	p.group.Go(func() {
 		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
@@ -93,6 +96,28 @@
 	})
 }
 
+func (p *process) connStateChanged(conn net.Conn, state http.ConnState) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if state == http.StateClosed {
+		delete(p.connStates, conn)
+		return
+	}
+	p.connStates[conn] = state
+}
+
+// countConns returns the number of HTTP connections, and of those that have a call.
+func (p *process) countConns() (open, busy int) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	for _, state := range p.connStates {
+		if state == http.StateActive {
+			busy++
+		}
+	}
+	return len(p.connStates), busy
+}
+
 // serveGRPC serves the project's other processes until stop is called.
 func (p *process) serveGRPC(register func(*grpc.Server)) error {
 	listener, err := net.Listen("tcp", p.settings.GRPCAddr)
@@ -121,9 +146,13 @@
 func (p *process) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	open, busy := p.countConns()
+	p.logger.Info().Int("connections", open).Int("calls", busy).Msg("HTTP servers shut down")
 	for _, s := range p.servers {
 		if err := s.Shutdown(ctx); err != nil {
-			p.logger.Warn().Err(err).Msg("HTTP server did not shut down cleanly")
+			_, cut := p.countConns()
+			p.metrics.Scope.Tagged(map[string]string{"event": "calls_cut"}).Counter("events").Inc(int64(cut))
+			p.logger.Warn().Err(err).Int("calls_cut", cut).Msg("HTTP server did not shut down cleanly")
 			s.Close()
 		}
 	}
