Answer every request that has arrived before a stopping entry ends its connection

What callers saw: around a SIGTERM of an entry, connections ended without a response to a request that the entry had received: a third of the clients that reuse their connection lost one, and on an entry with little CPU requests that had arrived more than 200 ms before.

Cause: no response told callers to leave. At the end of the drain net/http closed all connections on which it had not read a whole request header, also where one had arrived; the listener was closed with connections that nobody had accepted yet; calls in progress got 2 s, whatever their deadline and the time until SIGKILL, and then their connections were closed without a response. The replica, whose rows they wait for, had been stopped before.

Change: control/internal/httpserver. A draining server sends 'Connection: close' with each response, at the moment that its header is written, so that calls that began before are included. Its end accepts the connections that are open already, expires the wait of connections without a request instead of closing them, and reads what has been received although the wait is over. Calls in progress go on until 1 s before SIGKILL (termination_grace_s, from the platform's settings); then their contexts end and they answer what is true: 503 if nothing was written, 502 if that is unknown. Only then do the replica and the configuration stop.

--- /dev/null
+++ b/control/internal/httpserver/conn.go
@@ -0,0 +1,176 @@
+package httpserver
+
+import (
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// listener returns connections of type *conn. After close it still returns those that callers
+// had already opened: a busy process may not have accepted them yet.
+type listener struct {
+	net.Listener
+	closeOnce sync.Once
+}
+
+// deadliner is implemented by listeners of the operating system's network.
+type deadliner interface {
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
+// close lets Accept return the connections that are open already, and then an error.
+func (l *listener) close() {
+	if d, ok := l.Listener.(deadliner); ok && d.SetDeadline(past) == nil {
+		return
+	}
+	l.closeListener()
+}
+
+func (l *listener) closeListener() {
+	l.closeOnce.Do(func() { _ = l.Close() }) // It fails only if the listener has failed before.
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if d, ok := l.Listener.(deadliner); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c, err = acceptOpened(d); err != nil {
+			l.closeListener()
+			err = errors.CombineErrors(net.ErrClosed, err)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, waiting: true}, nil
+}
+
+// acceptOpened returns a connection that a caller has already opened, or an error if there is
+// none.
+func acceptOpened(l syscall.Conn) (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var accepted int
+	var acceptErr error
+	err = raw.Control(func(fd uintptr) {
+		accepted, _, acceptErr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	})
+	if err = errors.CombineErrors(err, acceptErr); err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(accepted), "connection")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
+// conn is a connection that does not time out while it has received data. A busy process may
+// notice a deadline before the data that arrived ahead of it.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// waiting is set while nothing of the next request has been read.
+	waiting bool
+	// expired is set once the connection closes unless a request has arrived.
+	expired bool
+	// deadline is the read deadline that the server has set last.
+	deadline time.Time
+}
+
+// past is a read deadline that has passed.
+var past = time.Unix(1, 0)
+
+// awaitRequest notes that the connection waits for its next request.
+func (c *conn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// hasRequest reports whether a request has begun that is not answered yet.
+func (c *conn) hasRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.waiting
+}
+
+// expire ends the wait for a request. A request that has arrived is still read.
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.expired {
+		return
+	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(past) // It fails on closed connections only.
+}
+
+// SetReadDeadline implements net.Conn. It does not prolong the wait on an expired connection.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n = c.readReceived(p); n > 0 {
+			err = nil
+		}
+	}
+	if n > 0 {
+		err = errors.CombineErrors(err, c.requestBegun())
+	}
+	return n, err
+}
+
+// requestBegun restores the deadline that the server has set for the rest of the request.
+func (c *conn) requestBegun() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if !c.expired {
+		return nil
+	}
+	c.expired = false
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// CloseWrite lets net/http end a connection without discarding a response in transit.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// readReceived returns what has been received, without waiting and whatever the deadline is.
+func (c *conn) readReceived(p []byte) int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) })
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/control/internal/httpserver/server.go
@@ -0,0 +1,185 @@
+// Package httpserver serves HTTP, and shuts down without closing a connection on which a
+// request has arrived that was not answered.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+)
+
+// Options configures a server.
+type Options struct {
+	Handler http.Handler
+	// HeaderTimeout bounds the time to read a request's headers, IdleTimeout the time that a
+	// connection waits for its next request. Zero is no bound.
+	HeaderTimeout, IdleTimeout time.Duration
+	// MaxHeaderBytes bounds a request's headers; zero stands for the default of net/http.
+	MaxHeaderBytes int
+}
+
+// Server is an HTTP server. It is safe for concurrent use.
+type Server struct {
+	http     http.Server
+	draining atomic.Bool
+	// cancelCalls ends the contexts of all calls.
+	cancelCalls context.CancelFunc
+	// idle is closed once the server is stopping and serves no connection.
+	idle chan struct{}
+
+	mu        sync.Mutex
+	listeners []*listener
+	// serving is the number of Serve calls that accept connections.
+	serving  int
+	conns    map[*conn]struct{}
+	stopping bool
+	stopped  bool
+}
+
+// New returns a server that is started by Serve.
+func New(opts Options) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{})}
+	s.http = http.Server{
+		Handler: CloseWhenDraining(opts.Handler, s.draining.Load), ReadHeaderTimeout: opts.HeaderTimeout,
+		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+		ConnState:   s.connStateChanged,
+	}
+	return s
+}
+
+// Serve accepts connections until Shutdown, after which it returns nil. An error of kind
+// Internal means that the listener has failed.
+func (s *Server) Serve(l net.Listener) error {
+	tracked := &listener{Listener: l}
+	if !s.addListener(tracked) {
+		return l.Close()
+	}
+	defer s.listenerEnded()
+	err := s.http.Serve(tracked)
+	if s.isStopping() {
+		return nil
+	}
+	return errkind.Wrap(errkind.Internal, err, "accept connections")
+}
+
+// addListener returns false if the server is stopping.
+func (s *Server) addListener(l *listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving++
+	return true
+}
+
+func (s *Server) listenerEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving--
+	s.signalIdle()
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// Drain lets each response from now on end its connection, so that callers use another one
+// for their next request. The server still accepts connections.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown stops accepting connections, closes those without a request, and waits for the
+// calls in progress. At answerBy it cancels the contexts of the remaining calls, which answer
+// then, and at closeBy it closes their connections. It returns how many it closed before their
+// response was complete.
+func (s *Server) Shutdown(answerBy, closeBy time.Time) (cut int) {
+	s.Drain()
+	s.stopAccepting()
+	defer s.cancelCalls()
+	if s.awaitIdle(answerBy) {
+		return 0
+	}
+	s.cancelCalls()
+	if s.awaitIdle(closeBy) {
+		return 0
+	}
+	cut, _ = s.Connections()
+	_ = s.http.Close() // It reports that the listeners are closed already.
+	<-s.idle
+	return cut
+}
+
+// Connections returns the number of open connections, and of those on which a request has
+// begun that is not answered yet.
+func (s *Server) Connections() (open, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.hasRequest() {
+			busy++
+		}
+	}
+	return len(s.conns), busy
+}
+
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, l := range s.listeners {
+		l.close()
+	}
+	for c := range s.conns {
+		c.expire()
+	}
+	s.signalIdle()
+}
+
+// awaitIdle waits until no connection is served, and returns false at the deadline.
+func (s *Server) awaitIdle(deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-s.idle:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// signalIdle closes s.idle once nothing is served. The caller holds s.mu.
+func (s *Server) signalIdle() {
+	if s.stopping && !s.stopped && s.serving == 0 && len(s.conns) == 0 {
+		s.stopped = true
+		close(s.idle)
+	}
+}
+
+func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
+	c := nc.(*conn) //nolint:forcetypeassert // All connections come from listener.Accept.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateIdle:
+		c.awaitRequest()
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+		s.signalIdle()
+	case http.StateActive:
+	}
+	if s.stopping {
+		c.expire()
+	}
+}
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -38,7 +38,7 @@
 	if err := a.serveGRPC(func(s *grpc.Server) { rpc.RegisterTaskRunnerServer(s, a.runner) }); err != nil {
 		return err
 	}
-	if err := a.serveHTTP(a.settings.AnnounceAddr, adapter.AnnouncementHandler(a.runner)); err != nil {
+	if _, err := a.serveHTTP(a.settings.AnnounceAddr, adapter.AnnouncementHandler(a.runner)); err != nil {
 		return err
 	}
 	if err := a.serveMetrics(); err != nil {
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -12,6 +12,7 @@
 	"github.com/lacewingpier/lacewingpier/control/configsync"
 	"github.com/lacewingpier/lacewingpier/control/gateway"
 	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
+	"github.com/lacewingpier/lacewingpier/control/internal/httpserver"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/peer"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
@@ -31,6 +32,8 @@
 	config   *configsync.Follower
 	peers    *peer.Client
 	draining atomic.Bool
+	// callers is the server for callers.
+	callers *httpserver.Server
 }
 
 // NewEntry returns an entry that is started by Run.
@@ -64,6 +67,10 @@
 // failed.
 const drainDuration = 2500 * time.Millisecond
 
+// stopMargin is how long before it is killed a stopping entry cancels the calls in progress.
+// The rest is for their answers and for the end of the process.
+const stopMargin = time.Second
+
 // Run serves until ctx ends, then hands over the ownership and drains.
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info().Str("node", e.settings.Node).Str("zone", e.settings.Zone).Msg("entry is starting")
@@ -84,16 +91,25 @@
 	e.runBackground(background, "publication of the entry", e.publish)
 	e.runBackground(ctx, "candidate", candidate.Run)
 	<-ctx.Done()
-	e.draining.Store(true)
-	open, busy := e.countConns()
-	e.logger.Info().Int("connections", open).Int("calls", busy).Msg("entry is draining")
-	time.Sleep(drainDuration)
+	e.drain(time.Now().Add(e.settings.terminationGrace()))
 	cancel()
 	e.stop()
 	return nil
 }
 
-func (e *Entry) listen() error {
+// drain serves until callers have been directed to other entries, and then waits until all
+// calls in progress have been answered. What they depend on has to work until it returns.
+func (e *Entry) drain(killedAt time.Time) {
+	e.draining.Store(true)
+	e.callers.Drain()
+	open, busy := e.callers.Connections()
+	e.logger.Info().Int("connections", open).Int("calls", busy).Msg("entry is draining")
+	answerBy := killedAt.Add(-stopMargin)
+	time.Sleep(min(drainDuration, time.Until(answerBy)))
+	e.shutDown(answerBy, e.callers)
+}
+
+func (e *Entry) listen() (err error) {
 	gw := gateway.New(gateway.Options{
 		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
 		RowBytes: e.settings.StoreRowBytes,
@@ -103,10 +119,10 @@
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
 		return err
 	}
-	if err := e.serveHTTP(e.settings.CallerAddr, adapter.JobHandler(gw)); err != nil {
+	if e.callers, err = e.serveHTTP(e.settings.CallerAddr, adapter.JobHandler(gw)); err != nil {
 		return err
 	}
-	if err := e.serveHTTP(e.settings.ReadyAddr, adapter.ReadyHandler(e.ready)); err != nil {
+	if _, err := e.serveHTTP(e.settings.ReadyAddr, adapter.ReadyHandler(e.ready)); err != nil {
 		return err
 	}
 	if err := e.publishGauges(); err != nil {
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -12,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
+	"github.com/lacewingpier/lacewingpier/control/internal/httpserver"
 	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/telemetry"
 	"github.com/lacewingpier/lacewingpier/control/transport"
@@ -23,15 +23,10 @@
 	settings CommonSettings
 	logger   *log.Logger
 	metrics  *telemetry.Metrics
-	servers  []*http.Server
+	servers  []*httpserver.Server
 	grpc     *grpc.Server
 	group    conc.WaitGroup
 	guard    panicguard.Guard
-	// calls are the HTTP calls in flight.
-	calls sync.WaitGroup
-	// connStates holds the state of each HTTP connection, by which a stop reports what it cut.
-	connMu     sync.Mutex
-	connStates map[net.Conn]http.ConnState
 }
 
 // Timeouts of the HTTP servers.
@@ -40,13 +35,15 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout closes idle keep-alive connections.
 	idleTimeout = 15 * time.Second
-	// shutdownTimeout bounds the wait for calls in flight when servers stop.
+	// shutdownTimeout bounds the wait for HTTP calls when a process stops.
 	shutdownTimeout = 2 * time.Second
+	// closeTimeout bounds the time that calls need for an answer once they are canceled.
+	closeTimeout = 500 * time.Millisecond
 )
 
 func newProcess(role string, s CommonSettings, logger *log.Logger) *process {
 	identity := telemetry.Identity{Process: role, ID: s.Node, Zone: s.Zone, Region: s.Region}
-	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity), connStates: make(map[net.Conn]http.ConnState)}
+	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity)}
 	p.guard = panicguard.Guard{Logger: logger, Count: p.count}
 	return p
 }
@@ -71,51 +68,20 @@
 	p.metrics.Scope.Tagged(map[string]string{"call": call, "kind": kind}).Counter("answers").Inc(1)
 }
 
-// serveHTTP serves handler on an address until stop is called.
-func (p *process) serveHTTP(addr string, handler http.Handler) error {
+// serveHTTP serves handler on an address until the server or the process is stopped.
+func (p *process) serveHTTP(addr string, handler http.Handler) (*httpserver.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
-		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
+		return nil, errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	server := &http.Server{Handler: p.trackCalls(p.guard.HTTP(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: p.connStateChanged}
+	server := httpserver.New(httpserver.Options{Handler: p.guard.HTTP(handler), HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	p.servers = append(p.servers, server)
 	p.group.Go(func() {
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := server.Serve(listener); err != nil {
 			p.logger.Error().Err(err).Str("addr", addr).Msg("HTTP server failed")
 		}
 	})
-	return nil
-}
-
-// trackCalls counts the calls in flight, for which stop waits.
-func (p *process) trackCalls(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.calls.Add(1)
-		defer p.calls.Done()
-		handler.ServeHTTP(w, r)
-	})
-}
-
-func (p *process) connStateChanged(conn net.Conn, state http.ConnState) {
-	p.connMu.Lock()
-	defer p.connMu.Unlock()
-	if state == http.StateClosed {
-		delete(p.connStates, conn)
-		return
-	}
-	p.connStates[conn] = state
-}
-
-// countConns returns the number of HTTP connections, and of those that have a call.
-func (p *process) countConns() (open, busy int) {
-	p.connMu.Lock()
-	defer p.connMu.Unlock()
-	for _, state := range p.connStates {
-		if state == http.StateActive {
-			busy++
-		}
-	}
-	return len(p.connStates), busy
+	return server, nil
 }
 
 // serveGRPC serves the project's other processes until stop is called.
@@ -137,26 +103,14 @@
 func (p *process) serveMetrics() error {
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/metrics", p.metrics)
-	return p.serveHTTP(p.settings.MetricsAddr, router)
+	_, err := p.serveHTTP(p.settings.MetricsAddr, router)
+	return err
 }
 
-// stop shuts the servers down and waits for everything that they run. HTTP calls in
-// flight get shutdownTimeout to finish, then they are canceled; gRPC calls are canceled at
-// once.
+// stop shuts the servers down and waits for everything that they run. HTTP calls in progress
+// are canceled after shutdownTimeout, gRPC calls at once.
 func (p *process) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	open, busy := p.countConns()
-	p.logger.Info().Int("connections", open).Int("calls", busy).Msg("HTTP servers shut down")
-	for _, s := range p.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_, cut := p.countConns()
-			p.metrics.Scope.Tagged(map[string]string{"event": "calls_cut"}).Counter("events").Inc(int64(cut))
-			p.logger.Warn().Err(err).Int("calls_cut", cut).Msg("HTTP server did not shut down cleanly")
-			s.Close()
-		}
-	}
-	p.calls.Wait()
+	p.shutDown(time.Now().Add(shutdownTimeout), p.servers...)
 	p.grpc.Stop()
 	p.group.Wait()
 	if err := p.metrics.Close(); err != nil {
@@ -164,3 +118,20 @@
 	}
 	p.logger.Info().Msg("process has stopped")
 }
+
+// shutDown shuts servers down. Calls in progress are canceled at answerBy, and get closeTimeout
+// to answer then.
+func (p *process) shutDown(answerBy time.Time, servers ...*httpserver.Server) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, s := range servers {
+		open, busy := s.Connections()
+		p.logger.Info().Int("connections", open).Int("calls", busy).Msg("HTTP server shuts down")
+		group.Go(func() {
+			if cut := s.Shutdown(answerBy, answerBy.Add(closeTimeout)); cut > 0 {
+				p.metrics.Scope.Tagged(map[string]string{"event": "calls_cut"}).Counter("events").Inc(int64(cut))
+				p.logger.Warn().Int("calls_cut", cut).Msg("HTTP server did not shut down cleanly")
+			}
+		})
+	}
+}
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -58,6 +58,9 @@
 	AdvisorAddr string `json:"advisor_addr"`
 	// StoreRowBytes is the largest value of a row of the store, or zero for the usual one.
 	StoreRowBytes int `json:"store_row_bytes"`
+	// TerminationGraceSeconds is the time between the SIGTERM and the SIGKILL that stop the
+	// process. Zero stands for defaultTerminationGrace.
+	TerminationGraceSeconds float64 `json:"termination_grace_s"`
 	// CPU is the CPU time that the process may use. Entries with a larger CPU
 	// share take the ownership first.
 	CPU   CPUSettings  `json:"processor"`
@@ -76,6 +79,9 @@
 	if s.StoreRowBytes < 0 {
 		problems.Add("store_row_bytes", "must not be negative")
 	}
+	if s.TerminationGraceSeconds < 0 {
+		problems.Add("termination_grace_s", "must not be negative")
+	}
 	if s.CPU.cpuShare() <= 0 {
 		problems.Add("processor", "share and speed must be above zero")
 	}
@@ -85,6 +91,17 @@
 	return problems.Err()
 }
 
+// defaultTerminationGrace is the time between SIGTERM and SIGKILL if the settings do not state
+// it.
+const defaultTerminationGrace = 6 * time.Second
+
+func (s *EntrySettings) terminationGrace() time.Duration {
+	if s.TerminationGraceSeconds == 0 {
+		return defaultTerminationGrace
+	}
+	return time.Duration(s.TerminationGraceSeconds * float64(time.Second))
+}
+
 // CPUSettings describes the CPU time that a process may use.
 type CPUSettings struct {
 	// Share is the share of one core that the process may use.
--- a/control/process/settings_test.go
+++ b/control/process/settings_test.go
@@ -23,7 +23,7 @@
 		"{{platform.address|json}}", `"10.200.1.7:8524"`, "{{ip}}", "10.1.0.19", "{{internal_ports.0}}", "7000",
 		"{{listen_addrs.front|json}}", `"10.1.0.19:8521"`, "{{listen_addrs.ready_addr|json}}", `"10.1.0.19:8523"`,
 		"{{listen_addrs.control_plane|json}}", `"10.1.0.19:8526"`, "{{placement_advisor}}", "10.200.1.9:8524",
-		"{{bounds.max_hold_ms}}", "10000", "{{bounds.restore_ms}}", "600", "{{bounds.status_s}}", "120",
+		"{{bounds.max_hold_ms}}", "10000", "{{bounds.restore_ms}}", "600", "{{bounds.status_s}}", "120", "{{bounds.grace_s}}", "4.5",
 		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "2", "{{platform.row_bytes|json}}", "32768",
 	).Replace(string(raw))
 }
@@ -36,6 +36,7 @@
 		So(s.GRPCAddr, ShouldEqual, "10.1.0.19:7000")
 		So(s.CPU.cpuShare(), ShouldAlmostEqual, 0.8)
 		So(s.StoreRowBytes, ShouldEqual, 32768)
+		So(s.terminationGrace(), ShouldEqual, 4500*time.Millisecond)
 		So(s.Tasks.Timing().MaxLease, ShouldEqual, 10*time.Second)
 		So(s.Tasks.Timing().Retention, ShouldEqual, 130*time.Second)
 	})
