Handle signals from the start of a process on

What operators may see: a process that gets SIGHUP (the settings have changed) or SIGTERM in its first moments ends with the status of a crash, because the handlers were installed after the settings had been loaded and the program set up; with a small share of a core that takes a few hundred milliseconds. Found while looking for other signals around planned work that end a process; not seen in a run of the system.

The handlers are installed first. TestSignalsDuringStart sends both signals from within the validation of the settings: 'signal: hangup' before, exit status 0 in 20 of 20 runs after.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -42,6 +42,11 @@
 // Main loads the settings at path into target, builds the daemon and runs it
 // until SIGTERM or SIGINT. It returns the exit code.
 func Main(path string, target settings.Validator, logger *log.Logger, build func() (Runner, error)) int {
+	// Until a handler is installed, SIGHUP ends the process.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	if err := settings.Load(path, target); err != nil {
 		logger.Error().Err(err).Str("settings", path).Msg("settings are invalid")
 		return ExitSettings
@@ -53,10 +58,6 @@
 		logger.Error().Err(err).Msg("daemon could not be set up")
 		return ExitSettings
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	loaded, err := os.ReadFile(path)
 	if err != nil {
 		logger.Warn().Err(err).Str("settings", path).Msg("settings could not be read again; changes will not be detected")
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -82,3 +83,44 @@
 		So(<-code, ShouldEqual, ExitOK)
 	})
 }
+
+// startingProcess is set in the environment of the process that TestSignalsDuringStart starts.
+const startingProcess = "DAEMON_TEST_STARTING"
+
+// TestMain runs a daemon that gets signals while it starts, in a process of its own.
+func TestMain(m *testing.M) {
+	path := os.Getenv(startingProcess)
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stdout}}
+	os.Exit(Main(path, &signalingSettings{}, logger, func() (Runner, error) {
+		return blockingRunner{started: make(chan struct{})}, nil
+	}))
+}
+
+// signalingSettings signal their own process when they are validated.
+type signalingSettings struct{}
+
+func (*signalingSettings) Validate() error {
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against a process that a signal ends, with the status of a crash, because it has just
+// been started.
+func TestSignalsDuringStart(t *testing.T) {
+	Convey("A daemon that gets SIGHUP and SIGTERM while it starts shuts down", t, func() {
+		path := filepath.Join(t.TempDir(), "settings.json")
+		So(os.WriteFile(path, []byte("{}"), 0o600), ShouldBeNil)
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), startingProcess+"="+path)
+		out, err := cmd.Output()
+		So(err, ShouldBeNil)
+		So(string(out), ShouldContainSubstring, "shutting down")
+	})
+}
