End connections with the responses of a draining entry of the request path

The same cause as in the batch path: an entry of the request path (lacewing-entry) announced with Connection: close only those responses after which it cannot read the connection, so callers kept their connections until Shutdown closed them, and their next request could cross the close.

CloseWhenDraining serves both.

--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/adminapi"
 	"github.com/lacewingpier/lacewingpier/control/config/sheet"
+	"github.com/lacewingpier/lacewingpier/control/internal/httpserver"
 	"github.com/lacewingpier/lacewingpier/control/membership"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/telemetry"
@@ -156,7 +157,7 @@
 func (e *Entry) serve(grpcListener, httpListener net.Listener) {
 	e.grpc = transport.NewGRPCServer()
 	rpc.RegisterEntryServer(e.grpc, e)
-	e.http = &http.Server{Handler: e.routes(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	e.http = &http.Server{Handler: httpserver.CloseWhenDraining(e.routes(), e.draining.Load), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	e.goroutines.Go(func() {
 		if err := e.grpc.Serve(grpcListener); err != nil {
 			e.logger.Error().Err(err).Msg("gRPC server ended")
--- a/control/internal/rig/caller.go
+++ b/control/internal/rig/caller.go
@@ -33,6 +33,8 @@
 	Upstream   string
 	RetryAfter int
 	Body       []byte
+	// Closes is set if the response ends its connection.
+	Closes bool
 	// Err is set when there was no complete HTTP response.
 	Err      error
 	Duration time.Duration
@@ -69,6 +71,7 @@
 		Upstream:   resp.Header.Get("Lacewing-Upstream"),
 		RetryAfter: retryAfter,
 		Body:       body,
+		Closes:     resp.Close,
 		Err:        err,
 		Duration:   time.Since(start),
 	}
--- a/control/internal/rig/upstream_test.go
+++ b/control/internal/rig/upstream_test.go
@@ -269,6 +269,24 @@
 	})
 }
 
+// Guards against callers that send their next request on a connection that a draining entry is
+// about to close.
+func TestResponsesOfDrainingEntryEndTheConnection(t *testing.T) {
+	Convey("The responses of an entry end their connection once it drains", t, func() {
+		s := startSystem(t, oneRegion)
+		a := s.call(Call{Body: []byte("x")})
+		So(a.Err, ShouldBeNil)
+		So(a.Closes, ShouldBeFalse)
+		drained := make(chan struct{})
+		go func() { defer close(drained); s.Entries()[0].Drain() }()
+		for a.Err == nil && !a.Closes {
+			a = s.call(Call{Body: []byte("x")})
+		}
+		So(a.Err, ShouldBeNil)
+		<-drained
+	})
+}
+
 // Guards against running a duplicate of a dispatch, or a dispatch for an earlier
 // incarnation of the agent.
 func TestDuplicateDispatch(t *testing.T) {
