Go on with a shutdown when SIGTERM is repeated

What callers saw: if an entry got SIGTERM again while it drained, it ended at once, with status 3, and the calls in progress had no response. The new soak of planned work found it: two planned stops of one process may overlap.

Cause: any second signal was taken as the wish to exit at once. Whoever stops a process with SIGTERM ends a shutdown that takes too long with SIGKILL; a repeated SIGTERM says nothing new. SIGINT during the shutdown, which somebody at a terminal sends, exits at once as before.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -22,8 +22,8 @@
 	ExitFailure = 1
 	// ExitSettings is returned for invalid settings, before any socket is opened.
 	ExitSettings = 2
-	// ExitForced is returned after a second signal. Requests in flight were
-	// aborted.
+	// ExitForced is returned after SIGINT during a shutdown. Requests in flight
+	// were aborted.
 	ExitForced = 3
 )
 
@@ -40,7 +40,9 @@
 }
 
 // Main loads the settings at path into target, builds the daemon and runs it
-// until SIGTERM or SIGINT. It returns the exit code.
+// until SIGTERM or SIGINT. It returns the exit code. SIGTERM may be repeated: whoever
+// sends it ends a shutdown that takes too long by SIGKILL. SIGINT during a shutdown,
+// by which an operator at a terminal asks for it, exits at once.
 func Main(path string, target settings.Validator, logger *log.Logger, build func() (Runner, error)) int {
 	// Until a handler is installed, SIGHUP ends the process.
 	signals := make(chan os.Signal, 2)
@@ -64,19 +66,18 @@
 	}
 	result := make(chan error, 1)
 	go func() { result <- runner.Run(ctx) }()
-	for received := 0; ; {
+	for {
 		select {
 		case err := <-result:
 			return exitCode(err, logger)
 		case <-reloads:
 			loaded = reload(path, loaded, logger)
 		case sig := <-signals:
-			received++
-			if received > 1 {
+			if ctx.Err() != nil && sig == os.Interrupt {
 				logForcedExit(runner, logger)
 				return ExitForced
 			}
-			logger.Info().Str("signal", sig.String()).Msg("shutting down; a second signal exits at once")
+			logger.Info().Str("signal", sig.String()).Bool("repeated", ctx.Err() != nil).Msg("shutting down; an interrupt now exits at once")
 			stop()
 		}
 	}
@@ -109,5 +110,5 @@
 	if lister, ok := runner.(InFlight); ok {
 		aborted = lister.RequestsInFlight()
 	}
-	logger.Warn().Int("requests_cut", len(aborted)).Strs("requests", aborted).Msg("second signal; exiting at once")
+	logger.Warn().Int("requests_cut", len(aborted)).Strs("requests", aborted).Msg("interrupted during the shutdown; exiting at once")
 }
