Give each part of a shutdown its share, and bound what a stalled caller holds up

- A termination grace of 1 s left no time for the drain, so that an entry closed at once: 8 of 8 callers lost a request.
- One byte of a next request counted as a call in progress and held the shutdown up for 5.5 s, on two servers until SIGKILL.
Only a request whose headers have arrived counts; other connections close when calls are canceled, and all servers share one end (TestShutdownAnswersCallsInProgress).
- Two requests received at once: the shutdown canceled the second one, which counted as not begun (TestShutdownLeavesPipelinedRequestAlone; the review saw 502 with 2 s left).
- Without free descriptors the last accepts closed the listener: 14 of 20 open connections were reset.
Only the lack of further connections closes it now; not tested, as it needs the limits of a process of its own.

--- a/control/internal/httpserver/conn.go
+++ b/control/internal/httpserver/conn.go
@@ -39,10 +39,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if d, ok := l.Listener.(deadliner); ok && errors.Is(err, os.ErrDeadlineExceeded) {
-		if c, err = acceptOpened(d); err != nil {
-			l.closeListener()
-			err = errors.CombineErrors(net.ErrClosed, err)
-		}
+		c, err = l.acceptOpened(d)
 	}
 	if err != nil {
 		return nil, err
@@ -50,21 +47,31 @@
 	return &conn{Conn: c, waiting: true}, nil
 }
 
-// acceptOpened returns a connection that a caller has already opened, or an error if there is
-// none.
-func acceptOpened(l syscall.Conn) (net.Conn, error) {
-	raw, err := l.SyscallConn()
+// acceptOpened returns a connection that a caller has already opened. Without one it closes the
+// listener and returns net.ErrClosed. After a passing error, such as a lack of descriptors, it
+// may be called again.
+func (l *listener) acceptOpened(d deadliner) (net.Conn, error) {
+	raw, err := d.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
 	var accepted int
 	var acceptErr error
 	err = raw.Control(func(fd uintptr) {
-		accepted, _, acceptErr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		for acceptErr = syscall.EINTR; acceptErr == syscall.EINTR || acceptErr == syscall.ECONNABORTED; {
+			accepted, _, acceptErr = syscall.Accept(int(fd))
+		}
 	})
-	if err = errors.CombineErrors(err, acceptErr); err != nil {
+	switch {
+	case err != nil:
 		return nil, err
+	case acceptErr == syscall.EAGAIN:
+		l.closeListener()
+		return nil, net.ErrClosed
+	case acceptErr != nil:
+		return nil, acceptErr
 	}
+	syscall.CloseOnExec(accepted)
 	file := os.NewFile(uintptr(accepted), "connection")
 	defer file.Close()
 	return net.FileConn(file)
@@ -76,8 +83,9 @@
 	net.Conn
 
 	mu sync.Mutex
-	// waiting is set while nothing of the next request has been read.
-	waiting bool
+	// waiting is set while nothing of the next request has been read, and serving while a
+	// request is served.
+	waiting, serving bool
 	// expired is set once the connection closes unless a request has arrived.
 	expired bool
 	// deadline is the read deadline that the server has set last.
@@ -91,14 +99,22 @@
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting, c.serving = true, false
+}
+
+// beginRequest notes that the headers of a request have been read.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = true
+	_ = c.requestBegun() // It fails on closed connections only.
 }
 
-// hasRequest reports whether a request has begun that is not answered yet.
-func (c *conn) hasRequest() bool {
+// isServing reports whether a request is served that is not answered yet.
+func (c *conn) isServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.waiting
+	return c.serving
 }
 
 // expire ends the wait for a request. A request that has arrived is still read.
@@ -132,15 +148,16 @@
 		}
 	}
 	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		err = errors.CombineErrors(err, c.requestBegun())
 	}
 	return n, err
 }
 
-// requestBegun restores the deadline that the server has set for the rest of the request.
+// requestBegun restores the deadline that the server has set for the rest of the request. The
+// caller holds c.mu.
 func (c *conn) requestBegun() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.waiting = false
 	if !c.expired {
 		return nil
--- a/control/internal/httpserver/server.go
+++ b/control/internal/httpserver/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,8 @@
 	// HeaderTimeout bounds the time to read a request's headers, IdleTimeout the time that a
 	// connection waits for its next request. Zero is no bound.
 	HeaderTimeout, IdleTimeout time.Duration
+	// TLS encrypts connections unless it is nil.
+	TLS *tls.Config
 	// MaxHeaderBytes bounds a request's headers; zero stands for the default of net/http.
 	MaxHeaderBytes int
 }
@@ -26,6 +29,7 @@
 // Server is an HTTP server. It is safe for concurrent use.
 type Server struct {
 	http     http.Server
+	tls      *tls.Config
 	draining atomic.Bool
 	// cancelCalls ends the contexts of all calls.
 	cancelCalls context.CancelFunc
@@ -44,7 +48,7 @@
 // New returns a server that is started by Serve.
 func New(opts Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{})}
+	s := &Server{tls: opts.TLS, cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{})}
 	s.http = http.Server{
 		Handler: CloseWhenDraining(opts.Handler, s.draining.Load), ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeaderBytes,
@@ -62,7 +66,11 @@
 		return l.Close()
 	}
 	defer s.listenerEnded()
-	err := s.http.Serve(tracked)
+	var accepting net.Listener = tracked
+	if s.tls != nil {
+		accepting = tls.NewListener(tracked, s.tls)
+	}
+	err := s.http.Serve(accepting)
 	if s.isStopping() {
 		return nil
 	}
@@ -99,9 +107,9 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown stops accepting connections, closes those without a request, and waits for the
-// calls in progress. At answerBy it cancels the contexts of the remaining calls, which answer
-// then, and at closeBy it closes their connections. It returns how many it closed before their
-// response was complete.
+// calls in progress. At answerBy it closes connections on which no whole header has arrived and
+// cancels the contexts of the remaining calls, which answer then; at closeBy it closes their
+// connections. It returns how many it closed before their response was complete.
 func (s *Server) Shutdown(answerBy, closeBy time.Time) (cut int) {
 	s.Drain()
 	s.stopAccepting()
@@ -109,6 +117,7 @@
 	if s.awaitIdle(answerBy) {
 		return 0
 	}
+	s.closeUnlessServing()
 	s.cancelCalls()
 	if s.awaitIdle(closeBy) {
 		return 0
@@ -119,13 +128,24 @@
 	return cut
 }
 
-// Connections returns the number of open connections, and of those on which a request has
-// begun that is not answered yet.
+// closeUnlessServing closes connections on which no request is served.
+func (s *Server) closeUnlessServing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.isServing() {
+			_ = c.Close() // It fails on closed connections only.
+		}
+	}
+}
+
+// Connections returns the number of open connections, and of those on which a request is
+// served that is not answered yet.
 func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.hasRequest() {
+		if c.isServing() {
 			busy++
 		}
 	}
@@ -166,6 +186,9 @@
 }
 
 func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
 	c := nc.(*conn) //nolint:forcetypeassert // All connections come from listener.Accept.
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,6 +201,7 @@
 		delete(s.conns, c)
 		s.signalIdle()
 	case http.StateActive:
+		c.beginRequest()
 	}
 	if s.stopping {
 		c.expire()
--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -162,6 +162,15 @@
 			_, err := net.Dial("tcp", s.address)
 			So(err, ShouldNotBeNil)
 		})
+		Convey("one whose headers have arrived in part does not hold the others up", func() {
+			partial := s.dial()
+			partial.send("G")
+			done := make(chan int, 1)
+			go func() { done <- s.Shutdown(time.Now().Add(100*time.Millisecond), time.Now().Add(longAfter)) }()
+			So(busy.receive().status, ShouldEqual, http.StatusBadGateway)
+			So(partial.ended(), ShouldBeTrue)
+			So(<-done, ShouldEqual, 0)
+		})
 		Convey("one that does not is canceled, and answers", func() {
 			done := make(chan int, 1)
 			go func() { done <- s.Shutdown(time.Now(), time.Now().Add(longAfter)) }()
@@ -277,6 +286,26 @@
 	})
 }
 
+// Guards against a call that is canceled because its request had been received together with the
+// one before.
+func TestShutdownLeavesPipelinedRequestAlone(t *testing.T) {
+	Convey("The second of two requests that arrive at once is served to its end", t, func() {
+		s := startServer(Options{})
+		c := s.dial()
+		c.send(get("/echo") + get("/wait"))
+		So(c.receive().status, ShouldEqual, http.StatusOK)
+		<-s.entered
+		done := make(chan int, 1)
+		go func() { cut, _ := s.stop(); done <- cut }()
+		for !s.isStopping() {
+			time.Sleep(time.Millisecond)
+		}
+		close(s.release)
+		So(c.receive().status, ShouldEqual, http.StatusOK)
+		So(<-done, ShouldEqual, 0)
+	})
+}
+
 // Guards against requests on connections that are reset because a busy process closes its
 // listener before it has accepted them.
 func TestOpenedConnectionsAreServedAfterShutdown(t *testing.T) {
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
@@ -31,6 +32,13 @@
 	return a
 }
 
+const (
+	// shutdownTimeout bounds the wait for HTTP calls when an agent stops.
+	shutdownTimeout = 2 * time.Second
+	// closeTimeout bounds the time that they need to answer once they are canceled.
+	closeTimeout = 500 * time.Millisecond
+)
+
 // Run serves until ctx ends. It then stops at once, without draining, because
 // tasks continue without the agent until their lease expires.
 func (a *Agent) Run(ctx context.Context) error {
@@ -49,6 +57,6 @@
 	a.runBackground(background, "verification of announcements", a.runner.Verify)
 	<-ctx.Done()
 	cancel()
-	a.stop()
+	a.stop(shutdownEnd{answerBy: time.Now().Add(shutdownTimeout), closeBy: time.Now().Add(shutdownTimeout + closeTimeout)})
 	return nil
 }
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -68,9 +68,16 @@
 const drainDuration = 2500 * time.Millisecond
 
 // stopMargin is how long before it is killed a stopping entry cancels the calls in progress.
-// The rest is for their answers and for the end of the process.
+// Half of it is for their answers, the rest for the end of the process.
 const stopMargin = time.Second
 
+// planShutdown divides the time until an entry is killed: drain is how long it serves on. If
+// the time is too short for all parts, each gets a share.
+func planShutdown(now time.Time, grace time.Duration) (drain time.Duration, end shutdownEnd) {
+	killedAt, margin := now.Add(grace), min(stopMargin, grace/4)
+	return min(drainDuration, grace/2), shutdownEnd{answerBy: killedAt.Add(-margin), closeBy: killedAt.Add(-margin / 2)}
+}
+
 // Run serves until ctx ends, then hands over the ownership and drains.
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info().Str("node", e.settings.Node).Str("zone", e.settings.Zone).Msg("entry is starting")
@@ -91,22 +98,22 @@
 	e.runBackground(background, "publication of the entry", e.publish)
 	e.runBackground(ctx, "candidate", candidate.Run)
 	<-ctx.Done()
-	e.drain(time.Now().Add(e.settings.terminationGrace()))
+	drain, end := planShutdown(time.Now(), e.settings.terminationGrace())
+	e.drain(drain, end)
 	cancel()
-	e.stop()
+	e.stop(end)
 	return nil
 }
 
 // drain serves until callers have been directed to other entries, and then waits until all
 // calls in progress have been answered. What they depend on has to work until it returns.
-func (e *Entry) drain(killedAt time.Time) {
+func (e *Entry) drain(drain time.Duration, end shutdownEnd) {
 	e.draining.Store(true)
 	e.callers.Drain()
 	open, busy := e.callers.Connections()
 	e.logger.Info().Int("connections", open).Int("calls", busy).Msg("entry is draining")
-	answerBy := killedAt.Add(-stopMargin)
-	time.Sleep(min(drainDuration, time.Until(answerBy)))
-	e.shutDown(answerBy, e.callers)
+	time.Sleep(drain)
+	e.shutDown(end, e.callers)
 }
 
 func (e *Entry) listen() (err error) {
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -35,10 +35,6 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout closes idle keep-alive connections.
 	idleTimeout = 15 * time.Second
-	// shutdownTimeout bounds the wait for HTTP calls when a process stops.
-	shutdownTimeout = 2 * time.Second
-	// closeTimeout bounds the time that calls need for an answer once they are canceled.
-	closeTimeout = 500 * time.Millisecond
 )
 
 func newProcess(role string, s CommonSettings, logger *log.Logger) *process {
@@ -107,10 +103,17 @@
 	return err
 }
 
-// stop shuts the servers down and waits for everything that they run. HTTP calls in progress
-// are canceled after shutdownTimeout, gRPC calls at once.
-func (p *process) stop() {
-	p.shutDown(time.Now().Add(shutdownTimeout), p.servers...)
+// shutdownEnd is when a shutdown ends what has not ended by itself.
+type shutdownEnd struct {
+	// answerBy is when calls in progress are canceled, so that they answer; closeBy is when
+	// their connections are closed.
+	answerBy, closeBy time.Time
+}
+
+// stop shuts the servers down and waits for everything that they run. gRPC calls are canceled
+// at once.
+func (p *process) stop(end shutdownEnd) {
+	p.shutDown(end, p.servers...)
 	p.grpc.Stop()
 	p.group.Wait()
 	if err := p.metrics.Close(); err != nil {
@@ -119,16 +122,15 @@
 	p.logger.Info().Msg("process has stopped")
 }
 
-// shutDown shuts servers down. Calls in progress are canceled at answerBy, and get closeTimeout
-// to answer then.
-func (p *process) shutDown(answerBy time.Time, servers ...*httpserver.Server) {
+// shutDown shuts servers down and waits for their calls.
+func (p *process) shutDown(end shutdownEnd, servers ...*httpserver.Server) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	for _, s := range servers {
 		open, busy := s.Connections()
 		p.logger.Info().Int("connections", open).Int("calls", busy).Msg("HTTP server shuts down")
 		group.Go(func() {
-			if cut := s.Shutdown(answerBy, answerBy.Add(closeTimeout)); cut > 0 {
+			if cut := s.Shutdown(end.answerBy, end.closeBy); cut > 0 {
 				p.metrics.Scope.Tagged(map[string]string{"event": "calls_cut"}).Counter("events").Inc(int64(cut))
 				p.logger.Warn().Int("calls_cut", cut).Msg("HTTP server did not shut down cleanly")
 			}
