Serve the request path with the server that answers every request

httpserver serves it now, also with TLS (TestShutdownOfEncryptedConnections), so that calls are canceled 1 s before the drain timeout and answer.

--- a/control/entry/entry.go
+++ b/control/entry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +65,7 @@
 	servedForward atomic.Bool
 
 	grpc       *grpc.Server
-	http       *http.Server
+	callers    *httpserver.Server
 	goroutines conc.WaitGroup
 }
 
@@ -135,16 +134,13 @@
 		_ = grpcListener.Close()
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen at http_addr")
 	}
-	if tlsConfig != nil {
-		httpListener = tls.NewListener(httpListener, tlsConfig)
-	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	e.goroutines.Go(func() { e.probeLoop(background) })
 	e.goroutines.Go(func() { e.watchWeights(background) })
 	e.goroutines.Go(func() { e.state.run(background) })
 	e.goroutines.Go(func() { e.group.Run(background) })
 	e.goroutines.Go(func() { e.refreshPeers(background) })
-	e.serve(grpcListener, httpListener)
+	e.serve(grpcListener, httpListener, tlsConfig)
 	<-ctx.Done()
 	e.drain()
 	stopBackground()
@@ -154,22 +150,27 @@
 	return nil
 }
 
-func (e *Entry) serve(grpcListener, httpListener net.Listener) {
+func (e *Entry) serve(grpcListener, httpListener net.Listener, tlsConfig *tls.Config) {
 	e.grpc = transport.NewGRPCServer()
 	rpc.RegisterEntryServer(e.grpc, e)
-	e.http = &http.Server{Handler: httpserver.CloseWhenDraining(e.routes(), e.draining.Load), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	e.callers = httpserver.New(httpserver.Options{Handler: e.routes(), HeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLS: tlsConfig})
 	e.goroutines.Go(func() {
 		if err := e.grpc.Serve(grpcListener); err != nil {
 			e.logger.Error().Err(err).Msg("gRPC server ended")
 		}
 	})
-	e.goroutines.Go(func() { _ = e.http.Serve(httpListener) })
+	e.goroutines.Go(func() {
+		if err := e.callers.Serve(httpListener); err != nil {
+			e.logger.Error().Err(err).Msg("HTTP server ended")
+		}
+	})
 }
 
 // drain hands over the partitions, stops accepting callers and waits for the requests
 // in flight.
 func (e *Entry) drain() {
 	e.draining.Store(true)
+	e.callers.Drain()
 	e.group.SetDraining()
 	e.logger.Info().Str("entry", string(e.settings.ID)).Msg("entry is draining")
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.Std())
@@ -178,9 +179,8 @@
 	var leaving conc.WaitGroup
 	leaving.Go(func() { e.state.jobs.Leave(ctx) })
 	e.waitDrainNotice(ctx)
-	if err := e.http.Shutdown(ctx); err != nil {
-		e.logger.Warn().Err(err).Strs("requests", e.inFlight.sortedIDs()).Msg("drain timeout expired; aborting requests in flight")
-		_ = e.http.Close()
+	if cut := e.callers.Shutdown(e.drainEnd(ctx)); cut > 0 {
+		e.logger.Warn().Int("connections", cut).Msg("drain timeout expired; aborting requests in flight")
 	}
 	leaving.Wait()
 	e.waitForwarded(ctx)
@@ -188,6 +188,16 @@
 	e.services.closeAll()
 }
 
+// cancelMargin is the part of the drain timeout in which requests in flight are answered once
+// they are canceled.
+const cancelMargin = time.Second
+
+// drainEnd returns when requests in flight are canceled and when their connections are closed.
+func (e *Entry) drainEnd(ctx context.Context) (answerBy, closeBy time.Time) {
+	closeBy, _ = ctx.Deadline()
+	return closeBy.Add(-min(cancelMargin, e.settings.DrainTimeout.Std()/4)), closeBy
+}
+
 // waitForwarded waits for the requests forwarded by entries of other regions.
 func (e *Entry) waitForwarded(ctx context.Context) {
 	idle := e.inFlight.drain()
--- a/control/internal/httpserver/response.go
+++ b/control/internal/httpserver/response.go
@@ -2,9 +2,9 @@
 
 import "net/http"
 
-// CloseWhenDraining returns a handler whose responses end their connection while draining
+// closeWhenDraining returns a handler whose responses end their connection while draining
 // returns true, so that callers use another one for their next request.
-func CloseWhenDraining(handler http.Handler, draining func() bool) http.Handler {
+func closeWhenDraining(handler http.Handler, draining func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		response := &responseWriter{ResponseWriter: w, draining: draining}
 		handler.ServeHTTP(response, r)
--- a/control/internal/httpserver/server.go
+++ b/control/internal/httpserver/server.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{tls: opts.TLS, cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{})}
 	s.http = http.Server{
-		Handler: CloseWhenDraining(opts.Handler, s.draining.Load), ReadHeaderTimeout: opts.HeaderTimeout,
+		Handler: closeWhenDraining(opts.Handler, s.draining.Load), ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnState:   s.connStateChanged,
--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"syscall"
@@ -286,6 +288,34 @@
 	})
 }
 
+// Guards against encrypted connections that are closed with a call in progress, or that stay open.
+func TestShutdownOfEncryptedConnections(t *testing.T) {
+	Convey("Given an idle connection with TLS and one with a call", t, func() {
+		certified := httptest.NewTLSServer(nil)
+		defer certified.Close()
+		s := startServer(Options{TLS: certified.TLS})
+		dial := func() *client {
+			c, err := tls.Dial("tcp", s.address, &tls.Config{RootCAs: certified.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"})
+			So(err, ShouldBeNil)
+			So(c.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+			return &client{c, bufio.NewReader(c)}
+		}
+		idle, busy := dial(), dial()
+		idle.send(get("/echo"))
+		So(idle.receive().closes, ShouldBeFalse)
+		busy.send(get("/wait"))
+		<-s.entered
+		done := make(chan int, 1)
+		go func() { cut, _ := s.stop(); done <- cut }()
+		So(idle.ended(), ShouldBeTrue)
+		close(s.release)
+		answer := busy.receive()
+		So(answer.status, ShouldEqual, http.StatusOK)
+		So(answer.closes, ShouldBeTrue)
+		So(<-done, ShouldEqual, 0)
+	})
+}
+
 // Guards against a call that is canceled because its request had been received together with the
 // one before.
 func TestShutdownLeavesPipelinedRequestAlone(t *testing.T) {
