Reproduce the repetition of a run that a restarted process has carried out late

What callers see: many tasks of a job whose success was acknowledged run again (TWICE), on workers whose process was restarted under its id.

Run 1 of a task is placed at 20.040 s and its start gets no answer until 26.412 s; the owner gives it up at 26.029 s, "lease expired"; the process is restarted under its id at 27.3 s, carries the start out, and run 1 succeeds at 30.386 s; the owner places run 2 at 33.973 s, with the first report of the new process, and acknowledges the success of run 1.

TestRunGivenUpSucceedsOnRestartedProcess fails: the job is started again instead of completed.

--- a/sched/batch/takeover_test.go
+++ b/sched/batch/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -54,3 +55,27 @@
 		So(b.stops[0].Incarnation, ShouldResemble, testIncarnation(2))
 	})
 }
+
+// Guards against an owner that drops the success of a run which it had given up, because a
+// process that was restarted under the same id has carried it out.
+func TestRunGivenUpSucceedsOnRestartedProcess(t *testing.T) {
+	Convey("The success counts, as the task was not started again", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		starts := b.runCycle()
+		So(starts, ShouldHaveLength, 1)
+		for range 80 { // No report arrives while the lease expires.
+			b.advance(100 * time.Millisecond)
+			b.runCycle()
+		}
+		next := WorkerInfo{
+			ID: "w1", Service: "svc", Incarnation: testIncarnation(2), Labels: []string{"a"},
+			Capacity: Resources{MilliCores: 64000, MemoryMB: 100000, Accelerators: 8},
+		}
+		b.scheduler.Announced(next, b.now)
+		b.scheduler.Reported("w1", Report{Incarnation: testIncarnation(2), ClockMs: 1, Ended: endedRow(1, starts[0], EndSucceeded)}, b.now)
+		So(b.runCycle(), ShouldBeEmpty)
+		So(b.jobState("j1"), ShouldEqual, JobCompleted)
+	})
+}
