Let work start in idle headroom after 2 s

Cause: a rule that defers work without an end.

Change: work that has waited for 2 s starts while less than half of the accelerators are in use.

--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -119,12 +119,28 @@
 // leavesHeadroom reports whether the headroom stays free if n more tasks of the
 // unit start.
 func (p *plan) leavesHeadroom(u *unit, n int) bool {
-	if u.mayUseHeadroom() {
+	if u.mayUseHeadroom() || p.headroomLiesIdle(u) {
 		return true
 	}
 	return freeAccelerators(p.workers, freeNow)-n*u.step.PerTask.Accelerators >= p.headroom
 }
 
+// headroomPatience is how long work waits for headroom while most accelerators are free.
+const headroomPatience = 2 * time.Second
+
+// headroomLiesIdle reports whether the unit has waited for headroomPatience while less than
+// half of the accelerators are in use.
+func (p *plan) headroomLiesIdle(u *unit) bool {
+	if p.now.Before(u.waitingSince().Add(headroomPatience)) {
+		return false
+	}
+	total := 0
+	for _, c := range p.workers {
+		total += c.worker.info.Capacity.Accelerators
+	}
+	return 2*freeAccelerators(p.workers, freeNow) > total
+}
+
 // mayUseHeadroom reports whether the unit may start in capacity that urgent work is
 // expected to need soon. Work that resumes from checkpoints is cheap to preempt, and so are
 // single normal tasks. A gang without checkpoints loses the work of all its members
