A start's time counts from its view, and the worker checks it

Callers saw a task start more than 3 s after the cancellation of its job had been acknowledged (TestLimitsSoak/1: 3.24 s).

Cause, by adding up what the code allowed: a start was released on a view of up to 1.2 s and could then be sent for 1.5 s, counted from its release; the last attempt took up to 0.25 s more, and the worker compared the order with the end of its lease only, 3 to 10 s ahead, so that what waited in a busy worker, or in its connections, was carried out whenever its turn came. The agent's check used a reading of the clock that a pause of the agent could have delayed, which moved its end by the same time; the owner's took no account of a slow clock. 2.95 s and the unbounded rest against 3 s.

Ruled out: the holding of starts (the version of the transaction includes all cancellations acknowledged before it was sent), and stops that are lost (they follow the cancellation, and are not needed for this bound).

Change: one bound, 2.5 s from the time at which the view was current. It travels with the order as a time on the worker's clock, of which the owner takes a lower bound, also for a clock that is 2% slow. The agent checks it before each attempt, and it is the deadline of the order at the worker, which rejects a later one as "late". That is no fault of the worker; the task is planned again.

TestStartLimitsAddUp compared the sum of two constants with 3 s, which left out the last attempt and the worker. It now compares the whole bound, on a slow clock, with 2.6 s.

The longest time for an answer, 3.5 s, is as before.

--- a/control/batchowner/agentconn_test.go
+++ b/control/batchowner/agentconn_test.go
@@ -43,7 +43,7 @@
 		b.submit("j1")
 		now := time.Now()
 		b.scheduler.Schedule(now)
-		for _, order := range b.scheduler.ReleaseStarts(b.scheduler.Prepare(10, nil), now) {
+		for _, order := range b.scheduler.ReleaseStarts(b.scheduler.Prepare(10, nil), now, now) {
 			b.conn.sendOrder(order)
 		}
 		b.conn.handleMessage(m)
--- a/control/batchowner/unsent.go
+++ b/control/batchowner/unsent.go
@@ -22,9 +22,8 @@
 }
 
 const (
-	// maxStartViewAge is the age of the view from which on starts need a newer one. With
-	// the time that an order may take to the worker, batch.StartWindow, it stays below the
-	// 3 s within which nothing of a cancelled job starts any more.
+	// maxStartViewAge is the age of the view from which on starts need a newer one. It leaves
+	// them time to reach the worker before they are batch.MaxStartAge old.
 	maxStartViewAge = 1200 * time.Millisecond
 	// maxStartHold is how long starts are held. Then they are given up, and their tasks are
 	// planned again.
@@ -67,13 +66,14 @@
 	held := l.unsent
 	l.unsent = nil
 	for _, u := range held {
-		if l.writer.clock()-u.versionAt >= maxStartViewAge {
+		viewAge := l.writer.clock() - u.versionAt
+		if viewAge >= maxStartViewAge {
 			u.version = 0
 		}
 		inView := u.version > 0 && u.version <= complete && l.overflowing.Load() == 0
 		switch {
 		case inView || !l.writer.valid():
-			l.sendStarts(l.scheduler.ReleaseStarts(u.commit, now), now)
+			l.sendStarts(l.scheduler.ReleaseStarts(u.commit, now.Add(-viewAge), now), now)
 		case now.Sub(u.heldSince) >= maxStartHold:
 			l.giveUpStarts(u, now)
 		default:
@@ -94,7 +94,7 @@
 
 // giveUpStarts returns the tasks of held starts to the waiting ones.
 func (l *ownerLoop) giveUpStarts(u *unsentStarts, now time.Time) {
-	orders := l.scheduler.ReleaseStarts(u.commit, now)
+	orders := l.scheduler.ReleaseStarts(u.commit, now, now)
 	l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("starts", len(orders)).Uint64("version", uint64(u.version)).
 		Int64("held_ms", now.Sub(u.heldSince).Milliseconds()).Msg("starts are given up unsent: their view of the jobs is not current")
 	for _, order := range orders {
--- a/control/batchowner/unsent_test.go
+++ b/control/batchowner/unsent_test.go
@@ -236,10 +236,54 @@
 	})
 }
 
-// Guards against limits that let a start reach a worker later than 3 s after a cancellation
+// Guards against limits that let a start be carried out later than 3 s after a cancellation
 // that was acknowledged after the latest view.
 func TestStartLimitsAddUp(t *testing.T) {
-	Convey("The view and the order together are younger than 3 s", t, func() {
-		So(maxStartViewAge+batch.StartWindow, ShouldBeLessThan, 3*time.Second)
+	Convey("A start is carried out on a view that is younger than 3 s, also on a slow clock", t, func() {
+		So(batch.MaxStartAge*100/98, ShouldBeLessThan, 2600*time.Millisecond)
+		So(maxStartViewAge, ShouldBeLessThan, batch.MaxStartAge-time.Second)
 	})
 }
+
+// Guards against starts that are carried out long after their view was current, because the
+// time that they may take counts from another moment than that of the view.
+func TestStartsExpireWithTheirView(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// viewAge is the age of the view when the starts are sent, reportDelay how long the
+		// worker's latest report took, and rate that of the worker's clock in percent.
+		viewAge, reportDelay time.Duration
+		rate                 int64
+	}{
+		{"at once", 0, 0, 100},
+		{"after a slow answer of the store", 700 * time.Millisecond, 0, 100},
+		{"on the oldest view", maxStartViewAge - time.Millisecond, 0, 100},
+		{"with a report that an owner's pause delayed", maxStartViewAge - time.Millisecond, 2 * time.Second, 100},
+		{"to a worker whose clock is slow", maxStartViewAge - time.Millisecond, 0, 98},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("A start expires on the worker's clock with its view: sent "+c.name, t, func() {
+				begin := time.Now()
+				workerClock := func() int64 { return 100_000 + time.Since(begin).Milliseconds()*c.rate/100 }
+				b := newFollowingLoopbed()
+				defer b.cancel()
+				clock := workerClock()
+				time.Sleep(c.reportDelay)
+				b.clockMs = clock - 1 // report adds one
+				b.report()
+				time.Sleep(time.Second)
+				So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil) // the ownership lasts on
+				b.hear(jobRow("j1", oneTask))
+				viewClock := workerClock()
+				b.commitUnseen(func() {})
+				time.Sleep(c.viewAge)
+				b.advance()
+				b.sendHeldStarts()
+				orders := b.sentOrders()
+				So(orders, ShouldHaveLength, 1)
+				latest := viewClock + 2500
+				So(orders[0].StartByMs, ShouldBeBetweenOrEqual, latest-c.reportDelay.Milliseconds()-50, latest)
+			})
+		})
+	}
+}
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -58,9 +58,24 @@
 		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the stream to the owner has ended"}}
 	}
 	defer func() { <-s.startSlots }()
-	return s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, o)
+	limited := withinStartBy(o)
+	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
+		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, limited)
 	})
+	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs > o.StartByMs {
+		return s.expire(outcome)
+	}
+	return outcome
+}
+
+// withinStartBy limits the deadline of a start, after which the worker rejects it, so that it
+// is not carried out too late however long it waits there. The lease itself comes with the
+// renewals: a deadline never shortens it.
+func withinStartBy(o batch.Order) batch.Order {
+	if o.StartByMs > 0 {
+		o.DeadlineMs = min(o.DeadlineMs, o.StartByMs)
+	}
+	return o
 }
 
 // lookForRun asks for a report after a start without an answer. If the report lists the
@@ -142,7 +157,9 @@
 }
 
 // expired reports whether a start must not be sent any more. It may have been delayed on the
-// way, or by a pause of this process, and its job may have been cancelled since.
+// way, or by a pause of this process, and its job may have been cancelled since. The reading of
+// the clock may have been delayed as well: the worker compares the time of the order with its
+// own.
 func (s *session) expired(o batch.Order) bool {
 	if o.StartByMs == 0 {
 		return false
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -135,6 +135,9 @@
 	// refusalsUntilLeft is the same for a process that has deregistered, after which it counts
 	// as ended.
 	refusalsUntilLeft = 5
+	// unleasedWait replaces renewWait in calls that carry no lease, so that one that is granted
+	// meanwhile follows soon.
+	unleasedWait = 200 * time.Millisecond
 	// unreachableRetryDelay is the delay between two renewals while it is out of reach.
 	unreachableRetryDelay = 300 * time.Millisecond
 	// renewalTimeout bounds the wait for the renewal that answers a report: a round trip between
@@ -163,6 +166,9 @@
 		if failed {
 			renewal = batch.LeaseRenewal{}
 		}
+		if renewal.DeadlineMs == 0 {
+			wait = min(wait, unleasedWait)
+		}
 		renewCtx, cancel := context.WithTimeout(ctx, wait+renewTimeoutMargin)
 		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
 			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -127,12 +127,12 @@
 
 // ReleaseStarts returns the starts of a durable commit that are to be sent at once, and
 // returns the tasks of the others to the waiting ones. It must be called once for each commit,
-// when all cancellations that were acknowledged before it are known.
-func (s *Scheduler) ReleaseStarts(c *Commit, now time.Time) []Order {
+// when all cancellations that were acknowledged before viewedAt are known.
+func (s *Scheduler) ReleaseStarts(c *Commit, viewedAt, now time.Time) []Order {
 	var out []Order
 	for _, o := range c.starts {
 		s.handling = o.Run.Task.Job
-		if start, ok := s.releaseStart(o, now); ok {
+		if start, ok := s.releaseStart(o, viewedAt, now); ok {
 			out = append(out, start)
 		}
 	}
@@ -142,7 +142,7 @@
 
 // releaseStart completes an order whose record is durable. It returns false if
 // the run was given up while the record was being written.
-func (s *Scheduler) releaseStart(o Order, now time.Time) (Order, bool) {
+func (s *Scheduler) releaseStart(o Order, viewedAt, now time.Time) (Order, bool) {
 	t := s.activeTask(o.Run)
 	w := s.workers[o.Worker]
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
@@ -154,7 +154,7 @@
 		return o, false
 	}
 	o.DeadlineMs = w.leaseDeadline(s.timing.MaxLease)
-	o.StartByMs = w.estimatedClock(now) + StartWindow.Milliseconds()
+	o.StartByMs = w.clockAt(viewedAt) + MaxStartAge.Milliseconds()
 	w.extendLeaseBound(s.timing.MaxLease)
 	t.startedAt, t.progressedAt, t.sentAt = now, now, now
 	return o, true
--- a/sched/batch/ends_of_rules_bed_test.go
+++ b/sched/batch/ends_of_rules_bed_test.go
@@ -132,7 +132,7 @@
 	c := b.scheduler.Prepare(100, nil)
 	maps.Copy(b.records, c.Records)
 	b.scheduler.Committed(c)
-	for _, o := range b.scheduler.ReleaseStarts(c, b.now) {
+	for _, o := range b.scheduler.ReleaseStarts(c, b.now, b.now) {
 		b.start(o)
 	}
 }
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -138,7 +138,7 @@
 	if m.chance(9, "cancel during commit") {
 		m.cancel()
 	}
-	starts := m.scheduler.ReleaseStarts(c, m.now)
+	starts := m.scheduler.ReleaseStarts(c, m.now, m.now)
 	for _, o := range starts {
 		if m.canceled[o.Run.Task.Job] {
 			m.t.Fatalf("start of %v is sent after the cancellation", o.Run)
--- a/sched/batch/release_test.go
+++ b/sched/batch/release_test.go
@@ -17,18 +17,27 @@
 		b.scheduler.Schedule(b.now)
 		return b, b.scheduler.Prepare(100, nil)
 	}
-	Convey("A start names the time on the worker's clock until which it may be sent", t, func() {
-		b, c := newPrepared(testJob("j1", 1, testStep(1, 1)))
-		b.advance(700 * time.Millisecond)
-		starts := b.commit(c)
-		So(starts, ShouldHaveLength, 1)
-		So(starts[0].StartByMs, ShouldEqual, b.clockMs+700+StartWindow.Milliseconds())
+	Convey("A start names the time on the worker's clock until which it may be carried out", t, func() {
+		// viewedAt is when the view was current, counted from the latest report, and clockMs the
+		// least time that the worker's clock may have had since then.
+		for _, c := range []struct {
+			viewedAt time.Duration
+			clockMs  int64
+		}{{0, 0}, {700 * time.Millisecond, 686}, {-400 * time.Millisecond, -400}} {
+			b, commit := newPrepared(testJob("j1", 1, testStep(1, 1)))
+			reportedAt := b.now
+			b.advance(800 * time.Millisecond)
+			b.scheduler.Committed(commit)
+			starts := b.scheduler.ReleaseStarts(commit, reportedAt.Add(c.viewedAt), b.now)
+			So(starts, ShouldHaveLength, 1)
+			So(starts[0].StartByMs, ShouldEqual, b.clockMs+c.clockMs+MaxStartAge.Milliseconds())
+		}
 	})
 	Convey("A cancellation between the commit and the release counts", t, func() {
 		b, c := newPrepared(testJob("j1", 1, testStep(3, 1)))
 		b.scheduler.Committed(c)
 		b.scheduler.Cancel("j1", b.now)
-		So(b.scheduler.ReleaseStarts(c, b.now), ShouldBeEmpty)
+		So(b.scheduler.ReleaseStarts(c, b.now, b.now), ShouldBeEmpty)
 		So(b.jobState("j1"), ShouldEqual, JobCanceled)
 		So(b.scheduler.jobs["j1"].hasActive(), ShouldBeFalse)
 	})
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -288,7 +288,7 @@
 func (r *replay) runCycle() {
 	if r.commit != nil {
 		r.scheduler.Committed(r.commit)
-		for _, o := range r.scheduler.ReleaseStarts(r.commit, r.now()) {
+		for _, o := range r.scheduler.ReleaseStarts(r.commit, r.now(), r.now()) {
 			r.applyStart(o)
 		}
 	}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -439,9 +439,9 @@
 	s.requestStop(t, ReasonNoAnswer)
 }
 
-// maxAnswerTime is how long the answer to a start may take: it expires after StartWindow,
+// maxAnswerTime is how long the answer to a start may take: it expires after MaxStartAge,
 // its last attempt and a look at the running tasks follow, and messages are delayed.
-const maxAnswerTime = StartWindow + 2*time.Second
+const maxAnswerTime = MaxStartAge + time.Second
 
 // checkUnanswered stops a run whose start had no answer and that no report has listed.
 func (s *Scheduler) checkUnanswered(w *worker, t *task, now time.Time) {
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -134,15 +134,16 @@
 	// DeadlineMs is when the worker's lease ends, on its own clock. A start
 	// that arrives later is rejected.
 	DeadlineMs int64
-	// StartByMs is the time on the worker's clock from which on a start must not be sent
-	// to it any more, or zero for no limit.
+	// StartByMs is the time on the worker's clock from which on a start must not be carried
+	// out any more, or zero for no limit.
 	StartByMs int64
 	Reason    Reason
 }
 
-// StartWindow is how long after its release a start may be sent to the worker. Later the
-// decision may have been revised.
-const StartWindow = 1500 * time.Millisecond
+// MaxStartAge is how long after the owner's view of the jobs was current a start may be
+// carried out: nothing of a job starts later than 3 s after the acknowledgement of its
+// cancellation, also on the slowest clock.
+const MaxStartAge = 2500 * time.Millisecond
 
 // LogEvent describes a scheduling decision or a change of the assumed state, for
 // the log.
@@ -229,6 +230,9 @@
 	}
 }
 
+// slowClockPercent is by how much a worker's clock may be slow.
+const slowClockPercent = 2
+
 // leaseExpiryMargin covers the delay of a message that was in flight.
 const leaseExpiryMargin = 300 * time.Millisecond
 
@@ -390,10 +394,14 @@
 // from its latest report.
 func (w *worker) leaseDeadline(lease time.Duration) int64 { return w.clockMs + lease.Milliseconds() }
 
-// estimatedClock returns a lower bound of the worker's clock, which was read before its
-// latest report arrived.
-func (w *worker) estimatedClock(now time.Time) int64 {
-	return w.clockMs + now.Sub(w.reportedAt).Milliseconds()
+// clockAt returns a lower bound of the worker's clock at a time. The clock was read before the
+// latest report arrived, and may be slow.
+func (w *worker) clockAt(at time.Time) int64 {
+	sinceReport := at.Sub(w.reportedAt)
+	if sinceReport > 0 {
+		sinceReport -= sinceReport * slowClockPercent / 100
+	}
+	return w.clockMs + sinceReport.Milliseconds()
 }
 
 func (w *worker) extendLeaseBound(lease time.Duration) {
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -63,7 +63,7 @@
 // commit applies a commit as durable and returns the starts that it releases.
 func (b *testbed) commit(c *Commit) []Order {
 	b.scheduler.Committed(c)
-	return b.scheduler.ReleaseStarts(c, b.now)
+	return b.scheduler.ReleaseStarts(c, b.now, b.now)
 }
 
 func (b *testbed) advance(d time.Duration) { b.now = b.now.Add(d) }
