Don't send starts that waited for a former process

A start waits in the agent while 64 others are under way. Its incarnation was compared when it arrived, and not when its turn came: if the process was restarted meanwhile under the same id, the start went to the successor, which takes it for its own. Its time did not expire either: the agent has a reading of the successor's clock only, and without one it sends.

Evidence: TestStartsForFormerProcessAreNotSent; without the change a start of 1.5 s is sent after a minute. By reading; no soak is known that shows it.

Change: the agent compares the incarnation before each attempt. A start that was never sent is rejected without a fault of the worker, and planned again; after an attempt without an answer its outcome is unknown, as before.

After: nothing is sent in that test.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -159,11 +159,14 @@
 // expired reports whether a start must not be sent any more. It may have been delayed on the
 // way, or by a pause of this process, and its job may have been cancelled since. The reading of
 // the clock may have been delayed as well: the worker compares the time of the order with its
-// own.
+// own, unless it was restarted.
 func (s *session) expired(o batch.Order) bool {
 	if o.StartByMs == 0 {
 		return false
 	}
+	if s.runner.currentAnnouncement().Incarnation != o.Incarnation {
+		return true
+	}
 	clock, ok := s.runner.workerClock(o.Incarnation)
 	return ok && clock >= o.StartByMs
 }
--- a/control/runner/startby_test.go
+++ b/control/runner/startby_test.go
@@ -142,3 +142,36 @@
 		})
 	})
 }
+
+// Guards against starts that waited in the agent while the process restarted under its id, and
+// that its successor, whose clock is younger, carries out at any later time.
+func TestStartsForFormerProcessAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A start that gets its turn after the restart is rejected", t, func() {
+			tasks := &lossyTasks{unanswered: 99}
+			events := make(map[string]int)
+			r := newRunner(&rowWriter{}, func(event string) { events[event]++ })
+			r.opts.Tasks = tasks
+			announce(r, announcement(5, 1, false))
+			incarnation := batch.Incarnation{Upstream: "u", StartedMs: 5}
+			r.noteWorkerClock(batch.Report{Incarnation: incarnation, ClockMs: 1000})
+			s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 4), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, 1)}
+			s.startSlots <- struct{}{}
+			order := batch.Order{Incarnation: incarnation, Run: batch.Run{Number: 1}, DeadlineMs: 9000, StartByMs: 2500}
+			go s.forwardOrder(context.Background(), rpc.OrderMessage(3, order).GetOrder())
+			time.Sleep(time.Second)
+			announce(r, announcement(6, 2, false))
+			r.noteWorkerClock(batch.Report{Incarnation: batch.Incarnation{Upstream: "u", StartedMs: 6}, ClockMs: 1})
+			time.Sleep(time.Minute)
+			<-s.startSlots
+			synctest.Wait()
+			So(tasks.orders, ShouldBeEmpty)
+			for {
+				if answer := (<-s.outbound).GetAnswer(); answer != nil {
+					So(batch.AnswerKind(answer.GetKind()), ShouldEqual, batch.AnswerRejectedNoCapacity)
+					break
+				}
+			}
+		})
+	})
+}
