Give a call to a busy worker more time after one that timed out

Tasks lapsed on a busy worker although its agent called it all the time.

Cause: a call that renews the lease is given up 0.4 s after its wait, and the one after a failure carries no lease, as another process may respond. A worker that needs more than 0.4 s answers none of them, so that no call carries a lease for as long as it is busy.

Evidence: in a run of TestLimitsSoak/1 (beside load) nine calls to one worker in a row timed out within 5.5 s, and its 43 runs lapsed; TestLeaseReachesBusyProcess fails with a worker that answers after 0.5 s, which gets no lease in a minute.

Change: the margin doubles with each call that times out, up to 1.2 s, and halves with each answer. Refused and reset connections do not count. The bound leaves time for a report and a renewal after an interruption of 3 s, before a lease of 6 s that was renewed 1.5 s before it expires.

--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -127,6 +127,10 @@
 	// renewTimeoutMargin is added to the wait to get the timeout of a renewal.
 	// It is short because the process is on the same machine.
 	renewTimeoutMargin = 400 * time.Millisecond
+	// maxRenewTimeoutMargin bounds the margin, which doubles with each call that times out: a
+	// busy process would otherwise never answer in time, and its lease, which a call after a
+	// failure does not carry, would expire.
+	maxRenewTimeoutMargin = 1200 * time.Millisecond
 	// renewRetryDelay is the delay after a failed renewal.
 	renewRetryDelay = 100 * time.Millisecond
 	// refusalsUntilUnreachable is the number of consecutive refused connections,
@@ -152,7 +156,7 @@
 // owner starts nothing before it has a report. The one after a failure does not
 // wait either, because the lost report may have listed an ended task.
 func (s *session) renewLoop(ctx context.Context) {
-	wait, refusals := time.Duration(0), 0
+	wait, refusals, margin := time.Duration(0), 0, renewTimeoutMargin
 	// failed reports that the latest call failed. Another process may respond since then, under
 	// the same id, and must not take over the lease and the cursor of its predecessor.
 	failed := false
@@ -169,18 +173,22 @@
 		if renewal.DeadlineMs == 0 {
 			wait = min(wait, unleasedWait)
 		}
-		renewCtx, cancel := context.WithTimeout(ctx, wait+renewTimeoutMargin)
+		renewCtx, cancel := context.WithTimeout(ctx, wait+margin)
 		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
 			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
 		})
+		timedOut := renewCtx.Err() != nil
 		cancel()
 		if failed = err != nil; failed {
 			wait = 0
+			if timedOut {
+				margin = min(2*margin, maxRenewTimeoutMargin)
+			}
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
 		}
 		refusals = 0
-		wait = renewWait
+		wait, margin = renewWait, max(margin/2, renewTimeoutMargin)
 		if report.Unreadable > 0 {
 			s.runner.opts.Count("report_entry_unreadable")
 			s.runner.opts.Logger.Warn().Int("entries", report.Unreadable).Msg("entries of the worker's report could not be decoded; they are ignored")
--- a/control/runner/session_test.go
+++ b/control/runner/session_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -72,3 +73,52 @@
 		})
 	})
 }
+
+// slowTasks answers each renewal late.
+type slowTasks struct {
+	*leasedTasks
+	delay time.Duration
+}
+
+func (s *slowTasks) Renew(ctx context.Context, address string, r batchapi.RenewRequest) (batch.Report, error) {
+	report, err := s.leasedTasks.Renew(ctx, address, r)
+	select {
+	case <-time.After(s.delay):
+		return report, err
+	case <-ctx.Done():
+		return batch.Report{}, errkind.New(errkind.OutcomeUnknown, "no answer")
+	}
+}
+
+// Guards against a busy process whose work is lost because each call to it is given up, and
+// repeated without the lease, shortly before it would answer.
+func TestLeaseReachesBusyProcess(t *testing.T) {
+	const lease = 6 * time.Second
+	for _, delay := range []time.Duration{0, renewTimeoutMargin + 100*time.Millisecond, maxRenewTimeoutMargin - 100*time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("The lease does not expire while answers take "+delay.String(), t, func() {
+				r := newRunner(&rowWriter{}, func(string) {})
+				tasks := &slowTasks{&leasedTasks{start: time.Now(), shortest: lease}, delay}
+				r.opts.Tasks = tasks
+				announce(r, announcement(5, 1, false))
+				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1)}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				done := make(chan struct{})
+				go func() { s.renewLoop(ctx); close(done) }()
+				for ctx.Err() == nil {
+					select {
+					case m := <-s.outbound:
+						report := rpc.ReportOf(m.GetReport())
+						grant := batch.LeaseRenewal{Incarnation: report.Incarnation, DeadlineMs: report.ClockMs + lease.Milliseconds()}
+						s.handle(ctx, &rpc.FromOwner{Kind: rpc.RenewalMessage(grant).Kind}, nil)
+					case <-ctx.Done():
+					}
+				}
+				<-done
+				So(tasks.deadlineMs, ShouldBeGreaterThan, 0)
+				So(tasks.shortest, ShouldBeGreaterThan, 0)
+			})
+		})
+	}
+}
