A recovered run may have begun on the successor of its process

Callers saw a task run again after its success had been acknowledged (TWICE).

Cause: a process is restarted under the same id while a start is under way, and carries it out; the record of the run names the former incarnation. An owner that is told of the successor moves such runs to it. An owner that takes over learns of the workers before it loads the jobs, and moved none: it took the run for running when a report listed it, but its end belonged to no run, and was acknowledged and forgotten. Absence from the first report then proved the end, and the task started again.

TestRecoveredRunMayHaveBegunOnSuccessor fails in the two cases in which the worker is known first; the order of the other way round held. Ruled out: the check (each success is compared with its own run), a lease (none expired at that worker).

Change: a recovered run moves to the incarnation of the same id that is known already, as it does when that is announced later.

After: the new test and those of the package pass (the known red TestWorkerIsKnownAfterClockSteps/series fails as before).

--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -307,6 +307,9 @@
 	t.startedAt, t.progressedAt = now, now
 	w := s.ensureWorker(t.Worker)
 	w.active[t.id] = t
+	if known := w.info.Incarnation; known != t.Incarnation && known.Upstream == t.Incarnation.Upstream {
+		s.moveTo(t, known) // It may have taken the start, as in newIncarnation.
+	}
 }
 
 // ensureWorker returns the worker with the given id and registers it if it is not
