Order the incarnations of a worker as its agent adopts them

What callers saw: nothing yet outside tests. A worker whose machine's clock was set back between restarts gets no work for good, and work that needs it never ends, if the owner missed one of the incarnations or the clock stepped back twice in a row.

That names the latest start time only. The incarnation before it still counts as later, whether the owner knows it or a delayed row brings it back.

Evidence: TestWorkerIsKnownAfterClockSteps (the owner knows 1001001, 1000004 supersedes 1003003). Two steps back in a row of which the owner hears: 0 supersedes 1, -1 supersedes 1, and -1 is ignored.

Change: what an agent says on its open stream is current, in its order; the agent has asked the process and its predecessor before. A worker's row tells what the worker is like until the agent has spoken to this owner. It orders nothing and ends no run. WorkerInfo.Supersedes and its rules in the agent and the owner are gone. An announcement without an incarnation, which no agent sends, changes nothing.

Tests that stated the former rule, and what replaces them: - "One that supersedes another incarnation than the known one is ignored" expected the fault. Such an incarnation now replaces the known one; beside it, each of a series of five replaces the one before and gets work, while the rows of the former ones arrive late. - "What is heard late of the superseded one changes nothing" and "A delayed announcement of an earlier incarnation changes nothing" gave the former incarnation to Announced, as an ordered stream can't. They give it as a row, as a report that lists the former run, and, in TestFormerStreamDoesNotBringBackIncarnation, as messages of a stream that has ended. - "A row of a newer incarnation replaces it": after a step of the clock a late row looks the same. No row replaces what the agent has said, with a run in progress, and with and without a stream; before the agent speaks, no row ends a run. - TestProcessMaySeemToStartBeforeItsPredecessor checked the field; it now checks what owners are told, over four further incarnations and a new owner. - The model no longer limits clocks to one step that the owner hears of at once. Rows arrive late, also at a new owner, and reports in flight outlive a restart.

Cost: an owner that reaches the store but not the agent no longer learns of a restart from the row; the runs of the former process keep their lease.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -129,7 +129,7 @@
 	now := time.Now()
 	snapshot := l.candidate.opts.Replica.Watch(l.onChange)
 	for id, w := range snapshot.Workers {
-		l.scheduler.Registered(w.Info, now)
+		l.scheduler.Registered(w.Info)
 		l.connectAgent(id, w)
 	}
 	for _, j := range snapshot.Jobs {
@@ -169,7 +169,7 @@
 	switch {
 	case change.WorkerID != "":
 		l.connectAgent(change.WorkerID, change.Worker)
-		l.scheduler.Registered(change.Worker.Info, now)
+		l.scheduler.Registered(change.Worker.Info)
 	case job.Spec != nil:
 		if l.loadJob(job, batch.Record{}, now) {
 			l.logNewJob(job.Spec, now)
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -93,7 +93,7 @@
 		return
 	}
 	former := r.announcement.Info
-	a.Info.Unreachable, a.Info.Supersedes = former.Unreachable, former.Supersedes
+	a.Info.Unreachable = former.Unreachable
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
 	r.noteContradiction(former)
@@ -109,7 +109,6 @@
 	if a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs {
 		r.opts.Count("announcement_clock_back")
 	}
-	a.Info.Supersedes = superseded(a.Incarnation, r.announcement.Info)
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
 	notify(r.publishWakeup)
@@ -127,19 +126,6 @@
 	}
 }
 
-// superseded returns the incarnation that seems to be the latest, if it preceded next but
-// seems to have started after it.
-func superseded(next batch.Incarnation, former batch.WorkerInfo) batch.Incarnation {
-	latest := former.Supersedes
-	if former.Incarnation.StartedMs > latest.StartedMs {
-		latest = former.Incarnation
-	}
-	if latest.StartedMs <= next.StartedMs {
-		return batch.Incarnation{}
-	}
-	return latest
-}
-
 // Leave records that the upstream process is about to end.
 func (r *Runner) Leave(upstream ident.Upstream) {
 	r.mu.Lock()
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
@@ -269,6 +271,24 @@
 	})
 }
 
+// attachOwner attaches an owner whose messages are queued.
+func attachOwner(r *Runner, epoch ident.Epoch) *session {
+	s := &session{runner: r, epoch: epoch, owner: "e1", cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1)}
+	So(r.attachSession(s), ShouldBeNil)
+	return s
+}
+
+// toldIncarnations returns the start times of the incarnations that the owner was told of, in
+// their order, and removes them from the queue.
+func toldIncarnations(s *session) (startedMs []int64) {
+	for len(s.outbound) > 0 {
+		var info batch.WorkerInfo
+		So(json.Unmarshal((<-s.outbound).GetWorker().GetInfo(), &info), ShouldBeNil)
+		startedMs = append(startedMs, info.Incarnation.StartedMs)
+	}
+	return startedMs
+}
+
 // Guards against a worker that is ignored for good, because its process was restarted after
 // the time of day of the machine had been set back.
 func TestProcessMaySeemToStartBeforeItsPredecessor(t *testing.T) {
@@ -278,26 +298,25 @@
 		"the predecessor does not respond":                  func(m *machine) { m.fail("a", errkind.New(errkind.OutcomeUnknown, "deadline")) },
 	} {
 		withVerification(t, "Its announcement counts once the predecessor does not respond: "+name, func(r *Runner, m *machine, events *eventCounts) {
+			owner := attachOwner(r, 1)
 			m.set("a", 5)
 			So(announceAndWait(r, processAt("a", 5, 1)), ShouldEqual, 5)
 			m.set("b", 3)
 			So(announceAndWait(r, processAt("b", 3, 1)), ShouldEqual, 5)
 			end(m)
 			So(announceAndWait(r, processAt("b", 3, 2)), ShouldEqual, 3)
-			current := r.currentAnnouncement()
-			So(current.Info.Supersedes, ShouldResemble, batch.Incarnation{Upstream: ident.Upstream("u"), StartedMs: 5})
 			So(events.count("announcement_clock_back"), ShouldEqual, 1)
-			Convey("and keeps what it supersedes", func() {
-				r.Announce(processAt("b", 3, 3))
-				So(r.currentAnnouncement().Info.Supersedes.StartedMs, ShouldEqual, 5)
-			})
-			Convey("which its successors do as well, until they seem to be later", func() {
-				m.set("b", 4)
-				So(announceAndWait(r, processAt("b", 4, 1)), ShouldEqual, 4)
-				So(r.currentAnnouncement().Info.Supersedes.StartedMs, ShouldEqual, 5)
-				m.set("b", 6)
-				So(announceAndWait(r, processAt("b", 6, 1)), ShouldEqual, 6)
-				So(r.currentAnnouncement().Info.Supersedes, ShouldResemble, batch.Incarnation{})
+			So(toldIncarnations(owner), ShouldResemble, []int64{5, 3})
+			Convey("and so do those of its successors", func() {
+				for _, startedMs := range []int64{2, 1, 4, 6} {
+					m.set("b", startedMs)
+					So(announceAndWait(r, processAt("b", startedMs, 1)), ShouldEqual, startedMs)
+				}
+				So(toldIncarnations(owner), ShouldResemble, []int64{2, 1, 4, 6})
+				Convey("An owner that attaches is told of the latest", func() {
+					next := attachOwner(r, 2)
+					So(toldIncarnations(next), ShouldResemble, []int64{6})
+				})
 			})
 		})
 	}
--- a/sched/batch/faults_test.go
+++ b/sched/batch/faults_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,39 +88,66 @@
 	})
 }
 
-// Guards against a worker that drains or is out of reach and gets new work again, because its
-// row, which was written before that, is read later.
+// Guards against a worker that drains or is out of reach and gets new work again, and against
+// runs that count as ended, because its row is delayed or was written late.
 func TestRowDoesNotRevertAnnouncement(t *testing.T) {
-	Convey("A row of the same or of an earlier incarnation changes nothing", t, func() {
-		b := newTestbed()
-		b.addWorker("w1", "r1")
-		w := b.scheduler.workers["w1"]
-		row := w.info
-		leaving := row
-		leaving.Draining, leaving.Unreachable = true, true
-		b.scheduler.Announced(leaving, b.now)
-		b.scheduler.Registered(row, b.now)
-		So(w.info.Draining, ShouldBeTrue)
-		So(w.info.Unreachable, ShouldBeTrue)
-		row.Incarnation.StartedMs--
-		b.scheduler.Registered(row, b.now)
-		So(w.info.Draining, ShouldBeTrue)
-		So(w.info.Incarnation, ShouldResemble, testIncarnation(1))
+	Convey("Once the agent has told what runs, a row changes nothing, whatever its start time", t, func() {
+		for name, step := range map[string]int64{"same": 0, "earlier": -1, "later": 1} {
+			Convey(name, func() {
+				b := newTestbed()
+				b.addWorker("w1", "r1")
+				b.submit(testJob("j1", 1, testStep(1, 1)))
+				starts := b.runCycle()
+				b.acceptStarts()
+				b.report("w1", []RunningTask{runningRow(starts[0], 1)}, nil)
+				w := b.scheduler.workers["w1"]
+				row, leaving := w.info, w.info
+				leaving.Draining, leaving.Unreachable = true, true
+				b.scheduler.Announced(leaving, b.now)
+				row.Incarnation.StartedMs += step
+				b.scheduler.Registered(row)
+				So(w.info, ShouldResemble, leaving)
+				So(b.scheduler.activeTask(starts[0].Run), ShouldNotBeNil)
+				Convey("also after its stream was lost", func() {
+					b.scheduler.Attached("w1", false)
+					b.scheduler.Registered(row)
+					So(w.info, ShouldResemble, leaving)
+					So(b.scheduler.activeTask(starts[0].Run), ShouldNotBeNil)
+				})
+			})
+		}
 	})
-	Convey("A row of a newer incarnation replaces it", t, func() {
+	Convey("Before that, the newest row tells what the worker is like, and ends no run", t, func() {
 		b := newTestbed()
 		b.addWorker("w1", "r1")
-		row := b.scheduler.workers["w1"].info
-		row.Incarnation = testIncarnation(2)
-		b.scheduler.Registered(row, b.now)
-		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(2))
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		starts := b.runCycle()
+		info := b.scheduler.workers["w1"].info
+		record := b.scheduler.jobs["j1"].snapshot()
+		spec := b.scheduler.jobs["j1"].spec
+
+		b.scheduler = New(testTiming, b.now)
+		b.scheduler.Load(spec, record, false, b.now)
+		for _, startedMs := range []int64{5, 0, 3} {
+			row := info
+			row.Incarnation, row.Capacity.Accelerators = Incarnation{Upstream: "other", StartedMs: startedMs}, int(startedMs)
+			b.scheduler.Registered(row)
+			So(b.scheduler.workers["w1"].info.Capacity.Accelerators, ShouldEqual, startedMs)
+			So(b.scheduler.activeTask(starts[0].Run), ShouldNotBeNil)
+		}
+		Convey("The agent tells which incarnation runs", func() {
+			b.scheduler.Attached("w1", true)
+			b.scheduler.Announced(info, b.now)
+			So(b.scheduler.workers["w1"].info, ShouldResemble, info)
+			So(b.scheduler.activeTask(starts[0].Run), ShouldNotBeNil)
+		})
 	})
 }
 
 // Guards against a worker that is ignored for good, or that goes back to a process that has
 // ended, because the time of day of its machine was set back between two restarts.
 func TestIncarnationMaySeemEarlierThanItsPredecessor(t *testing.T) {
-	newSuperseded := func() (*testbed, WorkerInfo, []Order) {
+	newSucceeded := func() (*testbed, WorkerInfo, []Order) {
 		b := newTestbed()
 		b.addWorker("w1", "r1")
 		former := b.scheduler.workers["w1"].info
@@ -128,12 +156,12 @@
 		b.acceptStarts()
 		b.report("w1", []RunningTask{runningRow(starts[0], 1)}, nil)
 		next := former
-		next.Incarnation, next.Supersedes = testIncarnation(0), former.Incarnation
+		next.Incarnation = testIncarnation(0)
 		b.scheduler.Announced(next, b.now)
 		return b, former, starts
 	}
-	Convey("It replaces the incarnation that it supersedes, whose runs have ended", t, func() {
-		b, _, starts := newSuperseded()
+	Convey("It replaces its predecessor, whose runs have ended", t, func() {
+		b, _, starts := newSucceeded()
 		w := b.scheduler.workers["w1"]
 		So(w.info.Incarnation, ShouldResemble, testIncarnation(0))
 		b.scheduler.Reported("w1", Report{Incarnation: testIncarnation(0), ClockMs: 1}, b.now)
@@ -143,26 +171,61 @@
 		So(again[0].Run.Number, ShouldEqual, starts[0].Run.Number+1)
 		So(again[0].Incarnation, ShouldResemble, testIncarnation(0))
 	})
-	Convey("What is heard late of the superseded one changes nothing", t, func() {
-		b, former, _ := newSuperseded()
-		b.scheduler.Registered(former, b.now)
-		b.scheduler.Announced(former, b.now)
+	Convey("What is heard late of its predecessor changes nothing", t, func() {
+		b, former, starts := newSucceeded()
+		b.scheduler.Registered(former)
+		b.scheduler.Reported("w1", Report{Incarnation: former.Incarnation, ClockMs: 1 << 20, Running: []RunningTask{runningRow(starts[0], 50)}}, b.now)
 		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(0))
+		So(b.scheduler.activeTask(starts[0].Run), ShouldBeNil)
+		So(b.runCycle(), ShouldBeEmpty)
 	})
 	Convey("A later one replaces both", t, func() {
-		b, former, _ := newSuperseded()
+		b, former, _ := newSucceeded()
 		later := former
 		later.Incarnation = testIncarnation(2)
 		b.scheduler.Announced(later, b.now)
 		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(2))
 	})
-	Convey("One that supersedes another incarnation than the known one is ignored", t, func() {
+	Convey("Each of several in a row replaces the one before, and gets work", t, func() {
 		b := newTestbed()
 		b.addWorker("w1", "r1")
-		info := b.scheduler.workers["w1"].info
-		info.Incarnation, info.Supersedes = testIncarnation(0), testIncarnation(7)
+		former := b.scheduler.workers["w1"].info
+		for n, startedMs := range []int64{900, 800, 700, 1000, 600} {
+			next := former
+			next.Incarnation = testIncarnation(startedMs)
+			b.scheduler.Announced(next, b.now)
+			b.scheduler.Registered(former)
+			So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, next.Incarnation)
+			b.scheduler.Reported("w1", Report{Incarnation: next.Incarnation, ClockMs: 1}, b.now)
+			b.submit(testJob(fmt.Sprint("j", n), 1, testStep(1, 8)))
+			starts := b.runCycle()
+			So(starts, ShouldHaveLength, 1)
+			So(starts[0].Incarnation, ShouldResemble, next.Incarnation)
+			b.scheduler.Answered(starts[0], AnswerOK, 2, b.now)
+			b.scheduler.Reported("w1", Report{Incarnation: next.Incarnation, ClockMs: 3, Ended: endedRow(1, starts[0], EndSucceeded)}, b.now)
+			former = next
+		}
+	})
+	Convey("One whose predecessors the owner has not heard of replaces the known one", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.scheduler.Attached("w1", false)
+		row := b.scheduler.workers["w1"].info
+		row.Incarnation = testIncarnation(7)
+		b.scheduler.Registered(row)
+		b.scheduler.Attached("w1", true)
+		info := row
+		info.Incarnation = testIncarnation(0)
 		b.scheduler.Announced(info, b.now)
-		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(1))
+		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(0))
+	})
+	Convey("An announcement that names none ends no run", t, func() {
+		b, _, _ := newSucceeded()
+		b.scheduler.Reported("w1", Report{Incarnation: testIncarnation(0), ClockMs: 1}, b.now)
+		starts := b.runCycle()
+		b.scheduler.Announced(WorkerInfo{ID: "w1"}, b.now)
+		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(0))
+		So(b.scheduler.activeTask(starts[0].Run), ShouldNotBeNil)
 	})
 }
 
--- a/sched/batch/job.go
+++ b/sched/batch/job.go
@@ -177,8 +177,8 @@
 type Incarnation struct {
 	// Upstream is the id under which the process announces itself.
 	Upstream ident.Upstream `json:"u,omitempty"`
-	// StartedMs is when the process started, in Unix milliseconds; it tells
-	// processes apart that use the same id.
+	// StartedMs is when the process started, in Unix milliseconds. It tells processes apart
+	// that use the same id, but not which came first: the time of day may be set back.
 	StartedMs int64 `json:"b,omitempty"`
 }
 
--- a/sched/batch/model_clock_test.go
+++ b/sched/batch/model_clock_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against a worker that is ignored for good after several restarts, between which its
-// clock was set back, of which the owner may have missed some.
+// clock was set back, of which the owner may have missed some, or of which rows tell late.
 func TestWorkerIsKnownAfterClockSteps(t *testing.T) {
 	t.Run("series", func(t *testing.T) { rapid.Check(t, checkClockSteps) })
 }
@@ -17,13 +17,15 @@
 	m.scarce = true
 	w := m.workers[0]
 	for range rapid.IntRange(1, 12).Draw(t, "steps") {
-		switch rapid.IntRange(0, 4).Draw(t, "action") {
+		switch rapid.IntRange(0, 5).Draw(t, "action") {
 		case 0, 1:
 			m.restart(w)
 		case 2:
 			m.toggleStream(w)
 		case 3:
 			m.takeover()
+		case 4:
+			m.deliverRow(w)
 		default:
 			m.report(w)
 		}
--- a/sched/batch/model_faults_test.go
+++ b/sched/batch/model_faults_test.go
@@ -27,6 +27,9 @@
 // act does one random action.
 func (m *model) act() {
 	w := rapid.SampledFrom(m.workers).Draw(m.t, "worker")
+	if m.scarce && m.chance(9, "row arrives") {
+		m.deliverRow(w)
+	}
 	switch rapid.IntRange(0, 41).Draw(m.t, "action") {
 	case 0, 1, 2, 3, 4:
 		m.submit()
@@ -79,8 +82,8 @@
 }
 
 // drawClockStep returns by how many restarts the time of day of a worker is set back.
-func (m *model) drawClockStep(w *modelWorker) int {
-	if m.calm || !m.scarce || m.clocksStepOnce && (!w.attached || w.supersedes != Incarnation{}) {
+func (m *model) drawClockStep() int {
+	if m.calm || !m.scarce {
 		return 0
 	}
 	return rapid.SampledFrom([]int{0, 0, 0, 1, 4}).Draw(m.t, "clock set back")
@@ -95,19 +98,27 @@
 		StartedMs: (1000+m.incarnations-int64(back))*1000 + m.incarnations,
 	}
 	m.t.Logf("process start of %s, incarnation %d", w.id, next.StartedMs)
-	site := w.modelSite
-	if site.supersedes.StartedMs < w.incarnation.StartedMs {
-		site.supersedes = w.incarnation
-	}
-	if site.supersedes.StartedMs <= next.StartedMs {
-		site.supersedes = Incarnation{}
-	}
 	*w = modelWorker{
-		modelSite: site, id: w.id, up: true, startedAt: m.now, attached: w.attached, incarnation: next,
+		modelSite: w.modelSite, id: w.id, up: true, startedAt: m.now, attached: w.attached, incarnation: next,
 		running: make(map[Run]time.Time), finished: make(map[TaskID]int), endedAt: make(map[int64]time.Time),
+		rows: append(w.rows, w.rowOf(next)), sent: m.inFlight(w),
 	}
 }
 
+// inFlight returns the reports that a restart of the process does not lose.
+func (m *model) inFlight(w *modelWorker) []sentReport {
+	if !m.scarce {
+		return nil
+	}
+	return w.sent
+}
+
+// deliverRow lets the owner read any row that the agent of a worker has written: its write may
+// have been late.
+func (m *model) deliverRow(w *modelWorker) {
+	m.scheduler.Registered(rapid.SampledFrom(w.rows).Draw(m.t, "row"))
+}
+
 // drop loses an order, and with it any answer.
 func (m *model) drop(o Order) {
 	if !m.scarce {
--- a/sched/batch/model_reports_test.go
+++ b/sched/batch/model_reports_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// announce delivers what the agent says of a worker after the reports that it has sent before.
+func (m *model) announce(w *modelWorker) {
+	if m.scarce {
+		m.deliverReports(w)
+	}
+	m.scheduler.Announced(w.info(), m.now)
+}
+
 // deliverReports lets the owner handle the reports in flight, and delivers the lease
 // renewal that follows unless it is lost.
 func (m *model) deliverReports(w *modelWorker) {
--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -18,18 +18,22 @@
 	labels []string
 	// allowed reports that the placement advisor allows the worker.
 	allowed bool
-	// supersedes is WorkerInfo.Supersedes.
-	supersedes Incarnation
 }
 
-func (w *modelWorker) info() WorkerInfo {
+// rowOf returns what the row of a worker says of an incarnation.
+func (w *modelWorker) rowOf(incarnation Incarnation) WorkerInfo {
 	return WorkerInfo{
-		ID: w.id, Service: "svc", Incarnation: w.incarnation, Supersedes: w.supersedes,
-		Left: !w.up && w.left, Unreachable: w.unreachable || !w.up,
+		ID: w.id, Service: "svc", Incarnation: incarnation,
 		Rack: w.rack, Labels: w.labels, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8},
 	}
 }
 
+func (w *modelWorker) info() WorkerInfo {
+	info := w.rowOf(w.incarnation)
+	info.Left, info.Unreachable = !w.up && w.left, w.unreachable || !w.up
+	return info
+}
+
 const (
 	// modelLabels is the number of labels, each of which a single worker has.
 	modelLabels = 3
@@ -103,7 +107,7 @@
 func TestScarceWorkEndsAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t, drawSites(t))
-		m.scarce, m.clocksStepOnce = true, true
+		m.scarce = true
 		for range 100 {
 			m.act()
 		}
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -36,6 +36,8 @@
 	// stopped. Starts up to this number are rejected.
 	finished map[TaskID]int
 	attached bool
+	// rows holds what its agent has written to its row.
+	rows []WorkerInfo
 	// sent holds the reports that the owner has not handled yet.
 	sent []sentReport
 }
@@ -70,9 +72,6 @@
 	// scarce makes jobs need what few workers have, drops orders, sets clocks back and lets
 	// incomplete gangs end. calm ends all faults.
 	scarce, calm bool
-	// clocksStepOnce lets the clock of a worker be set back once at a time, and the owner hear
-	// of it at once.
-	clocksStepOnce bool
 }
 
 func newModel(t *rapid.T, sites []modelSite) *model {
@@ -95,11 +94,14 @@
 	m.t.Logf("takeover, epoch %d", m.epoch)
 	m.scheduler = New(testTiming, m.now)
 	m.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
-	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
-		m.scheduler.Load(m.jobs[id], m.records[id], m.canceled[id], m.now)
-	}
 	for _, w := range m.workers {
 		w.attached, w.sent = false, nil
+		if m.scarce && m.chance(1, "row is read") {
+			m.deliverRow(w)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		m.scheduler.Load(m.jobs[id], m.records[id], m.canceled[id], m.now)
 	}
 }
 
@@ -394,10 +396,9 @@
 // restart replaces the incarnation of a worker, under its old id or a new one.
 func (m *model) restart(w *modelWorker) {
 	upstream := rapid.SampledFrom([]string{"u0", "u1"}).Draw(m.t, "id")
-	back := m.drawClockStep(w)
-	m.startProcess(w, upstream, back)
-	if w.attached && (m.clocksStepOnce && back > 0 || rapid.Bool().Draw(m.t, "announced at once")) {
-		m.scheduler.Announced(w.info(), m.now)
+	m.startProcess(w, upstream, m.drawClockStep())
+	if w.attached && rapid.Bool().Draw(m.t, "announced at once") {
+		m.announce(w)
 	}
 }
 
@@ -410,7 +411,7 @@
 	clear(w.running)
 	m.delayed = slices.DeleteFunc(m.delayed, func(d delayedOrder) bool { return d.order.Worker == w.id })
 	if w.attached {
-		m.scheduler.Announced(w.info(), m.now)
+		m.announce(w)
 	}
 }
 
@@ -419,7 +420,7 @@
 	w.unreachable = !w.unreachable && w.up
 	m.t.Logf("%s is out of reach: %v", w.id, w.unreachable)
 	if w.attached {
-		m.scheduler.Announced(w.info(), m.now)
+		m.announce(w)
 	}
 }
 
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -16,13 +16,13 @@
 	}
 }
 
-// Announced applies the information that an agent gives about its worker. It ignores an
-// earlier incarnation than the known one.
+// Announced applies what an agent says of its worker, in the order in which it says it on the
+// open stream: the incarnation that it names is the current one, whatever the start times.
 func (s *Scheduler) Announced(info WorkerInfo, now time.Time) {
-	w := s.ensureWorker(info.ID)
-	if w.info.replaces(info) {
+	if info.Incarnation == (Incarnation{}) {
 		return
 	}
+	w := s.ensureWorker(info.ID)
 	if w.info.Incarnation != info.Incarnation {
 		s.newIncarnation(w, info.Incarnation, now)
 	}
@@ -33,23 +33,16 @@
 	}
 }
 
-// replaces reports whether this information is about a later incarnation than other.
-func (i WorkerInfo) replaces(other WorkerInfo) bool {
-	switch i.Incarnation {
-	case other.Incarnation, other.Supersedes:
-		return false
-	}
-	return i.Supersedes == other.Incarnation && i.Supersedes != Incarnation{} || other.Incarnation.StartedMs < i.Incarnation.StartedMs
-}
-
-// Registered applies a worker's durable row, which tells how an incarnation began. What
-// its agent has said about that incarnation since then is newer, for example that it is
-// draining or has ended.
-func (s *Scheduler) Registered(info WorkerInfo, now time.Time) {
-	if w := s.workers[info.ID]; w != nil && w.info.Incarnation == info.Incarnation {
+// Registered applies a worker's durable row. Until the agent has spoken to this owner it tells
+// what the worker is like. It does not tell which incarnation is the current one, because it
+// may be delayed or written late.
+func (s *Scheduler) Registered(info WorkerInfo) {
+	w := s.ensureWorker(info.ID)
+	if w.info.Incarnation != (Incarnation{}) {
 		return
 	}
-	s.Announced(info, now)
+	info.Incarnation = Incarnation{}
+	w.info = info
 }
 
 // newIncarnation ends the runs of the worker's previous incarnation. If both
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -232,10 +232,11 @@
 		So(b.stops[0].Run, ShouldResemble, orders[1].Run)
 		So(b.stops[0].Incarnation, ShouldResemble, testIncarnation(2))
 	})
-	Convey("A delayed announcement of an earlier incarnation changes nothing", t, func() {
+	Convey("A delayed row of another incarnation changes nothing", t, func() {
 		b := newTestbed()
 		b.addWorker("w1", "r1")
-		b.scheduler.Announced(WorkerInfo{ID: "w1", Incarnation: testIncarnation(0)}, b.now)
+		b.scheduler.Registered(WorkerInfo{ID: "w1", Incarnation: testIncarnation(0)})
+		b.scheduler.Registered(WorkerInfo{ID: "w1", Incarnation: testIncarnation(2)})
 		So(b.scheduler.workers["w1"].info.Incarnation, ShouldResemble, testIncarnation(1))
 	})
 }
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -11,7 +11,7 @@
 	ID      ident.Worker  `json:"id"`
 	Service ident.Service `json:"sv,omitempty"`
 	Zone    ident.Zone    `json:"z,omitempty"`
-	// Incarnation is empty when no upstream process is known to run.
+	// Incarnation is the current one. It is empty as long as the agent has told of none.
 	Incarnation Incarnation `json:"l,omitzero"`
 	// Machine is the name under which the platform manages the machine.
 	Machine  string    `json:"m,omitempty"`
@@ -28,9 +28,6 @@
 	// Unreachable reports that the upstream process refuses connections. It may run on, so
 	// that this proves nothing about its runs.
 	Unreachable bool `json:"un,omitempty"`
-	// Supersedes is the incarnation that this one has replaced, if that one seems to have
-	// started later, because the time of day of the machine was set back in between.
-	Supersedes Incarnation `json:"sp,omitzero"`
 }
 
 // RunningTask is an entry of a worker's report about a run in progress.
@@ -87,6 +84,8 @@
 
 // worker is the scheduler's view of one worker.
 type worker struct {
+	// info is what the agent has said last. Before it has spoken to this owner, info is from
+	// the worker's row and names no incarnation.
 	info WorkerInfo
 	// attached reports that a stream to the agent is open.
 	attached bool
