Ignore a connection to an agent that opens after it was replaced

What callers saw: nothing yet outside tests. A worker counts as connected, and what the agent at its former address says counts, although the owner has dropped that connection.

Cause: a change of the address in a worker's row cancels the connection in the owner's loop. If the message that it has opened is queued behind the change, it is handled all the same, and nothing closes that connection again. Found by reading while the order of an agent's words became the order of incarnations; ruled out for streams that end by themselves, whose messages and end are queued in order.

Change: a connection opens only if it is the worker's current one.

Measured: TestFormerStreamDoesNotBringBackIncarnation fails without the check (the owner takes incarnation 3 or 9 of the former connection for the current one, which is 4) and passes with it.

--- a/control/batchowner/agentconn.go
+++ b/control/batchowner/agentconn.go
@@ -112,6 +112,9 @@
 // The methods below run in the owner's loop.
 
 func (c *agentConn) handleOpened(queue chan *rpc.FromOwner) {
+	if c.loop.conns[c.worker] != c {
+		return // It was replaced while it opened.
+	}
 	c.sendQueue = queue
 	c.pending = make(map[uint64]batch.Order)
 	c.loop.scheduler.Attached(c.worker, true)
--- a/control/batchowner/former_test.go
+++ b/control/batchowner/former_test.go
@@ -30,6 +30,31 @@
 		return renewal.Incarnation.StartedMs
 	}
 	for _, startedMs := range []int64{3, 9} {
+		Convey("A connection that was replaced changes nothing, whether it opens before or after", t, func() {
+			b := newLoopbed()
+			defer b.cancel()
+			former := b.conn
+			former.handleClosed(nil)
+			next := &agentConn{loop: b.ownerLoop, worker: "w1", address: "b"}
+			b.conns["w1"] = next
+			next.handleOpened(make(chan *rpc.FromOwner, sendQueueSize))
+			next.handleMessage(infoMessage(4))
+			next.handleMessage(report(4))
+			So(known(b), ShouldEqual, 4)
+			former.handleMessage(infoMessage(startedMs))
+			former.handleMessage(report(startedMs))
+			So(known(b), ShouldEqual, 4)
+			former.handleOpened(make(chan *rpc.FromOwner, sendQueueSize))
+			former.handleMessage(infoMessage(startedMs))
+			former.handleMessage(report(startedMs))
+			So(known(b), ShouldEqual, 4)
+			next.handleClosed(nil)
+			former.handleOpened(make(chan *rpc.FromOwner, sendQueueSize))
+			former.handleMessage(infoMessage(startedMs))
+			next.handleOpened(make(chan *rpc.FromOwner, sendQueueSize))
+			next.handleMessage(report(4))
+			So(known(b), ShouldEqual, 4)
+		})
 		Convey("A connection that has opened again starts from what the agent says then", t, func() {
 			b := newLoopbed()
 			defer b.cancel()
