Reproduce the standstill of a lost worker's tasks over changes of the owner

What callers see: tasks of a worker that is gone for good stand still until its lease has certainly expired, and each new owner counts the lease anew. A worker that is lost, an owner that dies 5 s later and a successor are enough to exceed the 14 s that the users allow.

The bound is 14 s.

Cause: an owner's knowledge that a lease is running out ends with it. Its successor counts a full lease for each worker from its own takeover (grantedUntil, Scheduler.earlierLeasesExpireAt).

--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -58,6 +58,8 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	entries map[string]*entry
 	workers map[string]*worker
+	// lease is the longest lease of a worker.
+	lease time.Duration
 }
 
 type entry struct {
@@ -84,17 +86,23 @@
 // the golden file of that name.
 func runScenario(t *testing.T, name string, scenario func(s *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &cluster{
-			t: t, log: &transcript{start: time.Now()}, store: newMemoryStore(), net: standin.NewNetwork(),
-			entries: make(map[string]*entry), workers: make(map[string]*worker),
-		}
-		s.catalog.Store(catalogWith("key"))
+		s := newCluster(t)
 		scenario(s)
 		s.close()
 		s.compareGolden(name)
 	})
 }
 
+// newCluster returns a cluster without any process.
+func newCluster(t *testing.T) *cluster {
+	s := &cluster{
+		t: t, log: &transcript{start: time.Now()}, store: newMemoryStore(), net: standin.NewNetwork(),
+		entries: make(map[string]*entry), workers: make(map[string]*worker), lease: 6 * time.Second,
+	}
+	s.catalog.Store(catalogWith("key"))
+	return s
+}
+
 func catalogWith(keys ...string) *catalog.Catalog {
 	return catalog.New(catalog.Catalog{
 		Version: 1,
@@ -127,7 +135,7 @@
 	host := s.net.Host("10.0.0." + id)
 	d := batchowner.New(batchowner.Options{
 		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.store, Replica: e.replica, CPUShare: cpuShare,
-		Timing:  batch.Timing{MaxLease: 6 * time.Second, Restore: time.Second, Retention: time.Minute},
+		Timing:  batch.Timing{MaxLease: s.lease, Restore: time.Second, Retention: time.Minute},
 		Catalog: s.catalog.Load,
 		Connect: func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
 		Clock:   func() time.Duration { return time.Since(s.log.start) + time.Hour },
--- /dev/null
+++ b/control/batche2e/lostworker_test.go
@@ -0,0 +1,95 @@
+package batche2e
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// maxStandstill is how long after the loss of a worker its tasks may stand still, as the
+// platform's users demand it.
+const maxStandstill = 14 * time.Second
+
+// loseForGood cuts a worker and its agent off for good. The upstream process works on until
+// its lease ends.
+func (s *cluster) loseForGood(id string) {
+	s.log.add("w%s is lost", id)
+	s.workers[id].stop()
+	s.net.Crash("10.0.1." + id)
+}
+
+// runsOn reports whether a task runs on a worker. Leases expire as they should.
+func (s *cluster) runsOn(id string) bool {
+	for _, w := range s.workers {
+		w.upstream.expireLease()
+	}
+	u := s.workers[id].upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.running) > 0
+}
+
+// crashOwner waits until one of the entries is the owner, and crashes it after a delay.
+func (s *cluster) crashOwner(delay time.Duration) {
+	for ; ; s.wait(50 * time.Millisecond) {
+		for _, e := range s.entries {
+			if string(e.replica.Owner(time.Now()).Owner.Entry) == e.id {
+				s.wait(delay)
+				s.crash(e)
+				return
+			}
+		}
+	}
+}
+
+// loseWorkerAndOwners loses a worker with a task, and then a number of owners: the first one a
+// while after the loss, the others half a second after they took over. It returns the time from
+// the loss until the task runs on another worker.
+func (s *cluster) loseWorkerAndOwners(crashAfter time.Duration, owners int) time.Duration {
+	for id := range owners + 1 {
+		s.startEntry(fmt.Sprint(id + 1))
+	}
+	s.startWorker("1")
+	s.wait(2 * time.Second)
+	s.submit(s.entries["1"], "bulk", job1, "60s", 1)
+	s.wait(2 * time.Second)
+	s.startWorker("2")
+	s.wait(time.Second)
+	s.loseForGood("1")
+	lost := time.Now()
+	s.crashOwner(crashAfter)
+	for range owners - 1 {
+		s.crashOwner(500 * time.Millisecond)
+	}
+	for !s.runsOn("2") && time.Since(lost) < time.Minute {
+		s.wait(50 * time.Millisecond)
+	}
+	return time.Since(lost)
+}
+
+// Guards against tasks of a lost worker that stand still because each new owner counts the
+// worker's lease anew.
+func TestLostWorkersTasksRunElsewhereDespiteNewOwners(t *testing.T) {
+	for _, c := range []struct {
+		owners     int
+		crashAfter time.Duration
+	}{
+		{1, 3500 * time.Millisecond}, {1, 4 * time.Second}, {1, 5 * time.Second}, {1, 7 * time.Second}, {1, 9 * time.Second},
+		{2, 3500 * time.Millisecond}, {2, 4 * time.Second}, {2, 5 * time.Second}, {2, 7 * time.Second},
+		{3, 3500 * time.Millisecond}, {3, 4 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d_owners_the_first_after_%v", c.owners, c.crashAfter), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCluster(t)
+				s.lease = 10 * time.Second
+				took := s.loseWorkerAndOwners(c.crashAfter, c.owners)
+				t.Logf("the task runs again after %v", took)
+				if took > maxStandstill {
+					t.Errorf("the task stands still for %v, more than %v", took, maxStandstill)
+				}
+				s.close()
+			})
+		})
+	}
+}
