Let what an owner knows of silent workers' leases outlive it

What callers saw: the tasks of a worker that is gone for good stand still beside room until its lease has certainly expired, and each new owner counts that lease anew. With leases of 10 s, one change of the owner some seconds after the loss is enough to exceed the 14 s that the users allow.

Cause: only the owner knows when the last lease ends; a successor takes a full lease from its own takeover, which is right for workers that its predecessor may have heard of until the end, and far too long for one that has been silent for seconds.

Change: the owner's row lists workers with runs that have not reported for 2 s, with the time at which all their leases have expired, on the store's steady clock. A successor takes the earlier of that and its own count. From the preparation of a transaction with a worker until one without it is durable, the worker gets no renewal and no start, so that the list of whichever row a successor replaces holds. Rows without the field, unreadable rows and responses without a clock lead to the count from the takeover, as before. rows.Store.Commit returns the store's clock with the version. The workers of the scheduler's model test have clocks that are 2% slow, may report while a transaction is under way, and its owners inherit the list.

Cost: 25 bytes for a silent worker in the owner's row, nothing without one.

Ruled out: the latest report of each worker in the row (20,000 entries), and a row for each silent worker (a candidate may know the owner's row before the others).

--- a/control/batche2e/store_test.go
+++ b/control/batche2e/store_test.go
@@ -21,10 +21,12 @@
 	version rows.Version
 	history []rows.Row
 	changed chan struct{}
+	// startedAt is when the store's clock showed zero.
+	startedAt time.Time
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{rows: make(map[string]rows.Row), changed: make(chan struct{})}
+	return &memoryStore{startedAt: time.Now().Add(-time.Hour), rows: make(map[string]rows.Row), changed: make(chan struct{})}
 }
 
 // storeClient is one process's access to the store. It can inject failures.
@@ -52,21 +54,21 @@
 	return nil
 }
 
-func (c *storeClient) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
+func (c *storeClient) Commit(_ context.Context, txn rows.Txn) (rows.Applied, error) {
 	if err := c.checkAvailable(); err != nil {
-		return 0, err
+		return rows.Applied{}, err
 	}
-	version, err := c.apply(txn)
+	applied, err := c.apply(txn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.loseNextAnswer {
 		c.loseNextAnswer = false
-		return 0, errkind.New(errkind.OutcomeUnknown, "the answer was lost")
+		return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "the answer was lost")
 	}
-	return version, err
+	return applied, err
 }
 
-func (s *memoryStore) apply(txn rows.Txn) (rows.Version, error) {
+func (s *memoryStore) apply(txn rows.Txn) (rows.Applied, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var current []rows.Row
@@ -76,7 +78,7 @@
 		failed = failed || s.rows[e.Key].Version != e.Version
 	}
 	if failed {
-		return 0, rows.NewConflict(current)
+		return rows.Applied{}, rows.NewConflict(current)
 	}
 	s.version++
 	for _, p := range txn.Put {
@@ -87,7 +89,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version, nil
+	return rows.Applied{Version: s.version, ClockMs: time.Since(s.startedAt).Milliseconds()}, nil
 }
 
 func (s *memoryStore) putRow(r rows.Row) {
--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -161,7 +161,7 @@
 	if !c.mayCampaign(view, time.Now()) {
 		return nil
 	}
-	owner := jobstore.Owner{Epoch: view.Owner.Epoch + 1, Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, CPUShare: c.opts.CPUShare}
+	owner := jobstore.Owner{Epoch: view.Owner.Epoch + 1, Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, CPUShare: c.opts.CPUShare, LeaseEnds: view.Owner.LeaseEnds}
 	writer := &fencedWriter{store: c.opts.Store, relay: c.opts.Relay, rowVersion: view.Version, owner: owner, clock: c.opts.Clock}
 	err := writer.commit(ctx, nil, nil)
 	c.opts.Logger.Info().Uint64("epoch", uint64(owner.Epoch)).Str("reason", reason).
--- a/control/batchowner/fencedwriter.go
+++ b/control/batchowner/fencedwriter.go
@@ -12,6 +12,7 @@
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/rows"
+	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
 
 // fencedWriter commits an owner's transactions in sequence. Each one replaces the
@@ -36,6 +37,9 @@
 	// answeredVersion is the version of the newest applied transaction, or zero if the
 	// response to it was lost.
 	answeredVersion rows.Version
+	// reading is the store's clock as the newest response of the store to a transaction stated
+	// it, or zero.
+	reading batch.ClockReading
 	// releasing is set from before the ownership is released through another entry until
 	// a refusal of that attempt or a later transaction shows that it was not: the next
 	// owner may act already.
@@ -44,7 +48,7 @@
 
 // Relay commits transactions through other entries.
 type Relay interface {
-	Commit(ctx context.Context, txn rows.Txn) (rows.Version, error)
+	Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error)
 }
 
 const (
@@ -87,13 +91,16 @@
 		}
 	}
 	for start := w.clock(); ; {
-		sentAt := w.clock()
-		version, failure := w.store.Commit(ctx, txn(value))
+		sentAt, sent := w.clock(), time.Now()
+		result, failure := w.store.Commit(ctx, txn(value))
+		if failure == nil {
+			w.reading = batch.ClockReading{AtMs: result.ClockMs, Sent: sent, Received: time.Now()}
+		}
 		broken := errkind.Is(failure, errkind.OutcomeUnknown) && w.clock()-sentAt < maxBrokenTime
 		unavailable := broken || errkind.Is(failure, errkind.StoreUnavailable)
-		applied, err := w.interpretResult(version, failure, value)
+		applied, err := w.interpretResult(result.Version, failure, value)
 		if applied {
-			w.owner, w.lastWritten, w.answeredVersion = next, value, version
+			w.owner, w.lastWritten, w.answeredVersion = next, value, result.Version
 			w.lastRenewalNs.Store(int64(sentAt))
 			w.releasing.Store(false)
 			return nil
@@ -133,11 +140,11 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	mayBeReleased := w.releasing.Swap(true)
-	version, err := w.relay.Commit(ctx, txn(value))
+	result, err := w.relay.Commit(ctx, txn(value))
 	if errkind.Is(err, errkind.StoreUnavailable) {
 		w.releasing.Store(mayBeReleased) // nothing was written, and won't be
 	}
-	applied, err := w.interpretResult(version, err, value)
+	applied, err := w.interpretResult(result.Version, err, value)
 	if applied {
 		return errkind.New(errkind.NotReady, "store is unavailable to this entry; ownership was released through another entry")
 	}
--- a/control/batchowner/fencedwriter_test.go
+++ b/control/batchowner/fencedwriter_test.go
@@ -33,16 +33,26 @@
 	// largest is the size of the largest transaction that was applied, and refused counts the
 	// refused ones.
 	largest, refused int
+	// clockStart is when the store's clock showed zero; its responses do not state it if that is
+	// zero.
+	clockStart time.Time
 }
 
-func (s *ownerStore) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *ownerStore) clockMs() int64 {
+	if s.clockStart.IsZero() {
+		return 0
+	}
+	return time.Since(s.clockStart).Milliseconds()
+}
+
+func (s *ownerStore) Commit(_ context.Context, txn rows.Txn) (rows.Applied, error) {
 	s.calls++
 	if s.dropRequests > 0 {
 		s.dropRequests--
-		return 0, errkind.New(errkind.OutcomeUnknown, "request was lost")
+		return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "request was lost")
 	}
 	if s.unavailable {
-		return 0, errkind.New(errkind.StoreUnavailable, "refused")
+		return rows.Applied{}, errkind.New(errkind.StoreUnavailable, "refused")
 	}
 	size, longest := 0, 0
 	for _, p := range txn.Put {
@@ -51,21 +61,21 @@
 	}
 	if s.maxBytes > 0 && size > s.maxBytes || s.maxRowBytes > 0 && longest > s.maxRowBytes {
 		s.refused++
-		return 0, errkind.New(errkind.InvalidArgument, "the transaction is too large")
+		return rows.Applied{}, errkind.New(errkind.InvalidArgument, "the transaction is too large")
 	}
 	s.largest = max(s.largest, size)
-	version, err := s.applied(txn)
+	applied, err := s.applied(txn)
 	if err == nil && s.dropResponses > 0 {
 		s.dropResponses--
-		return 0, errkind.New(errkind.OutcomeUnknown, "response was lost")
+		return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "response was lost")
 	}
-	return version, err
+	return applied, err
 }
 
 // applied applies a transaction if its condition holds.
-func (s *ownerStore) applied(txn rows.Txn) (rows.Version, error) {
+func (s *ownerStore) applied(txn rows.Txn) (rows.Applied, error) {
 	if s.row.Version != txn.Expect[0].Version {
-		return 0, rows.NewConflict([]rows.Row{s.row})
+		return rows.Applied{}, rows.NewConflict([]rows.Row{s.row})
 	}
 	if s.puts == nil {
 		s.puts = make(map[string]string)
@@ -74,7 +84,7 @@
 		s.puts[p.Key] = string(p.Value)
 	}
 	s.row = rows.Row{Key: jobstore.OwnerKey, Value: txn.Put[0].Value, Version: s.row.Version + 1}
-	return s.row.Version, nil
+	return rows.Applied{Version: s.row.Version, ClockMs: s.clockMs()}, nil
 }
 
 // newFencedWriter returns a writer whose clock starts at one hour, so that the zero
@@ -144,10 +154,10 @@
 	until time.Time
 	calls int
 	// fail handles a transaction until then; if it is nil, the transaction is refused.
-	fail func(ctx context.Context, txn rows.Txn) (rows.Version, error)
+	fail func(ctx context.Context, txn rows.Txn) (rows.Applied, error)
 }
 
-func (s *unavailableStore) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *unavailableStore) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
 	s.calls++
 	switch {
 	case !time.Now().Before(s.until):
@@ -155,7 +165,7 @@
 	case s.fail != nil:
 		return s.fail(ctx, txn)
 	default:
-		return 0, errkind.New(errkind.StoreUnavailable, "refused")
+		return rows.Applied{}, errkind.New(errkind.StoreUnavailable, "refused")
 	}
 }
 
@@ -216,29 +226,29 @@
 // the owner's connections, and against a change of owner whenever the store is slow.
 func TestOwnerReleasesThroughRelayAfterBrokenConnections(t *testing.T) {
 	broken := errkind.New(errkind.OutcomeUnknown, "connection reset")
-	commit := func(fail func(*ownerStore, rows.Txn) (rows.Version, error)) (*ownerStore, time.Duration, error) {
+	commit := func(fail func(*ownerStore, rows.Txn) (rows.Applied, error)) (*ownerStore, time.Duration, error) {
 		store := &ownerStore{}
 		w := newFencedWriter(store)
 		w.relay = store
 		elapsed, err := commitDuring(w, &unavailableStore{
 			Store: store, until: time.Now().Add(5 * time.Second),
-			fail: func(_ context.Context, txn rows.Txn) (rows.Version, error) { return fail(store, txn) },
+			fail: func(_ context.Context, txn rows.Txn) (rows.Applied, error) { return fail(store, txn) },
 		}, time.Second)
 		return store, elapsed, err
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The ownership is released long before it would expire", t, func() {
-			s, elapsed, err := commit(func(*ownerStore, rows.Txn) (rows.Version, error) { return 0, broken })
+			s, elapsed, err := commit(func(*ownerStore, rows.Txn) (rows.Applied, error) { return rows.Applied{}, broken })
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(elapsed, ShouldBeLessThan, time.Second)
 			So(s.released(), ShouldBeTrue)
 		})
 		Convey("It is released although a broken connection had applied the transaction", t, func() {
-			s, elapsed, err := commit(func(s *ownerStore, txn rows.Txn) (rows.Version, error) {
+			s, elapsed, err := commit(func(s *ownerStore, txn rows.Txn) (rows.Applied, error) {
 				if s.row.Version == 0 {
 					_, _ = s.applied(txn)
 				}
-				return 0, broken
+				return rows.Applied{}, broken
 			})
 			So(errkind.Of(err), ShouldEqual, errkind.NotReady)
 			So(elapsed, ShouldBeLessThan, time.Second)
@@ -246,9 +256,9 @@
 			So(s.row.Version, ShouldEqual, rows.Version(2))
 		})
 		Convey("A store that is slow to answer keeps its owner", t, func() {
-			s, _, err := commit(func(*ownerStore, rows.Txn) (rows.Version, error) {
+			s, _, err := commit(func(*ownerStore, rows.Txn) (rows.Applied, error) {
 				time.Sleep(700 * time.Millisecond)
-				return 0, errkind.New(errkind.OutcomeUnknown, "no response in time")
+				return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "no response in time")
 			})
 			So(err, ShouldBeNil)
 			So(s.released(), ShouldBeFalse)
@@ -279,11 +289,11 @@
 		})
 		Convey("It does not if an earlier release may still be applied", t, func() {
 			relay := &unavailableStore{until: time.Now().Add(time.Hour)}
-			relay.fail = func(context.Context, rows.Txn) (rows.Version, error) {
+			relay.fail = func(context.Context, rows.Txn) (rows.Applied, error) {
 				if relay.calls == 1 {
-					return 0, errkind.New(errkind.OutcomeUnknown, "no response")
+					return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "no response")
 				}
-				return 0, errkind.New(errkind.StoreUnavailable, "refused")
+				return rows.Applied{}, errkind.New(errkind.StoreUnavailable, "refused")
 			}
 			So(commitFor(1500*time.Millisecond, relay).valid(), ShouldBeFalse)
 		})
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/core/ident"
@@ -84,3 +85,20 @@
 func hasCheckpoint(r batch.Record) bool {
 	return slices.ContainsFunc(r.Tasks, func(t batch.TaskRecord) bool { return t.Checkpoint != "" })
 }
+
+// recordLeaseEnds lets the next transaction, which makes the commit durable, state when the
+// leases of silent workers end. It logs once in a row that some have no room.
+func (l *ownerLoop) recordLeaseEnds(c *batch.Commit, now time.Time) {
+	ends, omitted := l.scheduler.RecordLeaseEnds(c, now)
+	l.writer.owner.LeaseEnds = ends
+	if omitted == 0 {
+		l.leaseEndsOmitted = false
+		return
+	}
+	l.candidate.opts.Count("lease_ends_omitted")
+	if !l.leaseEndsOmitted {
+		l.leaseEndsOmitted = true
+		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("recorded", len(ends)).Int("omitted", omitted).
+			Msg("owner's row has no room for the lease ends of all silent workers")
+	}
+}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -48,6 +48,8 @@
 	// draining is set on shutdown, when nothing more is started.
 	draining    bool
 	lastCleanup time.Time
+	// leaseEndsOmitted is set while lease ends are left out of the owner's row.
+	leaseEndsOmitted bool
 	// summarizedAt is when the scheduler was last summarized, summaryLoggedAt when that was
 	// last logged.
 	summarizedAt, summaryLoggedAt time.Time
@@ -71,8 +73,11 @@
 // newOwnerLoop returns a loop for an ownership. Earlier owners grant no leases after
 // grantedUntil.
 func newOwnerLoop(candidate *Candidate, writer *fencedWriter, grantedUntil time.Time) *ownerLoop {
+	scheduler := batch.New(candidate.opts.Timing, grantedUntil)
+	scheduler.InheritLeaseEnds(writer.owner.LeaseEnds)
+	scheduler.ReadClock(writer.reading)
 	return &ownerLoop{
-		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: batch.New(candidate.opts.Timing, grantedUntil),
+		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: scheduler,
 		events: make(chan func(), eventQueueSize), conns: make(map[ident.Worker]*agentConn),
 		limits: newCommitLimits(), shortened: make(map[ident.Job]bool),
 	}
@@ -284,7 +289,7 @@
 		return
 	}
 	c, puts, ok := l.prepare()
-	if !ok || c.Empty() && !l.needsVersion() && now.Sub(l.lastCommitStart) < renewInterval {
+	if !ok || c.Empty() && !l.needsVersion() && !l.scheduler.AwaitsLease() && now.Sub(l.lastCommitStart) < renewInterval {
 		return
 	}
 	var removeKeys []string
@@ -292,6 +297,7 @@
 		l.lastCleanup = now
 		removeKeys = l.cleanupKeys(now)
 	}
+	l.recordLeaseEnds(c, now)
 	l.inFlight, l.lastCommitStart = c, now
 	l.group.Go(func() {
 		var err error
@@ -352,9 +358,10 @@
 	}
 	l.limits.grow()
 	l.logSlowCommit(c, now.Sub(started))
+	l.scheduler.ReadClock(l.writer.reading)
 	l.scheduler.Committed(c)
 	l.holdStarts(c, now)
-	l.acknowledgeEnds(c)
+	l.renewLeases(c)
 }
 
 // logSlowCommit logs a transaction whose decisions were old when it was applied.
@@ -400,10 +407,10 @@
 	}
 }
 
-// acknowledgeEnds sends lease renewals, which carry the acknowledgement cursor, to
-// the agents whose reported ends are now durable.
-func (l *ownerLoop) acknowledgeEnds(c *batch.Commit) {
-	for _, id := range c.AcknowledgedWorkers() {
+// renewLeases sends lease renewals, which carry the acknowledgement cursor, to the agents whose
+// reported ends are now durable, or whose workers may get a lease again.
+func (l *ownerLoop) renewLeases(c *batch.Commit) {
+	for _, id := range c.RenewedWorkers() {
 		if conn := l.conns[id]; conn != nil {
 			conn.renewLease()
 		}
@@ -450,7 +457,8 @@
 		return
 	}
 	l.giveUpHeldStarts(time.Now())
-	if _, puts, ok := l.prepare(); ok {
+	if c, puts, ok := l.prepare(); ok {
+		l.recordLeaseEnds(c, time.Now())
 		l.commitRelease(l.ctx, puts)
 	}
 }
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -199,10 +199,10 @@
 	onApplied func()
 }
 
-func (r *releaseRelay) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
-	version, err := r.store.applied(txn)
+func (r *releaseRelay) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
+	applied, err := r.store.applied(txn)
 	r.onApplied()
-	return version, err
+	return applied, err
 }
 
 // Guards against an owner that acts while another entry has taken over already, because
--- a/control/gateway/size_test.go
+++ b/control/gateway/size_test.go
@@ -20,9 +20,9 @@
 	puts []rows.Put
 }
 
-func (s *acceptingStore) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *acceptingStore) Commit(_ context.Context, txn rows.Txn) (rows.Applied, error) {
 	s.puts = append(s.puts, txn.Put...)
-	return rows.Version(len(s.puts)), nil
+	return rows.Applied{Version: rows.Version(len(s.puts))}, nil
 }
 
 // Guards against jobs that are accepted although no row of the store can hold them or their
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -191,7 +191,9 @@
 	r.ownerChangedAt = time.Now()
 	var owner Owner
 	if err := decode(row, &owner); err != nil {
-		// The epoch of the last readable row stays: workers reject orders of a lower one.
+		// The epoch of the last readable row stays: workers reject orders of a lower one. Its
+		// lease ends may no longer hold.
+		r.owner.LeaseEnds = nil
 		return err
 	}
 	r.owner = owner
--- a/control/jobstore/rows.go
+++ b/control/jobstore/rows.go
@@ -57,6 +57,9 @@
 	CPUShare float64 `json:"power,omitempty"`
 	// Released is set when the owner has released the ownership.
 	Released bool `json:"vacant,omitempty"`
+	// LeaseEnds holds until the next transaction of the owner, or of its successor, is durable.
+	// It is not changed in place. Rows of older versions of the program have none.
+	LeaseEnds batch.LeaseEnds `json:"ends,omitempty"`
 }
 
 // Worker is the content of a worker's row.
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -13,7 +13,7 @@
 
 // Relay writes and reads through other entries.
 type Relay interface {
-	Commit(ctx context.Context, txn rows.Txn) (rows.Version, error)
+	Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error)
 	ReadRow(ctx context.Context, key string) (rows.Row, bool, error)
 }
 
@@ -119,9 +119,9 @@
 	if !direct {
 		commit = c.writer.Relay.Commit
 	}
-	version, err := commit(ctx, txn)
+	applied, err := commit(ctx, txn)
 	if err == nil {
-		c.writer.Replica.Apply([]rows.Row{{Key: c.key, Value: c.value, Version: version}})
+		c.writer.Replica.Apply([]rows.Row{{Key: c.key, Value: c.value, Version: applied.Version}})
 	}
 	return err
 }
--- a/control/jobstore/write_test.go
+++ b/control/jobstore/write_test.go
@@ -16,12 +16,12 @@
 // fakeStore delegates its calls to the given functions.
 type fakeStore struct {
 	rows.Store
-	commit  func(ctx context.Context, txn rows.Txn) (rows.Version, error)
+	commit  func(ctx context.Context, txn rows.Txn) (rows.Applied, error)
 	read    func(ctx context.Context) (rows.Page, error)
 	commits atomic.Int64
 }
 
-func (s *fakeStore) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *fakeStore) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
 	s.commits.Add(1)
 	return s.commit(ctx, txn)
 }
@@ -36,19 +36,21 @@
 	return page.Rows[0], true, nil
 }
 
-func commitTimesOut(ctx context.Context, _ rows.Txn) (rows.Version, error) {
+func commitTimesOut(ctx context.Context, _ rows.Txn) (rows.Applied, error) {
 	<-ctx.Done()
-	return 0, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "no response")
+	return rows.Applied{}, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "no response")
 }
 
-func commitSucceeds(context.Context, rows.Txn) (rows.Version, error) { return 7, nil }
+func commitSucceeds(context.Context, rows.Txn) (rows.Applied, error) {
+	return rows.Applied{Version: 7}, nil
+}
 
-func commitRefused(context.Context, rows.Txn) (rows.Version, error) {
-	return 0, errkind.New(errkind.StoreUnavailable, "busy")
+func commitRefused(context.Context, rows.Txn) (rows.Applied, error) {
+	return rows.Applied{}, errkind.New(errkind.StoreUnavailable, "busy")
 }
 
-func commitConflicts(_ context.Context, txn rows.Txn) (rows.Version, error) {
-	return 0, rows.NewConflict([]rows.Row{{Key: txn.Expect[0].Key, Value: []byte("{}"), Version: 5}})
+func commitConflicts(_ context.Context, txn rows.Txn) (rows.Applied, error) {
+	return rows.Applied{}, rows.NewConflict([]rows.Row{{Key: txn.Expect[0].Key, Value: []byte("{}"), Version: 5}})
 }
 
 func newWriter(store, relay *fakeStore, connected bool) *Writer {
@@ -105,12 +107,12 @@
 func TestSlowStoreResponseIsUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A response after 0.9 s is used although a second attempt is in flight", t, func() {
-			slow := func(ctx context.Context, _ rows.Txn) (rows.Version, error) {
+			slow := func(ctx context.Context, _ rows.Txn) (rows.Applied, error) {
 				select {
 				case <-time.After(900 * time.Millisecond):
-					return 7, nil
+					return rows.Applied{Version: 7}, nil
 				case <-ctx.Done():
-					return 0, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "no response")
+					return rows.Applied{}, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "no response")
 				}
 			}
 			w := newWriter(&fakeStore{commit: slow}, &fakeStore{commit: commitTimesOut}, true)
@@ -172,8 +174,8 @@
 			So(time.Since(start), ShouldEqual, 300*time.Millisecond)
 		})
 		Convey("So is one whose row arrives before the next attempt", t, func() {
-			lost := func(context.Context, rows.Txn) (rows.Version, error) {
-				return 0, errkind.New(errkind.OutcomeUnknown, "lost")
+			lost := func(context.Context, rows.Txn) (rows.Applied, error) {
+				return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "lost")
 			}
 			w := newWriter(&fakeStore{commit: lost}, &fakeStore{commit: lost}, true)
 			time.AfterFunc(writeRetryDelay/2, func() { w.Replica.Advance([]rows.Row{{Key: "j/1", Version: 8, Value: []byte("{}")}}, 8) })
@@ -232,8 +234,8 @@
 // Guards against a row that the store will never take and that is sent again unchanged, until
 // its caller gets an unknown outcome.
 func TestInvalidRowIsNotRepeated(t *testing.T) {
-	invalid := func(context.Context, rows.Txn) (rows.Version, error) {
-		return 0, errkind.New(errkind.InvalidArgument, "the value is too large")
+	invalid := func(context.Context, rows.Txn) (rows.Applied, error) {
+		return rows.Applied{}, errkind.New(errkind.InvalidArgument, "the value is too large")
 	}
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A refusal as invalid is the result of the call", t, func() {
--- a/control/peer/fuzz_test.go
+++ b/control/peer/fuzz_test.go
@@ -18,7 +18,9 @@
 	row rows.Row
 }
 
-func (acceptingStore) Commit(context.Context, rows.Txn) (rows.Version, error) { return 9, nil }
+func (acceptingStore) Commit(context.Context, rows.Txn) (rows.Applied, error) {
+	return rows.Applied{Version: 9}, nil
+}
 
 func (s acceptingStore) Read(context.Context, string, string) (rows.Page, error) {
 	return rows.Page{Rows: []rows.Row{s.row}}, nil
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -46,7 +46,7 @@
 	for _, p := range m.GetPut() {
 		txn.Put = append(txn.Put, rows.Put{Key: p.GetKey(), Value: p.GetValue()})
 	}
-	version, err := s.Store.Commit(ctx, txn)
+	applied, err := s.Store.Commit(ctx, txn)
 	var conflict *rows.ConflictError
 	if errors.As(err, &conflict) {
 		reply := &rpc.CommitReply{Conflict: true}
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, rpc.StatusFromError(err)
 	}
-	return &rpc.CommitReply{Version: uint64(version)}, nil
+	return &rpc.CommitReply{Version: uint64(applied.Version)}, nil
 }
 
 // Read reads a row for another entry.
@@ -185,8 +185,8 @@
 	return err
 }
 
-// Commit commits a transaction through another entry.
-func (c *Client) Commit(ctx context.Context, txn rows.Txn) (rows.Version, error) {
+// Commit commits a transaction through another entry. It does not tell the store's clock.
+func (c *Client) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
 	m := &rpc.CommitRequest{}
 	for _, e := range txn.Expect {
 		m.Expect = append(m.Expect, &rpc.ExpectedRow{Key: e.Key, Version: uint64(e.Version)})
@@ -200,16 +200,16 @@
 		return err
 	})
 	if err != nil {
-		return 0, err
+		return rows.Applied{}, err
 	}
 	if reply.GetConflict() {
 		var current []rows.Row
 		for _, r := range reply.GetCurrent() {
 			current = append(current, rowFromMessage(r))
 		}
-		return 0, rows.NewConflict(current)
+		return rows.Applied{}, rows.NewConflict(current)
 	}
-	return rows.Version(reply.GetVersion()), nil
+	return rows.Applied{Version: rows.Version(reply.GetVersion())}, nil
 }
 
 // ReadRow reads a row through another entry.
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -24,15 +24,15 @@
 	err error
 }
 
-func (s *memoryStore) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *memoryStore) Commit(_ context.Context, txn rows.Txn) (rows.Applied, error) {
 	if s.err != nil {
-		return 0, s.err
+		return rows.Applied{}, s.err
 	}
 	if s.row.Version != 0 {
-		return 0, rows.NewConflict([]rows.Row{s.row})
+		return rows.Applied{}, rows.NewConflict([]rows.Row{s.row})
 	}
 	s.row = rows.Row{Key: txn.Put[0].Key, Value: txn.Put[0].Value, Version: 9}
-	return 9, nil
+	return rows.Applied{Version: 9}, nil
 }
 
 func (s *memoryStore) Read(context.Context, string, string) (rows.Page, error) {
@@ -82,9 +82,9 @@
 	Convey("An unreachable entry before a reachable one is skipped", t, func() {
 		store := &memoryStore{}
 		client := newClient(closedAddress(t), serve(t, &Server{Store: store}))
-		version, err := client.Commit(ctx, create)
+		applied, err := client.Commit(ctx, create)
 		So(err, ShouldBeNil)
-		So(version, ShouldEqual, rows.Version(9))
+		So(applied.Version, ShouldEqual, rows.Version(9))
 		row, found, err := client.ReadRow(ctx, "j/1")
 		So(err, ShouldBeNil)
 		So(found, ShouldBeTrue)
@@ -168,10 +168,10 @@
 	calling chan struct{}
 }
 
-func (s *blockingStore) Commit(ctx context.Context, _ rows.Txn) (rows.Version, error) {
+func (s *blockingStore) Commit(ctx context.Context, _ rows.Txn) (rows.Applied, error) {
 	s.calling <- struct{}{}
 	<-ctx.Done()
-	return 0, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "commit")
+	return rows.Applied{}, errkind.Wrap(errkind.OutcomeUnknown, ctx.Err(), "commit")
 }
 
 // Guards against a request for a configuration that loses a field on the way, or whose
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -26,13 +26,13 @@
 	written  []rows.Put
 }
 
-func (s *rowWriter) Commit(_ context.Context, txn rows.Txn) (rows.Version, error) {
+func (s *rowWriter) Commit(_ context.Context, txn rows.Txn) (rows.Applied, error) {
 	if s.failures > 0 {
 		s.failures--
-		return 0, errkind.New(errkind.StoreUnavailable, "busy")
+		return rows.Applied{}, errkind.New(errkind.StoreUnavailable, "busy")
 	}
 	s.written = append(s.written, txn.Put...)
-	return 1, nil
+	return rows.Applied{Version: 1}, nil
 }
 
 func newRunner(store rows.Store, count func(string)) *Runner {
--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -41,6 +41,15 @@
 	Remove []string
 }
 
+// Applied is the result of a transaction that was applied.
+type Applied struct {
+	// Version is the version of its rows.
+	Version Version
+	// ClockMs is the store's steady clock between the request and the response, or zero if
+	// the response does not state it.
+	ClockMs int64
+}
+
 // MaxEntries is the largest number of entries of a transaction, as the
 // platform's store documents it.
 const MaxEntries = 100
@@ -65,8 +74,8 @@
 // ConflictError), OutcomeUnknown (the response was lost) or HistoryLost (Watch
 // only).
 type Store interface {
-	// Commit applies txn and returns the version of its rows.
-	Commit(ctx context.Context, txn Txn) (Version, error)
+	// Commit applies txn.
+	Commit(ctx context.Context, txn Txn) (Applied, error)
 	// Read returns the rows with from <= key < to.
 	Read(ctx context.Context, from, to string) (Page, error)
 	// Watch returns the changes after a version. If there are none it waits for
--- /dev/null
+++ b/sched/batch/bench_test.go
@@ -0,0 +1,63 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// newBusy returns a testbed in which each worker has a run, and another one waits for each.
+func newBusy(workers int) *testbed {
+	b := newTestbed()
+	b.scheduler.Tick(b.now)
+	for i := range workers {
+		id := fmt.Sprintf("side-%05d", i)
+		b.addWorker(id, fmt.Sprintf("r%d", i/16))
+		for k := range 2 {
+			b.submit(testJob(fmt.Sprintf("j%05d-%d", i, k), 2, testStep(1, 8)))
+		}
+	}
+	for len(b.runCycle()) > 0 {
+		b.acceptStarts()
+	}
+	return b
+}
+
+// BenchmarkCycle measures a cycle of the owner without changes, with a full planning pass.
+func BenchmarkCycle(b *testing.B) {
+	bed := newBusy(2000)
+	for b.Loop() {
+		bed.advance(100 * time.Millisecond)
+		bed.scheduler.needsPlan = true
+		bed.scheduler.Tick(bed.now)
+		bed.scheduler.Schedule(bed.now)
+		bed.scheduler.Prepare(100, nil)
+	}
+}
+
+// BenchmarkRecordLeaseEnds measures the record of a transaction by the number of workers, of
+// which a quarter is silent or none.
+func BenchmarkRecordLeaseEnds(b *testing.B) {
+	for _, silent := range []int{0, 500, 5000} {
+		b.Run(fmt.Sprint("silent_", silent), func(b *testing.B) {
+			bed := newBusy(2000)
+			for i := range 20_000 {
+				w := bed.scheduler.ensureWorker(ident.Worker(fmt.Sprintf("side-%05d", i)))
+				w.active = bed.scheduler.workers["side-00000"].active
+				w.reportedAt = bed.now
+				if i < silent {
+					w.reportedAt = bed.now.Add(-silentAfter)
+				}
+			}
+			bed.scheduler.startedAt, bed.scheduler.resumedAt = bed.now.Add(-time.Minute), time.Time{}
+			bed.readClock(0, 0)
+			bed.scheduler.Tick(bed.now)
+			c := bed.scheduler.Prepare(100, nil)
+			for b.Loop() {
+				bed.scheduler.RecordLeaseEnds(c, bed.now)
+			}
+		})
+	}
+}
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -15,6 +15,10 @@
 	Records map[ident.Job]Record
 	starts  []Order
 	acked   map[ident.Worker]ackedEnds
+	// leaseEnds holds what RecordLeaseEnds has returned for the commit; it is nil before that.
+	leaseEnds map[ident.Worker]leaseEnd
+	// unlisted holds the workers that may be granted leases again since the commit is durable.
+	unlisted []ident.Worker
 }
 
 // ackedEnds is the cursor up to which the ends of an incarnation are durable.
@@ -123,6 +127,7 @@
 			w.acked = max(w.acked, ends.cursor)
 		}
 	}
+	s.leaseEndsCommitted(c)
 }
 
 // ReleaseStarts returns the starts of a durable commit that are to be sent at once, and
@@ -148,7 +153,7 @@
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return o, false
 	}
-	if t.stop.requested || !w.attached || !t.renewTicket(&o, now) {
+	if t.stop.requested || !w.attached || !s.mayGrantLease(w) || !t.renewTicket(&o, now) {
 		// The start was never sent, so no stop is needed either.
 		s.requeue(t, now)
 		return o, false
@@ -175,8 +180,10 @@
 	return ok
 }
 
-// AcknowledgedWorkers returns the workers whose reported ends are durable with
-// the commit.
-func (c *Commit) AcknowledgedWorkers() []ident.Worker {
-	return slices.Sorted(maps.Keys(c.acked))
+// RenewedWorkers returns the workers whose reported ends are durable with the commit, or which
+// may be granted leases again.
+func (c *Commit) RenewedWorkers() []ident.Worker {
+	out := slices.AppendSeq(slices.Clone(c.unlisted), maps.Keys(c.acked))
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/sched/batch/model_faults_test.go
+++ b/sched/batch/model_faults_test.go
@@ -63,6 +63,11 @@
 	return !m.calm && rapid.IntRange(0, n).Draw(m.t, label) == 0
 }
 
+// crashes reports whether the owner crashes now.
+func (m *model) crashes(label string) bool {
+	return m.chance(60, label) || m.crashProne && rapid.IntRange(0, 12).Draw(m.t, label) == 12
+}
+
 func (m *model) drawEnd(run Run) EndKind {
 	id := run.Task.Job
 	failures := 0
--- a/sched/batch/model_reports_test.go
+++ b/sched/batch/model_reports_test.go
@@ -14,7 +14,7 @@
 // report delivers the report of a worker whose stream is open, under the owner's
 // epoch, and the lease renewal that follows unless it is lost.
 func (m *model) report(w *modelWorker) {
-	if !w.up || !w.attached || w.unreachable {
+	if !w.up || !w.attached || w.unreachable || w == m.muted {
 		return
 	}
 	w.highestEpoch = max(w.highestEpoch, m.epoch)
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -40,7 +40,10 @@
 	sent []sentReport
 }
 
-func (w *modelWorker) clockMs(now time.Time) int64 { return now.Sub(w.startedAt).Milliseconds() + 1 }
+// clockMs returns the worker's clock, which is as slow as a clock may be.
+func (w *modelWorker) clockMs(now time.Time) int64 {
+	return now.Sub(w.startedAt).Milliseconds()*98/100 + 1
+}
 
 // delayedOrder is an order in flight to a worker.
 type delayedOrder struct {
@@ -62,9 +65,15 @@
 	// records and canceled hold the contents of the store.
 	records  map[ident.Job]Record
 	canceled map[ident.Job]bool
+	// leaseEnds is what the owner's row in the store tells.
+	leaseEnds LeaseEnds
 	// succeeded holds the tasks whose success is recorded in the store.
 	succeeded    map[TaskID]bool
 	incarnations int64
+	// crashProne lets owners crash around their transactions although calm is set.
+	crashProne bool
+	// muted is a worker whose reports do not arrive, or nil.
+	muted *modelWorker
 	// failing holds the jobs of which all attempts but the last fail.
 	failing map[ident.Job]bool
 	// scarce makes jobs need what few workers have, drops orders, sets clocks back and lets
@@ -94,6 +103,8 @@
 	m.epoch++
 	m.t.Logf("takeover, epoch %d", m.epoch)
 	m.scheduler = New(testTiming, m.now)
+	m.scheduler.InheritLeaseEnds(m.leaseEnds)
+	m.readClock()
 	m.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		m.scheduler.Load(m.jobs[id], m.records[id], m.canceled[id], m.now)
@@ -123,18 +134,26 @@
 	m.advise()
 	stops := m.scheduler.TakeStops()
 	c := m.scheduler.Prepare(100, nil)
-	if m.chance(60, "crash before commit") {
+	ends, _ := m.scheduler.RecordLeaseEnds(c, m.now)
+	m.reportDuringCommit()
+	if m.crashes("crash before commit") {
 		m.takeover()
 		return
 	}
 	for id, record := range c.Records {
 		m.persist(id, record)
 	}
-	if m.chance(60, "crash after commit") {
+	m.leaseEnds = ends
+	m.reportDuringCommit()
+	if m.crashes("crash after commit") {
 		m.takeover()
 		return
 	}
+	m.readClock()
 	m.scheduler.Committed(c)
+	for _, id := range c.RenewedWorkers() {
+		m.renew(m.worker(id))
+	}
 	if m.chance(9, "cancel during commit") {
 		m.cancel()
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -197,6 +197,15 @@
 	// earlierLeasesExpireAt is when every lease granted by earlier owners has
 	// expired.
 	earlierLeasesExpireAt time.Time
+	// leaseEnds holds the workers that the durable record of lease ends lists, or may list once
+	// a commit is durable.
+	leaseEnds map[ident.Worker]leaseEnd
+	// silent holds the workers that had runs and no recent report at the latest Tick.
+	silent []*worker
+	// storeClock is the latest reading of the store's clock, or zero.
+	storeClock ClockReading
+	// startedAt is when Tick was first called.
+	startedAt time.Time
 	// tickedAt is when Tick was last called, and resumedAt when it was last called after
 	// a gap of more than maxTickGap.
 	tickedAt, resumedAt time.Time
@@ -225,6 +234,7 @@
 		services:              make(map[ident.Service]bool),
 		dirty:                 make(map[ident.Job]int),
 		durations:             make(map[string]*durationHistory),
+		leaseEnds:             make(map[ident.Worker]leaseEnd),
 		earlierLeasesExpireAt: grantedUntil.Add(leaseExpiry(timing.MaxLease)),
 	}
 }
@@ -312,6 +322,7 @@
 	if w == nil {
 		w = newWorker(WorkerInfo{ID: id})
 		w.leaseBound = s.earlierLeasesExpireAt
+		s.applyLeaseEnd(w)
 		s.workers[id] = w
 	}
 	return w
@@ -460,10 +471,11 @@
 }
 
 // RenewalFor returns the lease renewal for a worker, and counts it as granted. It
-// returns false if the current incarnation has not reported yet.
+// returns false if the current incarnation has not reported yet, or if a durable record says
+// when the worker's leases end.
 func (s *Scheduler) RenewalFor(id ident.Worker) (LeaseRenewal, bool) {
 	w := s.workers[id]
-	if w == nil || !w.fenced {
+	if w == nil || !w.fenced || !s.mayGrantLease(w) {
 		return LeaseRenewal{}, false
 	}
 	w.extendLeaseBound(s.timing.MaxLease)
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -24,6 +24,9 @@
 	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > maxTickGap {
 		s.resumedAt = now
 	}
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.tickedAt = now
 }
 
@@ -32,7 +35,9 @@
 // those without an answer.
 func (s *Scheduler) Tick(now time.Time) {
 	s.noteTick(now)
+	s.silent = s.silent[:0]
 	for _, w := range s.workers {
+		s.noteSilence(w, now)
 		s.expireLeases(w, now)
 		s.checkInterference(w, now)
 		for _, t := range w.active {
