Test workers that are back from a silence while the owner changes

A worker that was silent, is listed in the owner's row, reports again and gets a lease must not be taken as silent by the next owner, least of all by one that it does not reach.

With a row that keeps a worker which has reported, and leases granted all the same, the task runs twice. Leases that are granted a transaction too early alone go unnoticed here, as the transaction takes milliseconds; TestInheritedLeaseEndsHold finds them.

--- a/control/batche2e/lostworker_test.go
+++ b/control/batche2e/lostworker_test.go
@@ -93,3 +93,57 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice, or are cut short, because a worker that is back from a
+// silence counts as silent for the next owner, which it may not reach.
+func TestWorkerThatIsBackKeepsItsTasksAcrossOwners(t *testing.T) {
+	for _, silence := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, 7 * time.Second} {
+		for crashAfter := time.Duration(0); crashAfter <= 2*time.Second; crashAfter += 250 * time.Millisecond {
+			for _, lost := range []bool{false, true} {
+				t.Run(fmt.Sprintf("silent_%v_crash_after_%v_lost_then_%v", silence, crashAfter, lost), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := newCluster(t)
+						s.lease = 10 * time.Second
+						s.cutWorkerOff(silence, crashAfter)
+						s.setLinks("1", lost)
+						for range 180 {
+							s.wait(100 * time.Millisecond)
+							if s.runsOn("1") && s.runsOn("2") {
+								t.Fatal("the task runs twice at the same time")
+							}
+						}
+						if s.runsOn("2") != lost || s.runsOn("1") == lost {
+							t.Errorf("the task runs on the worker that was back: %v, on the other one: %v", s.runsOn("1"), s.runsOn("2"))
+						}
+						s.close()
+					})
+				})
+			}
+		}
+	}
+}
+
+// setLinks takes the links of a worker to all entries down, or restores them.
+func (s *cluster) setLinks(worker string, down bool) {
+	for id := range 2 {
+		s.net.SetLinkDown(fmt.Sprint("10.0.0.", id+1), "10.0.1."+worker, down)
+	}
+}
+
+// cutWorkerOff cuts a worker with a task off from all entries for a while. The owner crashes the
+// given time after that.
+func (s *cluster) cutWorkerOff(silence, crashAfter time.Duration) {
+	for id := range 2 {
+		s.startEntry(fmt.Sprint(id + 1))
+	}
+	s.startWorker("1")
+	s.wait(2 * time.Second)
+	s.submit(s.entries["1"], "bulk", job1, "60s", 1)
+	s.wait(2 * time.Second)
+	s.startWorker("2")
+	s.wait(time.Second)
+	s.setLinks("1", true)
+	s.wait(silence)
+	s.setLinks("1", false)
+	s.crashOwner(crashAfter)
+}
