Take a start as concluded only once it was answered

- A run that a report lists, but whose start has no answer yet, counted as concluded: if its process was restarted then, the run was given up at once, although the agent was still repeating the start and the next process might carry it out.
It is open until the answer arrives now (TestListedRunWithOpenStartOutlivesRestart: a second run started in the same cycle before).
- An owner recorded the lease end of a worker with such an open start.

A worker that rejects a start at the very limit counts as one that came too late, not as a fault.

Tests of the record answer their starts now, as agents do; their checks are as before.

--- a/control/batchowner/leaseends_test.go
+++ b/control/batchowner/leaseends_test.go
@@ -31,7 +31,10 @@
 	So(b.writer.commit(b.ctx, nil, nil), ShouldBeNil)
 	b.submit("j1")
 	b.commitAll(func() {})
-	So(b.sentOrders(), ShouldHaveLength, 1)
+	orders := b.sentOrders()
+	So(orders, ShouldHaveLength, 1)
+	orders[0].Worker = "w1"
+	b.scheduler.Answered(orders[0], batch.AnswerOK, 1, time.Now())
 	b.reportRun()
 	b.conn.renewLease()
 	b.takeRenewals()
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -62,7 +62,7 @@
 	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, limited)
 	})
-	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs > o.StartByMs {
+	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs >= o.StartByMs {
 		return s.expire(outcome)
 	}
 	return outcome
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -162,6 +162,7 @@
 	o.StartByMs = w.clockAt(viewedAt) + MaxStartAge.Milliseconds()
 	w.extendLeaseBound(s.timing.MaxLease)
 	t.startedAt, t.progressedAt, t.sentAt = now, now, now
+	t.startUncertain = true
 	return o, true
 }
 
--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -141,7 +141,7 @@
 
 // newLeaseEnd returns the record of a worker that has become silent.
 func (s *Scheduler) newLeaseEnd(w *worker, now time.Time) (leaseEnd, bool) {
-	if s.keepsLeaseEnd(w) || len(w.active) == 0 || s.startedAt.IsZero() {
+	if s.keepsLeaseEnd(w) || len(w.active) == 0 || s.startedAt.IsZero() || w.hasOpenStart() {
 		return leaseEnd{}, false
 	}
 	since := latest(w.reportedAt, s.startedAt)
@@ -156,6 +156,17 @@
 	return leaseEnd{atMs: s.storeClock.AtMs + left + 2, reportedAt: w.reportedAt}, true
 }
 
+// hasOpenStart reports whether a start that this owner has sent may still be carried out. A
+// process that was restarted under its id would grant it a lease beyond the bound.
+func (w *worker) hasOpenStart() bool {
+	for _, t := range w.active {
+		if !t.sentAt.IsZero() && !t.startConcluded() {
+			return true
+		}
+	}
+	return false
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/sched/batch/leaseends_test.go
+++ b/sched/batch/leaseends_test.go
@@ -269,9 +269,15 @@
 			b.addWorker(id, "r1")
 			b.submit(testJob("j"+id, 2, testStep(1, 8)))
 		}
-		So(b.runCycle(), ShouldNotBeEmpty)
-		for len(b.runCycle()) > 0 {
+		started := 0
+		for starts := b.runCycle(); len(starts) > 0; starts = b.runCycle() {
+			started += len(starts)
+			b.acceptStarts()
+			for _, o := range starts {
+				b.report(string(o.Worker), []RunningTask{runningRow(o, 1)}, nil)
+			}
 		}
+		So(started, ShouldEqual, 300)
 		b.runFor(silentAfter)
 		b.scheduler.Tick(b.now)
 		b.readClock(0, 0)
--- /dev/null
+++ b/sched/batch/open_start_test.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a second run of a task whose start is still being repeated, although a report
+// lists it: the process is restarted under its id, and the next one carries the start out.
+func TestListedRunWithOpenStartOutlivesRestart(t *testing.T) {
+	Convey("A run is listed, its start has no answer, and its process is restarted", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		start := b.runCycle()[0]
+		b.advance(300 * time.Millisecond)
+		b.report("w1", []RunningTask{runningRow(start, 1)}, nil)
+		b.runCycle()
+		next := b.scheduler.workers["w1"].info
+		next.Incarnation = testIncarnation(2)
+		b.scheduler.Announced(next, b.now)
+		b.addWorker("w2", "r2")
+		So(b.runCycle(), ShouldBeEmpty)
+		Convey("The next process has carried it out, and goes on", func() {
+			b.scheduler.Answered(start, AnswerOKRepeated, 50, b.now)
+			b.scheduler.Reported("w1", Report{Incarnation: testIncarnation(2), ClockMs: 60, Running: []RunningTask{runningRow(start, 1)}}, b.now)
+			So(b.runCycle(), ShouldBeEmpty)
+			So(b.stops, ShouldBeEmpty)
+		})
+	})
+	Convey("Once the only attempt was answered, the run has ended with its process", t, func() {
+		b := newTestbed()
+		b.addWorker("w1", "r1")
+		b.submit(testJob("j1", 1, testStep(1, 1)))
+		start := b.runCycle()[0]
+		b.scheduler.Answered(start, AnswerOK, 50, b.now)
+		b.advance(300 * time.Millisecond)
+		b.report("w1", []RunningTask{runningRow(start, 1)}, nil)
+		b.runCycle()
+		next := b.scheduler.workers["w1"].info
+		next.Incarnation = testIncarnation(2)
+		b.scheduler.Announced(next, b.now)
+		b.addWorker("w2", "r2")
+		So(b.runCycle(), ShouldHaveLength, 1)
+	})
+}
+
+// lateLease returns an owner whose worker has reported at a time of which the second value is
+// the duration until all leases there have expired: a start is released 1.4 s after the report
+// and carried out 1.2 s later, by a process that was restarted under its id and whose young
+// clock makes the lease as long as it may be. Nothing is heard of the worker any more.
+func lateLease() (b *testbed, reported time.Time, lease time.Duration) {
+	const releasedAfter, carriedOutAfter = 1400 * time.Millisecond, 1200 * time.Millisecond
+	b = newTestbed()
+	b.clockMs = 480000
+	b.addWorker("w1", "r1")
+	reported = b.now
+	b.scheduler.Tick(b.now)
+	b.submit(testJob("j1", 1, testStep(1, 1)))
+	b.advance(releasedAfter)
+	start := b.runCycle()[0]
+	b.scheduler.Answered(start, AnswerUnknown, 0, b.now)
+	b.scheduler.Attached("w1", false)
+	return b, reported, releasedAfter + carriedOutAfter + testTiming.MaxLease
+}
+
+// startsElsewhere returns when the owner starts a task on another worker.
+func (b *testbed) startsElsewhere() time.Time {
+	b.addWorker("w2", "r2")
+	for range 200 {
+		b.advance(100 * time.Millisecond)
+		b.report("w2", nil, nil)
+		if len(b.runCycle()) > 0 {
+			return b.now
+		}
+	}
+	return time.Time{}
+}
+
+// Guards against a second run while the first one may hold a lease that began with a late start.
+func TestTasksWaitForLeasesOfLateStarts(t *testing.T) {
+	t.Run("same_owner", func(t *testing.T) {
+		b, reported, lease := lateLease()
+		if waited := b.startsElsewhere().Sub(reported); waited < lease {
+			t.Errorf("the task starts elsewhere after %v, the lease lasts for %v", waited, lease)
+		}
+	})
+	t.Run("next_owner", func(t *testing.T) {
+		b, reported, lease := lateLease()
+		b.advance(700 * time.Millisecond)
+		b.readClock(0, 0)
+		ends := b.record()
+		b.advance(500 * time.Millisecond)
+		next := b.successor(ends)
+		next.readClock(0, 0)
+		if waited := next.startsElsewhere().Sub(reported); waited < lease {
+			t.Errorf("the task starts elsewhere after %v, the lease lasts for %v", waited, lease)
+		}
+	})
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -402,7 +402,7 @@
 	w := s.workers[o.Worker]
 	switch kind {
 	case AnswerOK, AnswerOKRepeated:
-		t.startUncertain = t.startUncertain || kind == AnswerOKRepeated
+		t.startUncertain = kind == AnswerOKRepeated
 		t.unansweredSince = time.Time{}
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
