--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -156,11 +156,11 @@
 	return leaseEnd{atMs: s.storeClock.AtMs + left + 2, reportedAt: w.reportedAt}, true
 }
 
-// hasOpenStart reports whether a start that this owner has sent may still be carried out. A
+// hasOpenStart reports whether an attempt to start a run may still be carried out. A
 // process that was restarted under its id would grant it a lease beyond the bound.
 func (w *worker) hasOpenStart() bool {
 	for _, t := range w.active {
-		if !t.sentAt.IsZero() && !t.startConcluded() {
+		if t.startUncertain {
 			return true
 		}
 	}
