--- a/Makefile
+++ b/Makefile
@@ -50,14 +50,14 @@
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
 # Runs the real program as separate processes under random faults, changes of the
-# configuration, and both. SEED selects the faults, MINUTES is their duration in each of
-# the three tests, LOGS the directory for the process logs.
+# configuration, planned work alone and a final loss. SEED selects the faults, MINUTES is
+# their duration in each test that has one, LOGS the directory for the process logs.
 SEED ?= 1000
 MINUTES ?= 2
 LOGS ?= $(CURDIR)/target/soak
 soak:
 	mkdir -p $(LOGS)
-	go test ./platform/soak -run Soak -count 1 -v -timeout 60m -soak.seed $(SEED) -soak.time $(MINUTES)m -soak.keep $(LOGS)
+	go test ./platform/soak -run 'Soak|FinalLoss' -count 1 -v -timeout 60m -soak.seed $(SEED) -soak.time $(MINUTES)m -soak.keep $(LOGS)
 
 # Checks thousands of random cases of the partition ownership model, and sends
 # 200,000 requests while each component of the request path fails in turn.
