Log jobs that stand still beside free workers, and why

What callers saw: LOST, jobs with nothing running beside free workers. The log could not tell the hypotheses apart: a wait was logged after 5 s, when the bound of 3 s has passed, and no_capacity stood for full workers, reserved ones and a missing rack alike.

Change: waits have the reasons reserved and no_rack, and a job of which nothing has run for 1.5 s beside capacity for twice what it waits to start is logged and counted with its reason. No decision changes.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -421,11 +421,13 @@
 func (l *ownerLoop) logEvents() {
 	for _, event := range l.scheduler.TakeLogEvents() {
 		l.candidate.opts.Count("decision")
-		if event.WaitedMs > 0 {
-			l.candidate.opts.Count("wait_" + event.Reason)
-		}
-		if event.Event == batch.EventContradicted {
+		switch {
+		case event.Event == batch.EventContradicted:
 			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
+		case event.Event == batch.EventStandsStill:
+			l.candidate.opts.Count("job_stands_still_" + event.Reason)
+		case event.WaitedMs > 0:
+			l.candidate.opts.Count("wait_" + event.Reason)
 		}
 		line := l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
 			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -140,7 +140,7 @@
 		return 0
 	}
 	for _, r := range c.reservations {
-		if u.duration > r.startsIn {
+		if u.duration > r.startsIn && !u.ignoresReservations {
 			n = min(n, fitCount(r.spare, u.step.demand()))
 		}
 	}
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -29,6 +29,8 @@
 	alternative *bool
 	// tickets holds the tickets of the workers that the placement advisor allows.
 	tickets map[ident.Upstream]string
+	// ignoresReservations reports that capacity reserved for other units counts as free.
+	ignoresReservations bool
 }
 
 // workerCapacity is the capacity of a worker during one planning pass.
@@ -37,6 +39,8 @@
 	// free is the free capacity; freeSoon also counts the runs that are being
 	// stopped.
 	free, freeSoon Resources
+	// idle is the capacity that no run takes, whatever is allocated to waiting units.
+	idle Resources
 	// probation reports that the worker gets only a single run at a time, one
 	// that may fail without harm; probing reports that it has one already.
 	probation, probing bool
@@ -80,7 +84,7 @@
 	for _, w := range s.workers {
 		if w.usable(now, s.timing.MaxLease) && w.trusted(now) {
 			free, soon := w.freeCapacity()
-			c := &workerCapacity{worker: w, free: free, freeSoon: soon}
+			c := &workerCapacity{worker: w, free: free, freeSoon: soon, idle: free}
 			c.probation, c.probing = w.onProbation(now)
 			p.workers = append(p.workers, c)
 		}
@@ -361,6 +365,7 @@
 // start records a run of t on the worker and queues the order.
 func (p *plan) start(u *unit, t *task, c *workerCapacity) {
 	p.allocate(u, c)
+	c.idle = c.idle.minus(u.step.demand())
 	w := c.worker
 	t.Phase = TaskActive
 	t.Run++
--- a/sched/batch/waiting.go
+++ b/sched/batch/waiting.go
@@ -16,6 +16,10 @@
 	// WaitForReliableWorker means that the workers that meet the requirements are all
 	// avoided, because of their faults or of interference.
 	WaitForReliableWorker WaitReason = "workers_avoided"
+	// WaitForReservation means that free capacity is kept for units that do not fit yet.
+	WaitForReservation WaitReason = "reserved"
+	// WaitForRack means that a gang that asks for one rack would fit into several.
+	WaitForRack WaitReason = "no_rack"
 	// WaitForCapacity means that the workers have no room.
 	WaitForCapacity WaitReason = "no_capacity"
 )
@@ -37,6 +41,10 @@
 	// loggedReason is the reason in the latest log event about it, from loggedAt.
 	loggedReason WaitReason
 	loggedAt     time.Time
+	// standingSince is since when the job has stood still, or zero, and standstillReasons are
+	// the reasons that have been logged since.
+	standingSince     time.Time
+	standstillReasons []WaitReason
 }
 
 // noteWaiting logs why a unit's first waiting task t was not placed.
@@ -50,9 +58,10 @@
 		u.job.waits[u.stepID()] = w
 	}
 	if p.now.Sub(w.seenAt) > maxWaitGap {
-		w.since = p.now
+		w.since, w.standingSince, w.standstillReasons = p.now, time.Time{}, nil
 	}
 	w.seenAt = p.now
+	p.noteStandstill(u, w, t, reason)
 	if p.now.Sub(w.since) < waitLogDelay {
 		return
 	}
@@ -74,9 +83,27 @@
 			continue
 		}
 		if p.eligible(u, c) {
-			return WaitForCapacity
+			return p.fullReason(u)
 		}
 		reason = WaitForReliableWorker
 	}
 	return reason
 }
+
+// fullReason tells apart why a unit found no room on workers that suit it.
+func (p *plan) fullReason(u *unit) WaitReason {
+	n := 1
+	if u.step.Gang {
+		n = len(u.tasks)
+	}
+	unreserved := *u
+	unreserved.ignoresReservations = true
+	switch {
+	case u.step.Gang && p.pack(&unreserved, p.workers, n, freeNow) == nil, p.bestWorker(&unreserved, freeNow) == nil:
+		return WaitForCapacity
+	case u.step.Gang && p.gangPlacement(&unreserved, n, freeNow) == nil:
+		return WaitForRack
+	default:
+		return WaitForReservation
+	}
+}
--- a/sched/batch/waiting_test.go
+++ b/sched/batch/waiting_test.go
@@ -22,11 +22,13 @@
 	// reportFor lets time pass while the worker reports regularly.
 	reportFor := func(b *testbed, d time.Duration) {
 		for end := b.now.Add(d); b.now.Before(end); b.advance(500 * time.Millisecond) {
-			var running []RunningTask
-			for _, active := range b.scheduler.workers["w1"].active {
-				running = append(running, RunningTask{Run: active.run(), Percent: int(b.clockMs % 97)})
+			for id, w := range b.scheduler.workers {
+				var running []RunningTask
+				for _, active := range w.active {
+					running = append(running, RunningTask{Run: active.run(), Percent: int(b.clockMs % 97)})
+				}
+				b.report(string(id), running, nil)
 			}
-			b.report("w1", running, nil)
 			b.runCycle()
 			b.acceptStarts()
 		}
@@ -59,6 +61,32 @@
 		reportFor(b, waitLogDelay+time.Second)
 		So(waits(b), ShouldResemble, []string{"no_capacity"})
 	})
+	Convey("The free capacity is reserved for a gang", t, func() {
+		b := newBed()
+		b.submit(testJob("j1", 1, testStep(7, 1)))
+		reportFor(b, time.Second)
+		gang := testStep(2, 4)
+		gang.Gang, gang.Checkpoints = true, true
+		b.submit(testJob("j2", 1, gang))
+		long := testStep(1, 1)
+		long.EstimateMs = time.Hour.Milliseconds()
+		b.submit(testJob("j3", 2, long))
+		reportFor(b, waitLogDelay+time.Second)
+		So(waits(b), ShouldResemble, []string{"no_capacity", "reserved"})
+	})
+	Convey("A gang fits into several racks and not into one", t, func() {
+		b := newBed()
+		b.addWorker("w2", "r2")
+		half := testStep(2, 4)
+		half.MaxPerWorker = 1
+		b.submit(testJob("j1", 1, half))
+		reportFor(b, 500*time.Millisecond)
+		gang := testStep(4, 2)
+		gang.Gang, gang.SameRack = true, true
+		b.submit(testJob("j2", 1, gang))
+		reportFor(b, waitLogDelay+time.Second)
+		So(waits(b), ShouldResemble, []string{"no_rack"})
+	})
 	Convey("The only worker is avoided", t, func() {
 		b := newBed()
 		b.scheduler.workers["w1"].noBestEffortUntil = b.now.Add(time.Minute)
