--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -121,6 +121,8 @@
 	stops      []replayStop
 	starts     []int
 	failedJobs int
+	// observe is called after each cycle.
+	observe func()
 }
 
 // replayStop is the stop of a run.
@@ -282,6 +284,9 @@
 			}
 		}
 		r.runCycle()
+		if r.observe != nil {
+			r.observe()
+		}
 	}
 }
 
