Let jobs that stand still start in headroom, reserved room and several racks

What callers saw: LOST, accepted jobs have nothing running for 3 s and longer although the free capacity holds what they wait to start twice; in the users' record two at the same moment, accepted a minute before.

Cause: rules that defer work, each with an end of its own that lies beyond the bound or depends on other work: headroom decays with 10 s, a reservation lasts until the runs in the way of the unit that has it have ended and is then followed by the next, a gang waits for one rack as long as one could hold it idle. Expired work, which gets no reservation, waits longest. Ruled out: runs that no worker has; the jobs' tasks were waiting in each case.

Change: a pass finds out for each waiting unit whether what no run takes would hold it twice, and since when. After 1.5 s it starts one task, or the gang, in headroom or reserved capacity, after 2.2 s the gang in several racks. The bound is 3 s.

Evidence: TestDeferredJobsStartInTime failed for all three rules before.

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -216,6 +216,12 @@
 	if !u.step.SameRack || !p.rackCouldHold(u, n) {
 		return p.pack(u, p.workers, n, v)
 	}
+	return p.rackPlacement(u, n, v)
+}
+
+// rackPlacement returns workers of one rack, of those that hold n members the one with the
+// least free capacity, or nil.
+func (p *plan) rackPlacement(u *unit, n int, v capacityView) []*workerCapacity {
 	var best []*workerCapacity
 	leastFree := 0
 	for _, rack := range p.racks() {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -29,6 +29,8 @@
 	alternative *bool
 	// tickets holds the tickets of the workers that the placement advisor allows.
 	tickets map[ident.Upstream]string
+	// overdue reports that the job has stood still for maxDeferral.
+	overdue bool
 	// ignoresReservations reports that capacity reserved for other units counts as free.
 	ignoresReservations bool
 }
@@ -123,7 +125,7 @@
 // leavesHeadroom reports whether the headroom stays free if n more tasks of the
 // unit start.
 func (p *plan) leavesHeadroom(u *unit, n int) bool {
-	if u.mayUseHeadroom() || p.headroomLiesIdle(u) {
+	if u.overdue || u.mayUseHeadroom() || p.headroomLiesIdle(u) {
 		return true
 	}
 	return freeAccelerators(p.workers, freeNow)-n*u.step.PerTask.Accelerators >= p.headroom
@@ -265,6 +267,7 @@
 			return
 		}
 	}
+	u.overdue = p.stoodStill(u) >= maxDeferral
 	if u.step.Gang {
 		p.placeGang(u)
 		return
@@ -274,12 +277,13 @@
 			p.noteWaiting(u, t, WaitForHeadroom)
 			return
 		}
-		c := p.bestWorker(u, freeNow)
+		c := p.workerFor(u)
 		if c == nil {
 			p.waitForCapacity(u, u.tasks[i:])
 			return
 		}
 		p.start(u, t, c)
+		u.overdue = false
 	}
 }
 
@@ -288,7 +292,7 @@
 		p.noteWaiting(u, u.tasks[0], WaitForHeadroom)
 		return
 	}
-	workers := p.gangPlacement(u, len(u.tasks), freeNow)
+	workers := p.workersForGang(u)
 	if workers == nil {
 		p.waitForCapacity(u, u.tasks)
 		return
--- a/sched/batch/standstill.go
+++ b/sched/batch/standstill.go
@@ -9,9 +9,21 @@
 // hold a waiting unit of it twice. Rules that keep capacity for other work may cause this for a
 // short time.
 
-// standstillLogDelay is how long a job stands still before this is logged: half of the
-// platform's bound, 3 s.
-const standstillLogDelay = 1500 * time.Millisecond
+// maxDeferral is how long rules may let a job stand still: half of the platform's bound, 3 s,
+// which leaves time for the report of the end that freed the capacity, and for the start.
+const maxDeferral = 1500 * time.Millisecond
+
+// maxRackDeferral is how long a gang that asks for one rack may stand still before it starts in
+// several. That costs more than other deferrals save, so that it leaves only what a start takes.
+const maxRackDeferral = 2200 * time.Millisecond
+
+// standstillLogDelay is how long a job stands still before this is logged, with the rule that
+// will be overruled at maxDeferral.
+const standstillLogDelay = time.Second
+
+// maxRoomGap is the longest time without room that does not end a standstill: other work that
+// has been placed may not have started yet, while the end of another run is on its way.
+const maxRoomGap = 500 * time.Millisecond
 
 // EventStandsStill is the event of a job that stands still.
 const EventStandsStill = "job stands still"
@@ -19,7 +31,11 @@
 // noteStandstill records since when the unit's job has stood still, and logs each reason once
 // when that has lasted for standstillLogDelay.
 func (p *plan) noteStandstill(u *unit, w *wait, t *task, reason WaitReason) {
-	if u.job.runs(p.now) || !p.holdsTwice(u) {
+	runs := u.job.runs(p.now)
+	if !runs && p.holdsTwice(u) {
+		w.roomSeenAt = p.now
+	}
+	if runs || p.now.Sub(w.roomSeenAt) > maxRoomGap {
 		w.standingSince, w.standstillReasons = time.Time{}, nil
 		return
 	}
@@ -40,6 +56,45 @@
 	p.scheduler.logEvent(LogEvent{Event: EventStandsStill, Run: t.run(), Reason: string(reason), WaitedMs: stood.Milliseconds()})
 }
 
+// stoodStill returns for how long the unit's job has stood still.
+func (p *plan) stoodStill(u *unit) time.Duration {
+	w := u.job.waits[u.stepID()]
+	if w == nil || w.standingSince.IsZero() || p.now.Sub(w.seenAt) > maxWaitGap {
+		return 0
+	}
+	return p.now.Sub(w.standingSince)
+}
+
+// workerFor returns the worker on which a task of the unit starts, or nil. For an overdue
+// unit, that may be capacity reserved for others.
+func (p *plan) workerFor(u *unit) *workerCapacity {
+	c := p.bestWorker(u, freeNow)
+	if c == nil && u.overdue {
+		c = p.bestWorker(u.ignoringReservations(), freeNow)
+	}
+	return c
+}
+
+// workersForGang returns the workers on which the members of a gang start, or nil. For an
+// overdue gang, that may be capacity reserved for others, and at last workers of several racks.
+func (p *plan) workersForGang(u *unit) []*workerCapacity {
+	n := len(u.tasks)
+	workers := p.gangPlacement(u, n, freeNow)
+	if workers == nil && u.overdue {
+		workers = p.gangPlacement(u.ignoringReservations(), n, freeNow)
+	}
+	if workers == nil && p.stoodStill(u) >= maxRackDeferral {
+		workers = p.pack(u.ignoringReservations(), p.workers, n, freeNow)
+	}
+	return workers
+}
+
+func (u *unit) ignoringReservations() *unit {
+	out := *u
+	out.ignoresReservations = true
+	return &out
+}
+
 // unconfirmedRunTime is how long a run counts as running without an answer or a report.
 const unconfirmedRunTime = time.Second
 
--- a/sched/batch/standstill_test.go
+++ b/sched/batch/standstill_test.go
@@ -8,67 +8,114 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Guards against a job that stands still beside free workers without a trace of the rule that
-// keeps them free.
-func TestStandstillIsLoggedWithItsReason(t *testing.T) {
-	// reasonsFor lets time pass and returns the reasons in the log events about job j2.
-	reasonsFor := func(b *testbed, d time.Duration) []string {
-		var out []string
-		for end := b.now.Add(d); b.now.Before(end); b.advance(100 * time.Millisecond) {
-			for id, w := range b.scheduler.workers {
-				var running []RunningTask
-				for _, active := range w.active {
-					running = append(running, RunningTask{Run: active.run(), Percent: int(b.clockMs % 97)})
-				}
-				b.report(string(id), running, nil)
+// standstillBed is a testbed whose workers report what runs on them.
+type standstillBed struct{ *testbed }
+
+// newStandstillBed returns racks of two workers, of which a task uses some accelerators.
+func newStandstillBed(racks, used int) standstillBed {
+	b := standstillBed{newTestbed()}
+	for i := range 2 * racks {
+		b.addWorker(fmt.Sprint("w", i), fmt.Sprint("r", i/2))
+	}
+	step := testStep(2*racks, used)
+	step.MaxPerWorker = 1
+	b.submit(testJob("j1", 1, step))
+	b.startsFor(300 * time.Millisecond)
+	So(b.reasons(), ShouldBeEmpty)
+	return b
+}
+
+// startsFor lets time pass and returns how many tasks of job j2 start.
+func (b standstillBed) startsFor(d time.Duration) int {
+	n := 0
+	for end := b.now.Add(d); b.now.Before(end); b.advance(100 * time.Millisecond) {
+		for id, w := range b.scheduler.workers {
+			var running []RunningTask
+			for _, active := range w.active {
+				running = append(running, RunningTask{Run: active.run(), Percent: int(b.clockMs % 97)})
 			}
-			b.runCycle()
-			b.acceptStarts()
-			for _, e := range b.scheduler.TakeLogEvents() {
-				if e.Event == EventStandsStill && e.Run.Task.Job == "j2" {
-					out = append(out, e.Reason)
-					So(e.WaitedMs, ShouldBeBetweenOrEqual, standstillLogDelay.Milliseconds(), (standstillLogDelay + planInterval).Milliseconds())
-				}
+			b.report(string(id), running, nil)
+		}
+		for _, o := range b.runCycle() {
+			if o.Run.Task.Job == "j2" {
+				n++
 			}
 		}
-		return out
+		b.acceptStarts()
 	}
-	// newBed returns racks of two workers, of which a task uses some accelerators.
-	newBed := func(racks, used int) *testbed {
-		b := newTestbed()
-		for i := range 2 * racks {
-			b.addWorker(fmt.Sprint("w", i), fmt.Sprint("r", i/2))
+	return n
+}
+
+// reasons returns the reasons in the log events about job j2 that stands still.
+func (b standstillBed) reasons() []string {
+	var out []string
+	for _, e := range b.scheduler.TakeLogEvents() {
+		if e.Event == EventStandsStill && e.Run.Task.Job == "j2" {
+			out = append(out, e.Reason)
 		}
-		step := testStep(2*racks, used)
-		step.MaxPerWorker = 1
-		b.submit(testJob("j1", 1, step))
-		So(reasonsFor(b, 300*time.Millisecond), ShouldBeEmpty)
-		return b
 	}
-	Convey("Headroom", t, func() {
-		b := newBed(1, 5)
+	return out
+}
+
+// submitDeferred submits job j2, which a rule keeps from the free workers.
+var submitDeferred = map[string]func() standstillBed{
+	"headroom": func() standstillBed {
+		b := newStandstillBed(1, 5)
 		b.scheduler.urgentPeak, b.scheduler.urgentPeakAt = 8, b.now
 		b.submit(testJob("j2", 2, testStep(2, 1)))
-		So(reasonsFor(b, standstillLogDelay+planInterval), ShouldResemble, []string{"headroom"})
-	})
-	Convey("A reservation", t, func() {
-		b := newBed(1, 5)
+		return b
+	},
+	"reserved": func() standstillBed {
+		b := newStandstillBed(1, 5)
 		gang := testStep(2, 8)
 		gang.Gang, gang.Checkpoints = true, true
 		b.submit(testJob("j0", 1, gang))
-		b.submit(testJob("j2", 2, testStep(2, 1)))
-		So(reasonsFor(b, standstillLogDelay+planInterval), ShouldResemble, []string{"reserved"})
-	})
-	Convey("A rack", t, func() {
-		b := newBed(3, 4)
+		long := testStep(2, 1)
+		long.EstimateMs = time.Hour.Milliseconds()
+		b.submit(testJob("j2", 2, long))
+		return b
+	},
+	"no_rack": func() standstillBed {
+		b := newStandstillBed(3, 4)
 		gang := testStep(6, 2)
 		gang.Gang, gang.SameRack = true, true
 		b.submit(testJob("j2", 1, gang))
-		So(reasonsFor(b, standstillLogDelay+planInterval), ShouldResemble, []string{"no_rack"})
-	})
-	Convey("Full workers are no reason to log", t, func() {
-		b := newBed(1, 7)
+		return b
+	},
+}
+
+// Guards against a job that stands still beside free workers without a trace of the rule that
+// keeps them free.
+func TestStandstillIsLoggedWithItsReason(t *testing.T) {
+	for reason, submit := range submitDeferred {
+		Convey(reason, t, func() {
+			b := submit()
+			b.startsFor(standstillLogDelay - planInterval)
+			So(b.reasons(), ShouldBeEmpty)
+			b.startsFor(2 * planInterval)
+			So(b.reasons(), ShouldResemble, []string{reason})
+		})
+	}
+	Convey("Full workers are no reason", t, func() {
+		b := newStandstillBed(1, 7)
 		b.submit(testJob("j2", 2, testStep(2, 2)))
-		So(reasonsFor(b, 3*standstillLogDelay), ShouldBeEmpty)
+		b.startsFor(3 * standstillLogDelay)
+		So(b.reasons(), ShouldBeEmpty)
 	})
 }
+
+// Guards against jobs that stand still because free workers are kept for other work or for one
+// rack, and against their taking more of these than they need to go on.
+func TestDeferredJobsStartInTime(t *testing.T) {
+	for _, c := range []struct {
+		reason   string
+		deferral time.Duration
+		starts   int
+	}{{"headroom", maxDeferral, 1}, {"reserved", maxDeferral, 1}, {"no_rack", maxRackDeferral, 6}} {
+		Convey(c.reason, t, func() {
+			b := submitDeferred[c.reason]()
+			So(b.startsFor(c.deferral-planInterval), ShouldEqual, 0)
+			So(b.startsFor(2*planInterval), ShouldEqual, c.starts)
+		})
+	}
+}
--- a/sched/batch/waiting.go
+++ b/sched/batch/waiting.go
@@ -41,6 +41,8 @@
 	// loggedReason is the reason in the latest log event about it, from loggedAt.
 	loggedReason WaitReason
 	loggedAt     time.Time
+	// roomSeenAt is when a pass last found room for twice what the job waits to start.
+	roomSeenAt time.Time
 	// standingSince is since when the job has stood still, or zero, and standstillReasons are
 	// the reasons that have been logged since.
 	standingSince     time.Time
@@ -96,12 +98,11 @@
 	if u.step.Gang {
 		n = len(u.tasks)
 	}
-	unreserved := *u
-	unreserved.ignoresReservations = true
+	unreserved := u.ignoringReservations()
 	switch {
-	case u.step.Gang && p.pack(&unreserved, p.workers, n, freeNow) == nil, p.bestWorker(&unreserved, freeNow) == nil:
+	case u.step.Gang && p.pack(unreserved, p.workers, n, freeNow) == nil, p.bestWorker(unreserved, freeNow) == nil:
 		return WaitForCapacity
-	case u.step.Gang && p.gangPlacement(&unreserved, n, freeNow) == nil:
+	case u.step.Gang && p.gangPlacement(unreserved, n, freeNow) == nil:
 		return WaitForRack
 	default:
 		return WaitForReservation
