Let jobs that stand still start on workers whose faults are 4 s old

Cause: a worker with a confirmed fault gets nothing but single bulk runs for 10 s, though other workers, which are full, count as the alternative; last attempts avoid it too. The users' rules hold again 4 s after a disturbance, so that a job may stand still for up to 6 s too long.

Change: a job that has stood still for 1.5 s starts there once the latest fault is 4 s old. Any new fault renews that time.

Evidence: TestJobsForgiveOldFaultsToMoveOn failed before, for a task and for a gang (no start within 7 s).

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -36,7 +36,7 @@
 // suits reports whether the worker meets the step's requirements, is reliable enough
 // for the unit and currently accepts best-effort tasks if the unit consists of them.
 func (p *plan) suits(u *unit, c *workerCapacity) bool {
-	if !u.meetsRequirements(c) || c.probation && c.probing {
+	if !u.meetsRequirements(c) || u.findsOnProbation(p.now, c) && c.probing {
 		return false
 	}
 	if u.step.BestEffort && p.now.Before(c.worker.noBestEffortUntil) {
@@ -48,7 +48,18 @@
 // savesLastAttempt reports whether the unit's last attempt should not be the one that shows
 // whether a worker on probation works, even if there is no other.
 func (p *plan) savesLastAttempt(u *unit, c *workerCapacity) bool {
-	return c.probation && p.mayWaitForLastAttempt(u)
+	return u.findsOnProbation(p.now, c) && p.mayWaitForLastAttempt(u)
+}
+
+// findsOnProbation reports whether the worker is on probation as far as the unit is concerned.
+func (u *unit) findsOnProbation(now time.Time, c *workerCapacity) bool {
+	return c.probation && !u.forgivesFaults(now, c)
+}
+
+// forgivesFaults reports whether the unit is overdue and the worker's latest fault is not
+// recent enough to let the job stand still any longer.
+func (u *unit) forgivesFaults(now time.Time, c *workerCapacity) bool {
+	return u.overdue && now.Sub(c.worker.faultAt) >= overdueProbationTime
 }
 
 // mayWaitForLastAttempt reports whether the unit has a last attempt that has not waited for
@@ -71,6 +82,9 @@
 // this one. The harm of a further failure is too large for work that is not bulk, for
 // gangs, of which a failed member costs all, and for last attempts.
 func (p *plan) avoids(u *unit, c *workerCapacity) bool {
+	if u.forgivesFaults(p.now, c) {
+		return false
+	}
 	if c.probation && (u.step.Gang || u.tier < tierBulk) {
 		return true
 	}
@@ -133,7 +147,7 @@
 		return 0
 	}
 	n := fitCount(v(c), u.step.demand())
-	if c.probation && !u.step.Gang {
+	if u.findsOnProbation(p.now, c) && !u.step.Gang {
 		n = min(n, 1)
 	}
 	if n == 0 {
--- a/sched/batch/standstill.go
+++ b/sched/batch/standstill.go
@@ -89,6 +89,15 @@
 	return workers
 }
 
+func (u *unit) asOverdue() *unit {
+	if u.overdue {
+		return u
+	}
+	out := *u
+	out.overdue, out.alternative = true, nil
+	return &out
+}
+
 func (u *unit) ignoringReservations() *unit {
 	out := *u
 	out.ignoresReservations = true
@@ -115,6 +124,7 @@
 	if u.step.Gang {
 		need = 2 * len(u.tasks)
 	}
+	u = u.asOverdue()
 	for _, c := range p.workers {
 		if !p.eligible(u, c) {
 			continue
--- a/sched/batch/standstill_test.go
+++ b/sched/batch/standstill_test.go
@@ -119,3 +119,20 @@
 		})
 	}
 }
+
+// Guards against a job that stands still because of faults that are long over, and against one
+// that starts on a worker that has just failed.
+func TestJobsForgiveOldFaultsToMoveOn(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		Convey(name, t, func() {
+			b := newStandstillBed(1, 8)
+			b.addWorker("w9", "r9")
+			b.scheduler.workers["w9"].recordFault(b.now, suspectFaults)
+			step := testStep(2, 2)
+			step.Gang = gang
+			b.submit(testJob("j2", 1, step))
+			So(b.startsFor(overdueProbationTime), ShouldEqual, 0)
+			So(b.startsFor(maxStandstill), ShouldBeGreaterThan, 0)
+		})
+	}
+}
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -181,6 +181,9 @@
 	// probationTime is how long after its latest fault a worker without a success
 	// since gets only single runs.
 	probationTime = 10 * time.Second
+	// overdueProbationTime takes the place of probationTime for jobs that have stood still for
+	// maxDeferral. Bulk work shows sooner whether such a worker still fails.
+	overdueProbationTime = 4 * time.Second
 	// suspectFaults is the weighted number of faults that makes a worker suspect.
 	// It tolerates single failures, because these are caused as often by the job.
 	suspectFaults = 2
