Count a standstill for each long-running task, and anew after each run

Change: long-running steps count without regard to what else runs, and all their tasks start as long as there is room for two; the end of a run that had begun ends a standstill.

Evidence: TestEachLongRunningTaskStartsInTime failed before (no start within 3 s), and so did TestPreemptedJobIsNotOverdue (started again at once).

--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -267,7 +267,7 @@
 			return
 		}
 	}
-	u.overdue = p.stoodStill(u) >= maxDeferral
+	u.setOverdue(p.stoodStill(u) >= maxDeferral)
 	if u.step.Gang {
 		p.placeGang(u)
 		return
@@ -283,7 +283,7 @@
 			return
 		}
 		p.start(u, t, c)
-		u.overdue = false
+		u.setOverdue(u.overdue && u.step.LongRunning && p.holdsTwice(u))
 	}
 }
 
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -352,6 +352,9 @@
 	if w := s.workers[t.Worker]; w != nil {
 		delete(w.active, t.id)
 	}
+	if t.confirmed {
+		t.job.endStandstill(t.stepID())
+	}
 	t.confirmed, t.recovered, t.startUncertain, t.listed = false, false, false, false
 	t.confirmedMs, t.percent = 0, 0
 	t.overTargetSince, t.firstPercentAt, t.unansweredSince = time.Time{}, time.Time{}, time.Time{}
--- a/sched/batch/standstill.go
+++ b/sched/batch/standstill.go
@@ -6,8 +6,8 @@
 )
 
 // A job stands still while nothing of it runs although the free capacity of the workers would
-// hold a waiting unit of it twice. Rules that keep capacity for other work may cause this for a
-// short time.
+// hold a waiting unit of it twice; a long-running step also while others of its tasks run.
+// Rules that keep capacity for other work may cause this for a short time.
 
 // maxDeferral is how long rules may let a job stand still: half of the platform's bound, 3 s,
 // which leaves time for the report of the end that freed the capacity, and for the start.
@@ -31,7 +31,7 @@
 // noteStandstill records since when the unit's job has stood still, and logs each reason once
 // when that has lasted for standstillLogDelay.
 func (p *plan) noteStandstill(u *unit, w *wait, t *task, reason WaitReason) {
-	runs := u.job.runs(p.now)
+	runs := !u.step.LongRunning && u.job.runs(p.now)
 	if !runs && p.holdsTwice(u) {
 		w.roomSeenAt = p.now
 	}
@@ -89,12 +89,15 @@
 	return workers
 }
 
+// setOverdue also drops what depends on it.
+func (u *unit) setOverdue(overdue bool) { u.overdue, u.alternative = overdue, nil }
+
 func (u *unit) asOverdue() *unit {
 	if u.overdue {
 		return u
 	}
 	out := *u
-	out.overdue, out.alternative = true, nil
+	out.setOverdue(true)
 	return &out
 }
 
@@ -104,6 +107,13 @@
 	return &out
 }
 
+// endStandstill notes that a run of the step was in progress.
+func (j *job) endStandstill(id StepID) {
+	if w := j.waits[id]; w != nil {
+		w.standingSince, w.standstillReasons = time.Time{}, nil
+	}
+}
+
 // unconfirmedRunTime is how long a run counts as running without an answer or a report.
 const unconfirmedRunTime = time.Second
 
--- a/sched/batch/standstill_test.go
+++ b/sched/batch/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,3 +137,48 @@
 		})
 	}
 }
+
+// stopOne ends a run of job j2 as if it had been preempted.
+func (b standstillBed) stopOne() {
+	i := slices.IndexFunc(b.scheduler.jobs["j2"].tasks, func(t task) bool { return t.Phase == TaskActive })
+	started := &b.scheduler.jobs["j2"].tasks[i]
+	b.scheduler.requestStop(started, ReasonPreempted)
+	var others []RunningTask
+	for _, t := range b.scheduler.workers[started.Worker].active {
+		if t != started {
+			others = append(others, RunningTask{Run: t.run()})
+		}
+	}
+	b.report(string(started.Worker), others, endedRow(1, Order{Run: started.run()}, EndStopped))
+	b.scheduler.urgentPeak, b.scheduler.urgentPeakAt = 8, b.now
+}
+
+// Guards against long-running tasks that stand still because others of their job run.
+func TestEachLongRunningTaskStartsInTime(t *testing.T) {
+	step := testStep(3, 1)
+	step.LongRunning = true
+	Convey("All tasks start in headroom", t, func() {
+		b := newStandstillBed(1, 5)
+		b.scheduler.urgentPeak, b.scheduler.urgentPeakAt = 8, b.now
+		b.submit(testJob("j2", 2, step))
+		So(b.startsFor(maxStandstill), ShouldEqual, 3)
+		Convey("and one that is stopped starts there again", func() {
+			b.stopOne()
+			So(b.startsFor(maxStandstill), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against a job that is preempted in headroom and starts there again at once, as if it
+// had stood still all the while.
+func TestPreemptedJobIsNotOverdue(t *testing.T) {
+	Convey("After a run the deferral starts anew", t, func() {
+		b := newStandstillBed(1, 5)
+		b.scheduler.urgentPeak, b.scheduler.urgentPeakAt = 8, b.now
+		b.submit(testJob("j2", 2, testStep(1, 1)))
+		So(b.startsFor(maxDeferral+planInterval), ShouldEqual, 1)
+		b.stopOne()
+		So(b.startsFor(maxDeferral-planInterval), ShouldEqual, 0)
+		So(b.startsFor(2*planInterval), ShouldEqual, 1)
+	})
+}
