--- a/sched/batch/ends_of_rules_test.go
+++ b/sched/batch/ends_of_rules_test.go
@@ -117,9 +117,23 @@
 	return !j.record.State.Final() && slices.ContainsFunc(j.tasks, func(t task) bool { return t.Phase == TaskWaiting })
 }
 
+// fitsTwice reports whether the idle worker holds a task of the job, or its gang, twice.
+func (w *ruleWorker) fitsTwice(j *Job) bool {
+	step := &j.Steps[0]
+	need := 2
+	if step.Gang {
+		need = 2 * step.Tasks
+	}
+	return step.MaxPerWorker == 0 && fitCount(w.info.Capacity, step.demand()) >= need
+}
+
 // longestRuleEnd returns the longest time for which any rule may keep the job from an idle
 // worker that alone suits it; see docs/failures.md.
-func (b *ruleBed) longestRuleEnd(j *Job) time.Duration {
+func (b *ruleBed) longestRuleEnd(j *Job, w *ruleWorker) time.Duration {
+	if w.fitsTwice(j) && !j.Steps[0].BestEffort && !j.NeedsAdvice {
+		// The job stands still. A planning pass notices that, and one starts it.
+		return overdueProbationTime + maxRackDeferral + 2*planInterval
+	}
 	// The worker has a confirmed fault for 2 s, a last attempt waits for 5 s, and other units
 	// may have reserved the worker until the runs elsewhere have ended.
 	bound := 12 * time.Second
@@ -163,7 +177,7 @@
 
 // checkEnd fails the test if the worker stays idle for too long while the job waits for it.
 func (b *ruleBed) checkEnd(target *Job, only *ruleWorker) {
-	bound, idle := b.longestRuleEnd(target), time.Duration(0)
+	bound, idle := b.longestRuleEnd(target, only), time.Duration(0)
 	for range 2 * bound / (100 * time.Millisecond) {
 		b.step()
 		w := b.scheduler.workers[only.info.ID]
