Spare runs that hold up later steps, also from a guarantee and in gangs

Change: a guarantee stops such a run only if nothing else makes room, at whatever cost. A gang that has started over counts as such a run too; so far only tasks did.

Evidence: two cases of TestTaskThatHoldsUpLaterStepsIsStoppedLast failed before (the awaited run was stopped for a guarantee).

--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -31,6 +31,8 @@
 	tickets map[ident.Upstream]string
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
+	// stopsAwaited reports that the unit may preempt runs that hold up later steps.
+	stopsAwaited bool
 	// ignoresReservations reports that capacity reserved for other units counts as free.
 	ignoresReservations bool
 }
--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -15,6 +15,21 @@
 	if u.tier > tierNormal || p.now.Before(u.waitingSince().Add(u.preemptionDelay())) {
 		return false
 	}
+	best := p.cheapestPreemption(u, n)
+	if best == nil && u.tier == tierGuaranteed {
+		u.stopsAwaited = true
+		best = p.cheapestPreemption(u, n)
+	}
+	if best == nil || best.cost > u.maxPreemptionCost(n) {
+		return false
+	}
+	p.applyPreemption(u, best)
+	return true
+}
+
+// cheapestPreemption returns the cheapest preemption that makes room for n tasks of the unit,
+// or nil.
+func (p *plan) cheapestPreemption(u *unit, n int) *preemption {
 	var best *preemption
 	for _, workers := range p.candidateSets(u, n) {
 		option := p.findPreemption(u, workers, n)
@@ -22,11 +37,7 @@
 			best = option
 		}
 	}
-	if best == nil || best.cost > u.maxPreemptionCost(n) {
-		return false
-	}
-	p.applyPreemption(u, best)
-	return true
+	return best
 }
 
 // A unit first waits for capacity to become free by itself before it preempts
@@ -190,7 +201,8 @@
 }
 
 // preemptible reports whether the unit may preempt the run. The run must belong to a
-// less urgent tier. Work outside a guarantee spares runs that hold up later steps.
+// less urgent tier. Runs that hold up later steps are spared, by a guarantee as long as others
+// make room.
 // Normal units also spare bulk work that would lose its progress, and bulk gangs.
 func (p *plan) preemptible(u *unit, t *task) bool {
 	if t.stop.requested || t.job == u.job {
@@ -200,7 +212,7 @@
 	if !ok || runTier <= u.tier {
 		return false
 	}
-	if u.tier > tierGuaranteed && t.holdsUpSteps() {
+	if !u.stopsAwaited && t.holdsUpSteps() {
 		return false
 	}
 	if u.tier >= tierNormal {
@@ -224,8 +236,11 @@
 const lastTasksShare = 0.25
 
 // inLastTasks reports whether the task is the only one of its step that has not succeeded,
-// or one of a few.
+// or one of a few. A gang is all that its step has to do.
 func (t *task) inLastTasks() bool {
+	if t.step().Gang {
+		return true
+	}
 	first, tasks := t.position-t.id.Index, t.step().Tasks
 	limit := max(1, int(lastTasksShare*float64(tasks)))
 	remaining := 0
--- a/sched/batch/preempt_test.go
+++ b/sched/batch/preempt_test.go
@@ -89,20 +89,33 @@
 // Guards against a guarantee that is reclaimed from the one task for which the rest of a job
 // waits, although other work would do.
 func TestTaskThatHoldsUpLaterStepsIsStoppedLast(t *testing.T) {
-	Convey("A guarantee is reclaimed from a run that nothing waits for, although it loses more work", t, func() {
-		b := newTestbed()
-		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
-		b.addWorker("w1", "r1")
-		second := testStep(1, 4)
-		second.DependsOn = []int{0}
-		b.loadRunning(testJob("awaited", 2, testStep(1, 4), second), 2)
-		b.loadRunning(testJob("other", 2, testStep(1, 4)), 2)
-		rows := []RunningTask{{Run: Run{Task: TaskID{Job: "awaited"}, Number: 2}, Percent: 1}, {Run: Run{Task: TaskID{Job: "other"}, Number: 2}, Percent: 90}}
-		b.report("w1", rows, nil)
-		guaranteed := testJob("guaranteed", 0, testStep(1, 4))
-		guaranteed.Workspace = "owner"
-		So(b.stoppedFor(guaranteed), ShouldResemble, []ident.Job{"other"})
-	})
+	for _, c := range []struct {
+		name string
+		// estimate is that of the other run, which has done most of it.
+		estimate time.Duration
+		gang     bool
+	}{
+		{"A guarantee is reclaimed from a run that nothing waits for, although it loses more work", 5 * time.Second, false},
+		{"also if it loses far more", time.Minute, false},
+		{"A gang for which a step waits is spared as well", time.Minute, true},
+	} {
+		Convey(c.name, t, func() {
+			b := newTestbed()
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
+			b.addWorker("w1", "r1")
+			first, second, other := testStep(1, 4), testStep(1, 4), testStep(1, 4)
+			first.Gang = c.gang
+			second.DependsOn = []int{0}
+			other.EstimateMs = c.estimate.Milliseconds()
+			b.loadRunning(testJob("awaited", 2, first, second), 2)
+			b.loadRunning(testJob("other", 2, other), 2)
+			rows := []RunningTask{{Run: Run{Task: TaskID{Job: "awaited"}, Number: 2}, Percent: 1}, {Run: Run{Task: TaskID{Job: "other"}, Number: 2}, Percent: 90}}
+			b.report("w1", rows, nil)
+			guaranteed := testJob("guaranteed", 0, testStep(1, 4))
+			guaranteed.Workspace = "owner"
+			So(b.stoppedFor(guaranteed), ShouldResemble, []ident.Job{"other"})
+		})
+	}
 }
 
 // Guards against a short urgent task for which far more work is thrown away than it does
