--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,9 @@
 	go test -run '^$$' -bench . -benchtime 1x ./sched/... ./route/... ./control/...
 
 # Runs the real program as separate processes under random faults, changes of the
-# configuration, planned work alone and a final loss. SEED selects the faults, MINUTES is
-# their duration in each test that has one, LOGS the directory for the process logs.
+# configuration, planned work alone, load alone and a final loss. SEED selects the faults,
+# MINUTES is their duration in each test that has one, LOGS the directory for the process
+# logs.
 SEED ?= 1000
 MINUTES ?= 2
 LOGS ?= $(CURDIR)/target/soak
