Log which process answers an order, and lease renewals without an answer

Agents compare the clock of an answer with what it must be at least for the intended process, log other_process, and count order_taken_by_successor and lease_unanswered; the owner's conclusions have start_uncertain.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -433,6 +433,9 @@
 			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
 			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
 			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch))
+		if event.StartUncertain {
+			line = line.Bool("start_uncertain", true)
+		}
 		if event.For != "" {
 			line = line.Str("for", string(event.For)).Float64("cost_core_seconds", event.CostCoreSeconds)
 		}
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -18,7 +18,7 @@
 	result := orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "panic"}}
 	// After a panic the order may have been carried out, as if its answer had been lost.
 	_ = s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) })
-	s.logOrder(o, result.OrderResult)
+	s.logOrder(o, result)
 	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
 		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
 	}}})
@@ -128,6 +128,8 @@
 	// unanswered counts the attempts without an answer, which the process may
 	// still execute later.
 	unanswered int
+	// otherProcess reports that another process than the intended one gave the answer.
+	otherProcess bool
 }
 
 // sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
@@ -139,7 +141,9 @@
 			return s.expire(outcome)
 		}
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+		sentAt := s.runner.opts.Clock()
 		outcome.OrderResult = send(attemptCtx)
+		s.noteOtherProcess(o, sentAt, &outcome)
 		failedAtOnce := attemptCtx.Err() == nil
 		cancel()
 		if outcome.Kind != batch.AnswerUnknown || ctx.Err() != nil {
@@ -156,6 +160,15 @@
 	}
 }
 
+// noteOtherProcess counts an order that another process has carried out: the platform tells
+// processes with the same id apart only in reports.
+func (s *session) noteOtherProcess(o batch.Order, sentAt time.Duration, outcome *orderOutcome) {
+	outcome.otherProcess = outcome.Kind == batch.AnswerOK && s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs)
+	if outcome.otherProcess {
+		s.runner.opts.Count("order_taken_by_successor")
+	}
+}
+
 // expired reports whether a start must not be sent any more. It may have been delayed on the
 // way, or by a pause of this process, and its job may have been cancelled since. The reading of
 // the clock may have been delayed as well: the worker compares the time of the order with its
@@ -194,15 +207,20 @@
 	}
 }
 
-func (s *session) logOrder(o batch.Order, result batchapi.OrderResult) {
+func (s *session) logOrder(o batch.Order, result orderOutcome) {
 	event := "start ordered"
 	if o.Kind == batch.OrderStop {
 		event = "stop ordered"
 	}
 	s.runner.opts.Count("order_" + answerNames[result.Kind])
-	s.runner.opts.Logger.Info().Str("job", string(o.Run.Task.Job)).Int("step", o.Run.Task.Step).
+	line := s.runner.opts.Logger.Info().Str("job", string(o.Run.Task.Job)).Int("step", o.Run.Task.Step).
 		Int("task", o.Run.Task.Index).Int("run", o.Run.Number).Uint64("epoch", uint64(s.epoch)).
-		Str("answer", answerNames[result.Kind]).Str("reason", result.Reason).Int64("clock_ms", result.ClockMs).Msg(event)
+		Str("answer", answerNames[result.Kind]).Str("reason", result.Reason).Int64("clock_ms", result.ClockMs).
+		Int64("born_ms", o.Incarnation.StartedMs).Int("unanswered", result.unanswered)
+	if result.otherProcess {
+		line = line.Bool("other_process", true)
+	}
+	line.Msg(event)
 }
 
 var answerNames = map[batch.AnswerKind]string{
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -334,6 +334,24 @@
 	return r.clock.ms + (r.opts.Clock() - r.clock.at).Milliseconds(), true
 }
 
+// clockWentBack reports whether a response to a call that was sent at a time of the boot-time
+// clock states an earlier time than the incarnation could: another process made it.
+func (r *Runner) clockWentBack(incarnation batch.Incarnation, sentAt time.Duration, clockMs int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock.incarnation != incarnation || clockMs <= 0 {
+		return false
+	}
+	passed := sentAt - r.clock.at
+	if passed > 0 {
+		passed -= passed * batch.SlowClockPercent / 100
+	}
+	return clockMs < r.clock.ms+passed.Milliseconds()-clockResolutionMs
+}
+
+// clockResolutionMs bounds the rounding of two readings in whole milliseconds.
+const clockResolutionMs = 2
+
 func (r *Runner) currentAnnouncement() batchapi.Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -184,6 +184,7 @@
 			if timedOut {
 				margin = min(2*margin, maxRenewTimeoutMargin)
 			}
+			s.noteLostLease(err, renewal, announced.Incarnation)
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
 		}
@@ -216,6 +217,17 @@
 	return s.renewal
 }
 
+// noteLostLease reports that a call with a lease has failed. It may be carried out later, by the
+// next process with the same id too, unless nobody listened.
+func (s *session) noteLostLease(err error, renewal batch.LeaseRenewal, incarnation batch.Incarnation) {
+	if renewal.DeadlineMs == 0 || errkind.Is(err, errkind.Unreachable) {
+		return
+	}
+	s.runner.opts.Count("lease_unanswered")
+	s.runner.opts.Logger.Warn().Err(err).Int64("born_ms", incarnation.StartedMs).Int64("deadline_ms", renewal.DeadlineMs).
+		Bool("other_process", errkind.Is(err, errkind.StaleIncarnation)).Msg("lease renewal has no answer of its process; it may be carried out later")
+}
+
 // renewFailed waits before the next attempt and returns the number of consecutive refused
 // connections. From refusalsUntilUnreachable on, the incarnation counts as out of reach.
 func (s *session) renewFailed(ctx context.Context, err error, refusals int, incarnation batch.Incarnation) int {
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -468,7 +468,7 @@
 }
 
 func (s *Scheduler) logRun(event string, t *task, now time.Time) {
-	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason)}
+	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason), StartUncertain: t.startUncertain}
 	if w := s.workers[t.Worker]; w != nil && !w.reportedAt.IsZero() {
 		n.AgeMs = now.Sub(w.reportedAt).Milliseconds()
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -154,6 +154,8 @@
 	Reason string
 	// AgeMs is the age of the worker's latest report at the time of the decision.
 	AgeMs int64
+	// StartUncertain reports that an attempt to start the run had no answer.
+	StartUncertain bool
 	// WaitedMs is how long the step has waited, in milliseconds, if it waits.
 	WaitedMs int64
 	// For is the job for which a run is preempted, and CostCoreSeconds the cost of the
@@ -240,8 +242,8 @@
 	}
 }
 
-// slowClockPercent is by how much a worker's clock may be slow.
-const slowClockPercent = 2
+// SlowClockPercent is by how much a worker's clock may be slow.
+const SlowClockPercent = 2
 
 // leaseExpiryMargin covers the delay of a message that was in flight.
 const leaseExpiryMargin = 300 * time.Millisecond
@@ -413,7 +415,7 @@
 func (w *worker) clockAt(at time.Time) int64 {
 	sinceReport := at.Sub(w.reportedAt)
 	if sinceReport > 0 {
-		sinceReport -= sinceReport * slowClockPercent / 100
+		sinceReport -= sinceReport * SlowClockPercent / 100
 	}
 	return w.clockMs + sinceReport.Milliseconds()
 }
