Send starts only to the process that they are for

The young process carries them out, since the platform's header names only the id, with the longest lease from each start, since any deadline is far in the future of its clock. The owner took its answer for that of the former process and counted the lease from the last report before the restart. When the worker was cut off before the restart was known, the tasks started elsewhere too early. The agent knew: its renewal had failed, and the next one was answered by another process.

After a failed call, or an attempt without an answer, the agent sends a start only once the process has responded to a later call; a process that another one has replaced is out of reach for the owner at once. An answer to a start whose clock has gone back, compared with the latest report, is that of another process and counts as none.

Three stand-ins of existing tests stated clocks that went back, or reports of no process; they state the clock of their process now.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -58,6 +59,9 @@
 		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the stream to the owner has ended"}}
 	}
 	defer func() { <-s.startSlots }()
+	if !s.awaitResponse(ctx, o, time.Now().Add(orderTimeout)) {
+		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process does not respond"}}
+	}
 	limited := withinStartBy(o)
 	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
 		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, limited)
@@ -78,20 +82,48 @@
 	return o
 }
 
+// awaitResponse waits until the process that a start is for has responded since the latest failed
+// call to it: another one with the same id would carry the start out. It returns false if it has
+// not by the given time, if another one has, or if the start has expired.
+func (s *session) awaitResponse(ctx context.Context, o batch.Order, until time.Time) bool {
+	for !s.runner.hasResponded(o.Incarnation) {
+		if ctx.Err() != nil || !time.Now().Before(until) || s.expired(o) {
+			return false
+		}
+		_, err := s.requestReport(ctx, s.runner.currentAnnouncement().Address, o.Incarnation)
+		if errkind.Is(err, errkind.StaleIncarnation) {
+			s.runner.noteOtherProcess(o.Incarnation)
+			return false
+		}
+		if err != nil {
+			sleep(ctx, orderRetryDelay)
+		}
+	}
+	return true
+}
+
+// requestReport returns a report of an incarnation that is made at once, without a lease.
+func (s *session) requestReport(ctx context.Context, address string, incarnation batch.Incarnation) (batch.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+	defer cancel()
+	sentAt := s.runner.opts.Clock()
+	report, err := s.runner.opts.Tasks.Renew(ctx, address, batchapi.RenewRequest{Epoch: s.epoch, Incarnation: incarnation})
+	if err == nil {
+		s.runner.noteResponse(incarnation, sentAt)
+		s.runner.noteWorkerClock(report)
+	}
+	return report, err
+}
+
 // lookForRun asks for a report after a start without an answer. If the report lists the
 // run, the start counts as carried out; if a complete report does not, the result has the
 // time of the report.
 func (s *session) lookForRun(ctx context.Context, announced batchapi.Announcement, o batch.Order, result *batchapi.OrderResult) {
-	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
-	defer cancel()
-	report, err := s.runner.opts.Tasks.Renew(ctx, announced.Address, batchapi.RenewRequest{
-		Epoch: s.epoch, Incarnation: announced.Incarnation,
-	})
+	report, err := s.requestReport(ctx, announced.Address, announced.Incarnation)
 	if err != nil {
 		result.ClockMs = 0
 		return
 	}
-	s.runner.noteWorkerClock(report)
 	s.send(rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
 	switch {
@@ -133,7 +165,8 @@
 }
 
 // sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
-// order has expired. Repeating is safe because orders are idempotent.
+// order has expired. Repeating is safe because orders are idempotent. A start is repeated once
+// the process has responded to another call.
 func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context) batchapi.OrderResult) orderOutcome {
 	var outcome orderOutcome
 	for start := time.Now(); ; {
@@ -157,16 +190,25 @@
 		if time.Since(start) >= orderTimeout {
 			return outcome
 		}
+		if o.Kind == batch.OrderStart {
+			s.runner.noteCallFailed(o.Incarnation)
+			if !s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
+				return outcome
+			}
+		}
 	}
 }
 
-// noteOtherProcess counts an order that another process has carried out: the platform tells
-// processes with the same id apart only in reports.
+// noteOtherProcess takes the answer of another process for none: the platform tells processes with
+// the same id apart only in reports.
 func (s *session) noteOtherProcess(o batch.Order, sentAt time.Duration, outcome *orderOutcome) {
-	outcome.otherProcess = outcome.Kind == batch.AnswerOK && s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs)
-	if outcome.otherProcess {
-		s.runner.opts.Count("order_taken_by_successor")
+	if outcome.Kind != batch.AnswerOK || !s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs) {
+		return
 	}
+	s.runner.opts.Count("order_taken_by_successor")
+	s.runner.noteCallFailed(o.Incarnation)
+	outcome.otherProcess = true
+	outcome.OrderResult = batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "another process answered"}
 }
 
 // expired reports whether a start must not be sent any more. It may have been delayed on the
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -61,6 +61,9 @@
 	session *session
 	// clock is the latest reading of the worker's clock.
 	clock clockReading
+	// failure is the latest failed call, until the process that it was for has responded to a
+	// later one.
+	failure callFailure
 	// publishWakeup wakes Publish, and verifyWakeup wakes Verify.
 	publishWakeup, verifyWakeup chan struct{}
 	// replacing is held while the current incarnation is compared with its successor.
@@ -352,6 +355,49 @@
 // clockResolutionMs bounds the rounding of two readings in whole milliseconds.
 const clockResolutionMs = 2
 
+// callFailure is a call to an incarnation that has failed, or that another process has answered.
+type callFailure struct {
+	incarnation batch.Incarnation
+	// at is when it failed, on the boot-time clock of this machine.
+	at time.Duration
+}
+
+// noteCallFailed records that an incarnation may not run any more: another process may respond
+// at its address under the same id.
+func (r *Runner) noteCallFailed(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failure = callFailure{incarnation, r.opts.Clock()}
+}
+
+// noteResponse records that an incarnation has responded to a call that was sent at the given
+// time of the boot-time clock.
+func (r *Runner) noteResponse(incarnation batch.Incarnation, sentAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failure.incarnation == incarnation && sentAt >= r.failure.at {
+		r.failure = callFailure{}
+	}
+}
+
+// hasResponded reports whether an incarnation has responded since the latest failed call to it.
+func (r *Runner) hasResponded(incarnation batch.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failure.incarnation != incarnation
+}
+
+// noteOtherProcess records that another process than an incarnation of the upstream process
+// responds at its address. Its announcement follows.
+func (r *Runner) noteOtherProcess(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if info := &r.announcement.Info; r.announcement.Incarnation == incarnation && !info.Unreachable {
+		info.Unreachable = true
+		r.publishRefusals("upstream_replaced", "upstream process is out of reach: another process responds at its address", 0)
+	}
+}
+
 func (r *Runner) currentAnnouncement() batchapi.Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -116,10 +116,19 @@
 	orders []batch.Order
 	// lists makes reports list the run that was ordered, moreEnds makes them incomplete.
 	lists, moreEnds bool
+	// clock is the clock of the process; without one it stands still.
+	clock func() int64
 }
 
-func (l *lossyTasks) Renew(context.Context, string, batchapi.RenewRequest) (batch.Report, error) {
-	report := batch.Report{ClockMs: 9, MoreEnds: l.moreEnds}
+func (l *lossyTasks) clockMs() int64 {
+	if l.clock == nil {
+		return 9
+	}
+	return l.clock()
+}
+
+func (l *lossyTasks) Renew(_ context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+	report := batch.Report{Incarnation: r.Incarnation, ClockMs: l.clockMs(), MoreEnds: l.moreEnds}
 	if l.lists {
 		report.Running = []batch.RunningTask{{Run: l.orders[0].Run}}
 	}
@@ -134,7 +143,7 @@
 		}
 		return batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "no answer"}
 	}
-	return batchapi.OrderResult{Kind: l.answer, ClockMs: 7}
+	return batchapi.OrderResult{Kind: l.answer, ClockMs: l.clockMs()}
 }
 
 func (l *lossyTasks) Stop(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) batchapi.OrderResult {
@@ -240,8 +249,10 @@
 		r := newRunner(&rowWriter{}, func(event string) { events[event]++ })
 		r.opts.Tasks = tasks
 		announce(r, announcement(5, 1, false))
+		begin := time.Now()
+		tasks.clock = func() int64 { return 1000 + time.Since(begin).Milliseconds() }
 		r.noteWorkerClock(batch.Report{Incarnation: incarnation, ClockMs: 1000})
-		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 2), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+		s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 4), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
 		order := batch.Order{Kind: kind, Incarnation: incarnation, Run: batch.Run{Number: 1}, StartByMs: 2500}
 		if kind == batch.OrderStop {
 			order.StartByMs = 0
@@ -310,7 +321,7 @@
 }
 
 func (h *hangingTasks) Stop(context.Context, string, ident.Epoch, batch.Order) batchapi.OrderResult {
-	return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: 7}
+	return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: 1000 + time.Since(h.begin).Milliseconds()}
 }
 
 // Guards against many starts at once that use up the connections of the agent, delay stops,
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -174,6 +174,7 @@
 			wait = min(wait, unleasedWait)
 		}
 		renewCtx, cancel := context.WithTimeout(ctx, wait+margin)
+		sentAt := s.runner.opts.Clock()
 		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
 			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
 		})
@@ -184,6 +185,7 @@
 			if timedOut {
 				margin = min(2*margin, maxRenewTimeoutMargin)
 			}
+			s.runner.noteCallFailed(announced.Incarnation)
 			s.noteLostLease(err, renewal, announced.Incarnation)
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
@@ -197,6 +199,7 @@
 		if report.MoreEnds {
 			s.runner.opts.Count("report_more_ends")
 		}
+		s.runner.noteResponse(announced.Incarnation, sentAt)
 		s.runner.markReachable(announced.Incarnation)
 		s.runner.noteWorkerClock(report)
 		before := s.renewalCount()
@@ -238,6 +241,9 @@
 	if refusals < refusalsUntilUnreachable {
 		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
 	}
+	if errkind.Is(err, errkind.StaleIncarnation) {
+		s.runner.noteOtherProcess(incarnation)
+	}
 	if !errkind.Is(err, errkind.Unreachable) {
 		sleep(ctx, renewRetryDelay)
 		return 0
