Wait for the lease of a start that may be carried out late

The owner gave the run up one lease after the worker's last report, which is from before.

A run whose start has an attempt without an answer now keeps its task until the attempt can't be carried out any more (4 s after the owner's view was current, for which the agent may send it, and 12 s, the longest delay that the platform's list of troubles names), and for the longest lease after that.

The lease ends in the owner's row stay as they were: a worker with such a run is not in them.

Price: a task whose start had no answer when its worker fell silent waits for up to 22.5 s instead of 6.5 s (lease 6 s).

--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -163,6 +163,7 @@
 	w.extendLeaseBound(s.timing.MaxLease)
 	t.startedAt, t.progressedAt, t.sentAt = now, now, now
 	t.startUncertain = true
+	t.lateUntil = viewedAt.Add(maxSendAge + MaxCallDelay)
 	return o, true
 }
 
--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -174,6 +174,13 @@
 	return b
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // fitLeaseEnds returns those that fit into the given number of bytes, the earliest ends first.
 func fitLeaseEnds(added []silentWorker, room int) []silentWorker {
 	total, smallest := 0, room+1
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -358,7 +358,7 @@
 	t.confirmed, t.recovered, t.startUncertain, t.listed = false, false, false, false
 	t.confirmedMs, t.percent = 0, 0
 	t.overTargetSince, t.firstPercentAt, t.unansweredSince = time.Time{}, time.Time{}, time.Time{}
-	t.sentAt = time.Time{}
+	t.sentAt, t.lateUntil = time.Time{}, time.Time{}
 	t.firstPercent = 0
 	t.stop = stopState{}
 }
@@ -406,6 +406,7 @@
 	switch kind {
 	case AnswerOK, AnswerOKRepeated:
 		t.startUncertain = kind == AnswerOKRepeated
+		t.lateUntil = earliest(t.lateUntil, now.Add(MaxCallDelay))
 		t.unansweredSince = time.Time{}
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -27,6 +27,10 @@
 	startUncertain bool
 	// sentAt is when the start was released to be sent, or zero.
 	sentAt time.Time
+	// lateUntil is until when an attempt without an answer may be carried out.
+	lateUntil time.Time
+	// grace is that of the lease of a start that was carried out late.
+	grace gracePeriod
 	// unansweredSince is when all attempts to start the run had remained without an
 	// answer, or zero. The run may be in progress.
 	unansweredSince time.Time
@@ -145,6 +149,15 @@
 // cancellation, also on the slowest clock.
 const MaxStartAge = 2500 * time.Millisecond
 
+// MaxCallDelay is how long after it was sent a call without an answer may be carried out, also by
+// a process that was restarted under the same id meanwhile. The clock of that process begins
+// anew, so that any deadline of the call gives it the longest lease.
+const MaxCallDelay = 12 * time.Second
+
+// maxSendAge is how long after the owner's view was current an agent may send a start: it has read
+// the worker's clock, with a delay, and compares it with Order.StartByMs.
+const maxSendAge = MaxStartAge + 1500*time.Millisecond
+
 // LogEvent describes a scheduling decision or a change of the assumed state, for
 // the log.
 type LogEvent struct {
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -53,23 +53,40 @@
 // expireLeases ends the runs of a worker once every lease that may have been
 // granted has expired.
 func (s *Scheduler) expireLeases(w *worker, now time.Time) {
-	if now.Before(w.leaseBound) || s.inGrace(w, now) {
+	if now.Before(w.leaseBound) || s.inGrace(&w.grace, w.leaseBound, now) {
 		return
 	}
 	for _, t := range w.active {
+		if s.mayHoldLateLease(t, now) {
+			continue
+		}
 		s.handling = t.id.Job
 		s.conclude(t, EvidenceLeaseExpired, now)
 	}
 }
 
+// mayHoldLateLease reports whether a process restarted under the worker's id may have carried
+// the start out late, and hold a lease since then that has not expired.
+func (s *Scheduler) mayHoldLateLease(t *task, now time.Time) bool {
+	if !t.startUncertain {
+		return false
+	}
+	bound := t.lateUntil.Add(leaseExpiry(s.timing.MaxLease))
+	return now.Before(bound) || s.inGrace(&t.grace, bound, now)
+}
+
+// gracePeriod is until when runs are kept after their lease has expired at a time, because
+// reports may have arrived during a pause of the owner.
+type gracePeriod struct{ expired, until time.Time }
+
 // inGrace reports whether a worker whose lease has expired may have reported during a
 // pause that has just ended. A lease gets one grace period, so that an owner whose calls
 // are always late still notices dead workers.
-func (s *Scheduler) inGrace(w *worker, now time.Time) bool {
-	if now.Sub(s.resumedAt) < resumeGrace && !w.graceFor.Equal(w.leaseBound) {
-		w.graceFor, w.graceUntil = w.leaseBound, now.Add(resumeGrace)
+func (s *Scheduler) inGrace(grace *gracePeriod, expired, now time.Time) bool {
+	if now.Sub(s.resumedAt) < resumeGrace && !grace.expired.Equal(expired) {
+		*grace = gracePeriod{expired, now.Add(resumeGrace)}
 	}
-	return w.graceFor.Equal(w.leaseBound) && now.Before(w.graceUntil)
+	return grace.expired.Equal(expired) && now.Before(grace.until)
 }
 
 func (s *Scheduler) checkProgress(w *worker, t *task, now time.Time) {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -98,9 +98,8 @@
 	clockMs    int64
 	// leaseBound is when every lease that may have been granted has expired.
 	leaseBound time.Time
-	// graceUntil is until when runs are kept after leaseBound had the value graceFor,
-	// because reports may have arrived during a pause of the owner.
-	graceFor, graceUntil time.Time
+	// grace is that of leaseBound.
+	grace gracePeriod
 	// processed is the number of the latest end processed; acked is that of the
 	// latest one made durable.
 	processed, acked int64
