Fence off calls without an answer

A call without an answer may be carried out seconds later, also by a process that was restarted under the same id: it knows nothing of what its predecessor had stopped, ended or acknowledged.

A worker ignores calls with a lower fencing token than it has seen. The token was the owner's epoch. It now has the number of the stream, which the owner counts, and the number of calls without an answer below it: after such a call and after the adoption of another process the agent raises it, so that the worker ignores the call once it has taken a later one, in whatever incarnation. An agent that is restarted begins with the next stream. A start that is rejected because another call had no answer meanwhile is repeated.

--- a/control/batche2e/worker_test.go
+++ b/control/batche2e/worker_test.go
@@ -22,7 +22,7 @@
 
 	mu            sync.Mutex
 	startedAt     time.Time
-	fence         ident.Epoch
+	fence         ident.FencingToken
 	deadline      int64
 	running       map[batch.Run]time.Time
 	ended         []batch.EndedTask
@@ -50,7 +50,7 @@
 
 func (u *upstream) clockMs() int64 { return time.Since(u.startedAt).Milliseconds() + 1 }
 
-func (u *upstream) Start(ctx context.Context, _ string, epoch ident.Epoch, o batch.Order) batchapi.OrderResult {
+func (u *upstream) Start(ctx context.Context, _ string, token ident.FencingToken, o batch.Order) batchapi.OrderResult {
 	u.mu.Lock()
 	delayed := u.delayedStarts > 0
 	if delayed {
@@ -58,14 +58,14 @@
 	}
 	u.mu.Unlock()
 	if delayed {
-		time.AfterFunc(u.startDelay, func() { u.start(epoch, o) })
+		time.AfterFunc(u.startDelay, func() { u.start(token, o) })
 		<-ctx.Done()
 		return batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "no answer"}
 	}
-	return u.start(epoch, o)
+	return u.start(token, o)
 }
 
-func (u *upstream) start(epoch ident.Epoch, o batch.Order) batchapi.OrderResult {
+func (u *upstream) start(token ident.FencingToken, o batch.Order) batchapi.OrderResult {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	reject := func(reason string) batchapi.OrderResult {
@@ -73,14 +73,14 @@
 		return batchapi.OrderResult{Kind: batch.AnswerRejected, ClockMs: u.clockMs(), Reason: reason}
 	}
 	switch {
-	case epoch < u.fence:
+	case token < u.fence:
 		return reject("fence")
 	case o.Run.Number <= u.lastEndedRun[o.Run.Task]:
 		return reject("old")
 	case o.DeadlineMs < u.clockMs():
 		return reject("late")
 	}
-	u.fence = epoch
+	u.fence = token
 	u.deadline = max(u.deadline, o.DeadlineMs)
 	if _, running := u.running[o.Run]; running {
 		return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: u.clockMs()}
@@ -95,11 +95,11 @@
 	return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: u.clockMs()}
 }
 
-func (u *upstream) Stop(_ context.Context, _ string, epoch ident.Epoch, o batch.Order) batchapi.OrderResult {
+func (u *upstream) Stop(_ context.Context, _ string, token ident.FencingToken, o batch.Order) batchapi.OrderResult {
 	u.mu.Lock()
-	fenced := epoch < u.fence
+	fenced := token < u.fence
 	if !fenced {
-		u.fence = epoch
+		u.fence = token
 		u.lastEndedRun[o.Run.Task] = max(u.lastEndedRun[o.Run.Task], o.Run.Number)
 	}
 	clock := u.clockMs()
@@ -128,11 +128,11 @@
 
 func (u *upstream) Renew(ctx context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
 	u.mu.Lock()
-	if r.Epoch < u.fence {
+	if r.Token < u.fence {
 		u.mu.Unlock()
 		return batch.Report{}, errkind.New(errkind.StaleEpoch, "fence")
 	}
-	u.fence = r.Epoch
+	u.fence = r.Token
 	u.deadline = max(u.deadline, r.DeadlineMs)
 	u.ended = slices.DeleteFunc(u.ended, func(e batch.EndedTask) bool { return e.Number <= r.Cursor })
 	changed, waiting := u.changed, len(u.ended) == 0
--- a/control/batchowner/agentconn.go
+++ b/control/batchowner/agentconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -33,6 +34,8 @@
 	worker  ident.Worker
 	address string
 	cancel  context.CancelFunc
+	// streams counts the streams to the worker under this owner's epoch.
+	streams *atomic.Uint64
 	// sendQueue belongs to the current stream and is nil without one. Only the
 	// owner's loop accesses this field.
 	sendQueue chan *rpc.FromOwner
@@ -75,7 +78,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Unreachable, err, "attach to agent")
 	}
-	hello := &rpc.Hello{Epoch: uint64(c.loop.epoch), Owner: string(c.loop.candidate.opts.Entry)}
+	hello := &rpc.Hello{Epoch: uint64(c.loop.epoch), Owner: string(c.loop.candidate.opts.Entry), Stream: c.streams.Add(1)}
 	if err := stream.Send(&rpc.FromOwner{Kind: &rpc.FromOwner_Hello{Hello: hello}}); err != nil {
 		return errkind.Wrap(errkind.Unreachable, err, "attach to agent")
 	}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -28,9 +28,11 @@
 	// events holds functions to be called by run.
 	events chan func()
 	conns  map[ident.Worker]*agentConn
-	group  conc.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	// streams counts the streams to each worker.
+	streams map[ident.Worker]*atomic.Uint64
+	group   conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 	// inFlight is the transaction in flight, or nil.
 	inFlight *batch.Commit
 	// unsent holds the starts that wait for their view, in the order of their transactions.
@@ -78,7 +80,7 @@
 	scheduler.ReadClock(writer.reading)
 	return &ownerLoop{
 		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: scheduler,
-		events: make(chan func(), eventQueueSize), conns: make(map[ident.Worker]*agentConn),
+		events: make(chan func(), eventQueueSize), conns: make(map[ident.Worker]*agentConn), streams: make(map[ident.Worker]*atomic.Uint64),
 		limits: newCommitLimits(), shortened: make(map[ident.Job]bool),
 	}
 }
@@ -211,7 +213,10 @@
 		conn.handleClosed(nil)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	conn := &agentConn{loop: l, worker: id, address: w.Address, cancel: cancel}
+	if l.streams[id] == nil {
+		l.streams[id] = new(atomic.Uint64)
+	}
+	conn := &agentConn{loop: l, worker: id, address: w.Address, cancel: cancel, streams: l.streams[id]}
 	l.conns[id] = conn
 	l.group.Go(func() { l.candidate.guard.Loop(ctx, "connection to "+string(id), conn.run) })
 }
--- a/control/runner/attach_test.go
+++ b/control/runner/attach_test.go
@@ -16,7 +16,7 @@
 		conflicts := 0
 		r := newRunner(&rowWriter{}, func(string) { conflicts++ })
 		attach := func(epoch ident.Epoch, owner string) error {
-			return r.attachSession(&session{runner: r, epoch: epoch, owner: owner, cancel: func() {}})
+			return r.attachSession(&session{runner: r, fence: fence{epoch: epoch}, owner: owner, cancel: func() {}})
 		}
 		So(attach(2, "a"), ShouldBeNil)
 		So(errkind.Of(attach(2, "b")), ShouldEqual, errkind.StaleEpoch)
--- /dev/null
+++ b/control/runner/fence.go
@@ -0,0 +1,74 @@
+package runner
+
+import (
+	"sync/atomic"
+
+	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+)
+
+// A fencing token has 53 bits, which JSON numbers hold exactly.
+const (
+	streamBits     = 20
+	unansweredBits = 12
+	maxStream      = 1<<streamBits - 1
+	maxUnanswered  = 1<<unansweredBits - 1
+)
+
+// fence makes the fencing tokens of the calls on one stream. A worker keeps the highest token that
+// it has seen and ignores calls with a lower one. The token rises with each call that had no answer,
+// so that once the worker has taken a later call it ignores that one, also if it was restarted in
+// between; and with each stream, because an agent that is restarted forgets its calls.
+type fence struct {
+	epoch ident.Epoch
+	// stream numbers the streams under the epoch. The owner counts them.
+	stream     uint64
+	unanswered atomic.Uint64
+}
+
+func (f *fence) token() ident.FencingToken {
+	stream := min(f.stream, maxStream)
+	return ident.FencingToken(uint64(f.epoch)<<(streamBits+unansweredBits) | stream<<unansweredBits | f.unanswered.Load())
+}
+
+// raise makes the worker ignore earlier calls once it has taken a later one. It returns false if
+// that needs another stream.
+func (f *fence) raise() bool {
+	for {
+		n := f.unanswered.Load()
+		if n >= maxUnanswered {
+			return false
+		}
+		if f.unanswered.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// raiseFence makes the worker ignore the calls so far that had no answer.
+func (s *session) raiseFence() {
+	if !s.fence.raise() {
+		s.runner.opts.Count("fence_exhausted")
+		s.cancel() // The owner attaches again.
+	}
+}
+
+// mayBeCarriedOut reports whether a call that failed with the given error may be carried out later.
+func mayBeCarriedOut(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Unreachable, errkind.StoreUnavailable, errkind.UpstreamFailed, errkind.StaleEpoch:
+		return false
+	default:
+		return true
+	}
+}
+
+// fencingToken returns the token of calls outside of any stream.
+func (r *Runner) fencingToken() ident.FencingToken {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastFence == nil {
+		return 0
+	}
+	return r.lastFence.token()
+}
--- a/control/runner/lease_test.go
+++ b/control/runner/lease_test.go
@@ -17,7 +17,7 @@
 // unansweredStarts is a machine that does not answer starts.
 type unansweredStarts struct{ *machine }
 
-func (unansweredStarts) Start(context.Context, string, ident.Epoch, batch.Order) batchapi.OrderResult {
+func (unansweredStarts) Start(context.Context, string, ident.FencingToken, batch.Order) batchapi.OrderResult {
 	return batchapi.OrderResult{Kind: batch.AnswerUnknown}
 }
 
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -35,7 +35,7 @@
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
 	case o.Kind == batch.OrderStop:
 		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.epoch, o)
+			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.fence.token(), o)
 		})
 	case announced.Info.Unreachable || announced.Info.Left:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process is out of reach"}
@@ -64,7 +64,7 @@
 	}
 	limited := withinStartBy(o)
 	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.epoch, limited)
+		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.fence.token(), limited)
 	})
 	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs >= o.StartByMs {
 		return s.expire(outcome)
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
 	sentAt := s.runner.opts.Clock()
-	report, err := s.runner.opts.Tasks.Renew(ctx, address, batchapi.RenewRequest{Epoch: s.epoch, Incarnation: incarnation})
+	report, err := s.runner.opts.Tasks.Renew(ctx, address, batchapi.RenewRequest{Token: s.fence.token(), Incarnation: incarnation})
 	if err == nil {
 		s.runner.noteResponse(incarnation, sentAt)
 		s.runner.noteWorkerClock(report)
@@ -174,15 +174,19 @@
 			return s.expire(outcome)
 		}
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
-		sentAt := s.runner.opts.Clock()
+		sentAt, token := s.runner.opts.Clock(), s.fence.token()
 		outcome.OrderResult = send(attemptCtx)
 		s.noteOtherProcess(o, sentAt, &outcome)
 		failedAtOnce := attemptCtx.Err() == nil
 		cancel()
+		if outcome.Fenced && token < s.fence.token() {
+			continue // Another call had no answer meanwhile.
+		}
 		if outcome.Kind != batch.AnswerUnknown || ctx.Err() != nil {
 			return outcome
 		}
 		outcome.unanswered++
+		s.raiseFence()
 		s.runner.opts.Count("order_unanswered")
 		if failedAtOnce {
 			sleep(ctx, orderRetryDelay)
@@ -202,12 +206,15 @@
 // noteOtherProcess takes the answer of another process for none: the platform tells processes with
 // the same id apart only in reports.
 func (s *session) noteOtherProcess(o batch.Order, sentAt time.Duration, outcome *orderOutcome) {
-	if outcome.Kind != batch.AnswerOK || !s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs) {
+	if outcome.Kind == batch.AnswerUnknown || !s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs) {
 		return
 	}
 	s.runner.opts.Count("order_taken_by_successor")
 	s.runner.noteCallFailed(o.Incarnation)
 	outcome.otherProcess = true
+	if outcome.Kind != batch.AnswerOK {
+		return // A rejection has no effect on the run.
+	}
 	outcome.OrderResult = batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "another process answered"}
 }
 
@@ -256,7 +263,7 @@
 	}
 	s.runner.opts.Count("order_" + answerNames[result.Kind])
 	line := s.runner.opts.Logger.Info().Str("job", string(o.Run.Task.Job)).Int("step", o.Run.Task.Step).
-		Int("task", o.Run.Task.Index).Int("run", o.Run.Number).Uint64("epoch", uint64(s.epoch)).
+		Int("task", o.Run.Task.Index).Int("run", o.Run.Number).Uint64("epoch", uint64(s.fence.epoch)).
 		Str("answer", answerNames[result.Kind]).Str("reason", result.Reason).Int64("clock_ms", result.ClockMs).
 		Int64("born_ms", o.Incarnation.StartedMs).Int("unanswered", result.unanswered)
 	if result.otherProcess {
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -54,6 +54,8 @@
 	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
 	epoch ident.Epoch
 	owner string
+	// lastFence is that of the latest stream.
+	lastFence *fence
 	// ownerSought reports that the worker's row was written for an owner to attach, although no
 	// process is known.
 	ownerSought bool
@@ -114,6 +116,9 @@
 	}
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
+	if r.session != nil {
+		r.session.raiseFence() // Calls to the former process may be under way.
+	}
 	notify(r.publishWakeup)
 	r.publishAnnouncement()
 }
@@ -266,7 +271,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	s := &session{
-		runner: r, epoch: ident.Epoch(hello.GetEpoch()), owner: hello.GetOwner(), cancel: cancel,
+		runner: r, fence: fence{epoch: ident.Epoch(hello.GetEpoch()), stream: hello.GetStream()}, owner: hello.GetOwner(), cancel: cancel,
 		outbound: make(chan *rpc.FromRunner, outboundQueueLimit), wakeup: make(chan struct{}, 1),
 		startSlots: make(chan struct{}, maxConcurrentStarts),
 	}
@@ -283,19 +288,23 @@
 func (r *Runner) attachSession(s *session) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.epoch < r.epoch {
-		return errkind.New(errkind.StaleEpoch, "epoch %d is older than the current epoch %d", s.epoch, r.epoch)
+	epoch := s.fence.epoch
+	if epoch < r.epoch {
+		return errkind.New(errkind.StaleEpoch, "epoch %d is older than the current epoch %d", epoch, r.epoch)
 	}
-	if s.epoch == r.epoch && r.owner != "" && s.owner != r.owner {
+	if epoch == r.epoch && r.lastFence != nil && s.fence.stream < r.lastFence.stream {
+		return errkind.New(errkind.StaleEpoch, "stream %d is older than the current stream %d", s.fence.stream, r.lastFence.stream)
+	}
+	if epoch == r.epoch && r.owner != "" && s.owner != r.owner {
 		r.opts.Count("owner_conflict")
-		r.opts.Logger.Error().Uint64("epoch", uint64(s.epoch)).Str("owner", s.owner).Str("current", r.owner).
+		r.opts.Logger.Error().Uint64("epoch", uint64(epoch)).Str("owner", s.owner).Str("current", r.owner).
 			Msg("second owner with the same epoch is refused")
-		return errkind.New(errkind.StaleEpoch, "epoch %d belongs to %s", s.epoch, r.owner)
+		return errkind.New(errkind.StaleEpoch, "epoch %d belongs to %s", epoch, r.owner)
 	}
 	if r.session != nil {
 		r.session.cancel()
 	}
-	r.epoch, r.owner, r.session = s.epoch, s.owner, s
+	r.epoch, r.owner, r.session, r.lastFence = epoch, s.owner, s, &s.fence
 	if r.announcement.Incarnation != (batch.Incarnation{}) {
 		s.sendWorker(r.announcement.Info)
 	}
@@ -308,7 +317,7 @@
 	if r.session == s {
 		r.session = nil
 	}
-	r.opts.Logger.Info().Uint64("epoch", uint64(s.epoch)).Msg("owner detached")
+	r.opts.Logger.Info().Uint64("epoch", uint64(s.fence.epoch)).Msg("owner detached")
 }
 
 // clockReading is a reading of the worker's clock.
@@ -319,11 +328,13 @@
 	at time.Duration
 }
 
-// noteWorkerClock records the worker's clock in a report.
+// noteWorkerClock records the worker's clock in a report of the current incarnation.
 func (r *Runner) noteWorkerClock(report batch.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.clock = clockReading{report.Incarnation, report.ClockMs, r.opts.Clock()}
+	if report.Incarnation == r.announcement.Incarnation {
+		r.clock = clockReading{report.Incarnation, report.ClockMs, r.opts.Clock()}
+	}
 }
 
 // workerClock estimates the clock of an incarnation of the worker. It returns false without a
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -11,7 +11,6 @@
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
-	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -27,7 +26,7 @@
 // session is the stream to one owner.
 type session struct {
 	runner   *Runner
-	epoch    ident.Epoch
+	fence    fence
 	owner    string
 	cancel   context.CancelFunc
 	outbound chan *rpc.FromRunner
@@ -176,7 +175,7 @@
 		renewCtx, cancel := context.WithTimeout(ctx, wait+margin)
 		sentAt := s.runner.opts.Clock()
 		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
-			Epoch: s.epoch, Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
+			Token: s.fence.token(), Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
 		})
 		timedOut := renewCtx.Err() != nil
 		cancel()
@@ -186,6 +185,9 @@
 				margin = min(2*margin, maxRenewTimeoutMargin)
 			}
 			s.runner.noteCallFailed(announced.Incarnation)
+			if mayBeCarriedOut(err) {
+				s.raiseFence()
+			}
 			s.noteLostLease(err, renewal, announced.Incarnation)
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
@@ -239,7 +241,7 @@
 	}
 	s.runner.opts.Count("hold_failed")
 	if refusals < refusalsUntilUnreachable {
-		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.epoch)).Msg("lease renewal failed; the worker sent no report")
+		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.fence.epoch)).Msg("lease renewal failed; the worker sent no report")
 	}
 	if errkind.Is(err, errkind.StaleIncarnation) {
 		s.runner.noteOtherProcess(incarnation)
--- a/control/runner/startby_test.go
+++ b/control/runner/startby_test.go
@@ -32,7 +32,7 @@
 	return batch.Report{Incarnation: r.Incarnation, ClockMs: l.clockMs()}, nil
 }
 
-func (l *lateTasks) Start(ctx context.Context, _ string, _ ident.Epoch, o batch.Order) batchapi.OrderResult {
+func (l *lateTasks) Start(ctx context.Context, _ string, _ ident.FencingToken, o batch.Order) batchapi.OrderResult {
 	answer := make(chan batchapi.OrderResult, 1)
 	l.deadlineMs = append(l.deadlineMs, o.DeadlineMs)
 	time.AfterFunc(l.delay, func() {
--- a/control/runner/successor_test.go
+++ b/control/runner/successor_test.go
@@ -36,7 +36,7 @@
 	return report, err
 }
 
-func (p *process) Start(_ context.Context, _ string, _ ident.Epoch, o batch.Order) batchapi.OrderResult {
+func (p *process) Start(_ context.Context, _ string, _ ident.FencingToken, o batch.Order) batchapi.OrderResult {
 	p.starts = append(p.starts, o)
 	time.Sleep(p.responseTime)
 	return batchapi.OrderResult{Kind: batch.AnswerOK, ClockMs: p.clockMs()}
--- a/control/runner/verify.go
+++ b/control/runner/verify.go
@@ -172,12 +172,9 @@
 // StaleIncarnation means that another one does, and StaleEpoch that a process refuses which may
 // be either.
 func (r *Runner) probe(ctx context.Context, a batchapi.Announcement) error {
-	r.mu.Lock()
-	epoch := r.epoch
-	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
-	report, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Epoch: epoch, Incarnation: a.Incarnation})
+	report, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Token: r.fencingToken(), Incarnation: a.Incarnation})
 	if errkind.Is(err, errkind.StaleEpoch) && report.Incarnation == a.Incarnation {
 		return nil // The refusal names the incarnation.
 	}
--- a/control/runner/verify_test.go
+++ b/control/runner/verify_test.go
@@ -273,7 +273,7 @@
 
 // attachOwner attaches an owner whose messages are queued.
 func attachOwner(r *Runner, epoch ident.Epoch) *session {
-	s := &session{runner: r, epoch: epoch, owner: "e1", cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1)}
+	s := &session{runner: r, fence: fence{epoch: epoch}, owner: "e1", cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1)}
 	So(r.attachSession(s), ShouldBeNil)
 	return s
 }
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -41,6 +41,9 @@
 // Epoch is the fencing token of a partition's ownership. It only increases.
 type Epoch uint64
 
+// FencingToken orders the calls to a worker, which ignores those with a lower one than it has seen.
+type FencingToken uint64
+
 // ConfigVersion numbers accepted configurations. It only increases.
 type ConfigVersion uint64
 
--- a/sched/batchapi/batchapi.go
+++ b/sched/batchapi/batchapi.go
@@ -72,11 +72,14 @@
 	ClockMs int64
 	// Reason is the worker's own reason for a rejection.
 	Reason string
+	// Fenced reports that the worker has rejected the order because it has seen a higher fencing
+	// token.
+	Fenced bool
 }
 
 // RenewRequest renews the lease of a worker and requests its report.
 type RenewRequest struct {
-	Epoch       ident.Epoch
+	Token       ident.FencingToken
 	Incarnation batch.Incarnation
 	// DeadlineMs is the end of the lease on the worker's clock; zero extends
 	// nothing.
@@ -90,14 +93,14 @@
 // Tasks calls the upstream process beside an agent. Each call ends with its
 // context; an order that has no answer by then may still be carried out later.
 type Tasks interface {
-	// Start sends the order to start a run under the given epoch.
-	Start(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) OrderResult
+	// Start sends the order to start a run with the given fencing token.
+	Start(ctx context.Context, address string, token ident.FencingToken, o batch.Order) OrderResult
 	// Stop sends the order to stop a run. If the start has not arrived yet, it is
 	// rejected from then on.
-	Stop(ctx context.Context, address string, epoch ident.Epoch, o batch.Order) OrderResult
+	Stop(ctx context.Context, address string, token ident.FencingToken, o batch.Order) OrderResult
 	// Renew renews the lease and returns the worker's report. An error of kind Unreachable means
 	// that no process listens at the address, StaleIncarnation that another incarnation responds.
-	// With StaleEpoch, the worker has seen a newer epoch; if it says which incarnation it is, the
-	// report names that.
+	// With StaleEpoch, the worker has seen a higher fencing token; if it says which incarnation it
+	// is, the report names that.
 	Renew(ctx context.Context, address string, r RenewRequest) (batch.Report, error)
 }
