Renew leases in calls of their own

A lease and the cursor of acknowledged ends rode on the call that waits for up to 1.5 s for a task to end.

A renewal is a call that is answered at once; the call that waits carries nothing. It is sent once for each renewal that acknowledges an end or extends the lease by 0.5 s, and repeated after a failure as before, once a report has shown that the process still runs.

TestWaitingCallsCarryNoRenewal fails without the change.

--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -138,6 +138,8 @@
 	// refusalsUntilLeft is the same for a process that has deregistered, after which it counts
 	// as ended.
 	refusalsUntilLeft = 5
+	// minExtension is the least time by which a call extends a lease, if it acknowledges no end.
+	minExtension = 500 * time.Millisecond
 	// unleasedWait replaces renewWait in calls that carry no lease, so that one that is granted
 	// meanwhile follows soon.
 	unleasedWait = 200 * time.Millisecond
@@ -151,59 +153,49 @@
 )
 
 // renewLoop renews the lease as the owner granted it and sends the reports to
-// the owner. The first renewal does not wait for a task to end, because a new
+// the owner. The first call does not wait for a task to end, because a new
 // owner starts nothing before it has a report. The one after a failure does not
 // wait either, because the lost report may have listed an ended task.
+//
+// A renewal has a call of its own, which is answered at once: a call that waits for a task to end
+// would carry the lease and the cursor to the next process with the same id if it was carried out
+// late, and take long to be found lost.
 func (s *session) renewLoop(ctx context.Context) {
 	wait, refusals, margin := time.Duration(0), 0, renewTimeoutMargin
 	// failed reports that the latest call failed. Another process may respond since then, under
 	// the same id, and must not take over the lease and the cursor of its predecessor.
 	failed := false
+	var applied batch.LeaseRenewal
 	for ctx.Err() == nil {
 		announced := s.runner.currentAnnouncement()
 		if announced.Incarnation == (batch.Incarnation{}) {
 			s.waitForWakeup(ctx, renewWait)
 			continue
 		}
-		renewal := s.renewalFor(announced.Incarnation)
-		if failed {
-			renewal = batch.LeaseRenewal{}
+		granted := s.renewalFor(announced.Incarnation)
+		request := batchapi.RenewRequest{Incarnation: announced.Incarnation, Wait: wait}
+		if granted.DeadlineMs == 0 {
+			request.Wait = min(wait, unleasedWait)
 		}
-		if renewal.DeadlineMs == 0 {
-			wait = min(wait, unleasedWait)
+		renews := !failed && extends(granted, applied)
+		if renews {
+			request.DeadlineMs, request.Cursor, request.Wait = granted.DeadlineMs, granted.Cursor, 0
 		}
-		renewCtx, cancel := context.WithTimeout(ctx, wait+margin)
-		sentAt := s.runner.opts.Clock()
-		report, err := s.runner.opts.Tasks.Renew(renewCtx, announced.Address, batchapi.RenewRequest{
-			Token: s.fence.token(), Incarnation: announced.Incarnation, DeadlineMs: renewal.DeadlineMs, Cursor: renewal.Cursor, Wait: wait,
-		})
-		timedOut := renewCtx.Err() != nil
-		cancel()
+		report, timedOut, err := s.renew(ctx, announced, request, margin)
 		if failed = err != nil; failed {
 			wait = 0
 			if timedOut {
 				margin = min(2*margin, maxRenewTimeoutMargin)
 			}
-			s.runner.noteCallFailed(announced.Incarnation)
-			if mayBeCarriedOut(err) {
-				s.raiseFence()
-			}
-			s.noteLostLease(err, renewal, announced.Incarnation)
 			refusals = s.renewFailed(ctx, err, refusals, announced.Incarnation)
 			continue
 		}
-		refusals = 0
-		wait, margin = renewWait, max(margin/2, renewTimeoutMargin)
-		if report.Unreadable > 0 {
-			s.runner.opts.Count("report_entry_unreadable")
-			s.runner.opts.Logger.Warn().Int("entries", report.Unreadable).Msg("entries of the worker's report could not be decoded; they are ignored")
-		}
-		if report.MoreEnds {
-			s.runner.opts.Count("report_more_ends")
+		refusals, margin = 0, max(margin/2, renewTimeoutMargin)
+		if renews {
+			applied = granted
+			continue
 		}
-		s.runner.noteResponse(announced.Incarnation, sentAt)
-		s.runner.markReachable(announced.Incarnation)
-		s.runner.noteWorkerClock(report)
+		wait = renewWait
 		before := s.renewalCount()
 		s.send(rpc.ReportMessage(report))
 		s.awaitRenewal(ctx, before)
@@ -211,6 +203,40 @@
 	}
 }
 
+// renew makes one call to the upstream process and records its outcome.
+func (s *session) renew(ctx context.Context, announced batchapi.Announcement, request batchapi.RenewRequest, margin time.Duration) (report batch.Report, timedOut bool, err error) {
+	renewCtx, cancel := context.WithTimeout(ctx, request.Wait+margin)
+	defer cancel()
+	sentAt := s.runner.opts.Clock()
+	request.Token = s.fence.token()
+	report, err = s.runner.opts.Tasks.Renew(renewCtx, announced.Address, request)
+	if err != nil {
+		s.runner.noteCallFailed(announced.Incarnation)
+		if mayBeCarriedOut(err) {
+			s.raiseFence()
+		}
+		s.noteLostLease(err, request)
+		return report, renewCtx.Err() != nil, err
+	}
+	if report.Unreadable > 0 {
+		s.runner.opts.Count("report_entry_unreadable")
+		s.runner.opts.Logger.Warn().Int("entries", report.Unreadable).Msg("entries of the worker's report could not be decoded; they are ignored")
+	}
+	if report.MoreEnds {
+		s.runner.opts.Count("report_more_ends")
+	}
+	s.runner.noteResponse(announced.Incarnation, sentAt)
+	s.runner.markReachable(announced.Incarnation)
+	s.runner.noteWorkerClock(report)
+	return report, false, nil
+}
+
+// extends reports whether a renewal is worth a call after another one.
+func extends(granted, applied batch.LeaseRenewal) bool {
+	return granted.DeadlineMs > 0 && (granted.Incarnation != applied.Incarnation || granted.Cursor > applied.Cursor ||
+		granted.DeadlineMs >= applied.DeadlineMs+minExtension.Milliseconds())
+}
+
 // renewalFor returns the renewal that the owner granted to an incarnation, or a
 // zero one.
 func (s *session) renewalFor(incarnation batch.Incarnation) batch.LeaseRenewal {
@@ -224,12 +250,12 @@
 
 // noteLostLease reports that a call with a lease has failed. It may be carried out later, by the
 // next process with the same id too, unless nobody listened.
-func (s *session) noteLostLease(err error, renewal batch.LeaseRenewal, incarnation batch.Incarnation) {
-	if renewal.DeadlineMs == 0 || errkind.Is(err, errkind.Unreachable) {
+func (s *session) noteLostLease(err error, request batchapi.RenewRequest) {
+	if request.DeadlineMs == 0 || errkind.Is(err, errkind.Unreachable) {
 		return
 	}
 	s.runner.opts.Count("lease_unanswered")
-	s.runner.opts.Logger.Warn().Err(err).Int64("born_ms", incarnation.StartedMs).Int64("deadline_ms", renewal.DeadlineMs).
+	s.runner.opts.Logger.Warn().Err(err).Int64("born_ms", request.Incarnation.StartedMs).Int64("deadline_ms", request.DeadlineMs).
 		Bool("other_process", errkind.Is(err, errkind.StaleIncarnation)).Msg("lease renewal has no answer of its process; it may be carried out later")
 }
 
--- a/control/runner/session_test.go
+++ b/control/runner/session_test.go
@@ -122,3 +122,40 @@
 		})
 	}
 }
+
+// Guards against a lease or a cursor that the next process with the same id gets, because a call
+// that waits for a task to end carries it for seconds.
+func TestWaitingCallsCarryNoRenewal(t *testing.T) {
+	const lease = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A renewal has a call of its own, which is sent once and does not wait", t, func() {
+			m := newMachine()
+			r := newRunner(&rowWriter{}, func(string) {})
+			r.opts.Tasks = &process{machine: m, bornAt: time.Now(), percent: 100, holdsOpen: true}
+			incarnation := m.set("a", 5)
+			announce(r, processAt("a", 5, 1))
+			s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1)}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { s.renewLoop(ctx); close(done) }()
+			const reports = 5
+			for n := range int64(reports) {
+				report := rpc.ReportOf((<-s.outbound).GetReport())
+				grant := batch.LeaseRenewal{Incarnation: incarnation, DeadlineMs: report.ClockMs + lease.Milliseconds(), Cursor: n}
+				s.handle(ctx, &rpc.FromOwner{Kind: rpc.RenewalMessage(grant).Kind}, nil)
+			}
+			time.Sleep(renewWait / 2)
+			cancel()
+			<-done
+			renewals := 0
+			for _, call := range m.requests() {
+				if call.DeadlineMs == 0 && call.Cursor == 0 {
+					continue
+				}
+				renewals++
+				So(call.Wait, ShouldEqual, 0)
+			}
+			So(renewals, ShouldEqual, reports)
+		})
+	})
+}
--- a/control/runner/successor_test.go
+++ b/control/runner/successor_test.go
@@ -22,8 +22,10 @@
 	// bornAt is when the process started, and percent the rate of its clock.
 	bornAt  time.Time
 	percent int64
-	// responseTime is how long it takes to respond.
+	// responseTime is how long it takes to respond. If holdsOpen is set, calls that may wait for
+	// an end do so.
 	responseTime time.Duration
+	holdsOpen    bool
 	starts       []batch.Order
 }
 
@@ -31,6 +33,9 @@
 
 func (p *process) Renew(ctx context.Context, address string, r batchapi.RenewRequest) (batch.Report, error) {
 	time.Sleep(p.responseTime)
+	if p.holdsOpen {
+		sleep(ctx, r.Wait)
+	}
 	report, err := p.machine.Renew(ctx, address, r)
 	report.ClockMs = p.clockMs()
 	return report, err
