Repeat a start without asking for a report, unless something has failed

Since starts go only to the process that they are for, an attempt without an answer was followed by a call for a report.

A start is repeated at once as before; only after a failed renewal, or an answer of another process, the process has to respond first. The owner counts the attempts without an answer anyway, and the fencing token ends them.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -165,8 +165,7 @@
 }
 
 // sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
-// order has expired. Repeating is safe because orders are idempotent. A start is repeated once
-// the process has responded to another call.
+// order has expired. Repeating is safe because orders are idempotent.
 func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context) batchapi.OrderResult) orderOutcome {
 	var outcome orderOutcome
 	for start := time.Now(); ; {
@@ -194,11 +193,8 @@
 		if time.Since(start) >= orderTimeout {
 			return outcome
 		}
-		if o.Kind == batch.OrderStart {
-			s.runner.noteCallFailed(o.Incarnation)
-			if !s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
-				return outcome
-			}
+		if o.Kind == batch.OrderStart && !s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
+			return outcome
 		}
 	}
 }
