--- a/control/runner/fence.go
+++ b/control/runner/fence.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// follow lets the tokens go on where those of the stream before ended, if they have the same number
+// in the token.
+func (f *fence) follow(last *fence) {
+	if min(f.stream, maxStream) == min(last.stream, maxStream) {
+		f.unanswered.Store(last.unanswered.Load())
+		f.raise()
+	}
+}
+
 // raiseFence makes the worker ignore the calls so far that had no answer.
 func (s *session) raiseFence() {
 	if !s.fence.raise() {
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -84,15 +84,15 @@
 
 // awaitResponse waits until the process that a start is for has responded since the latest failed
 // call to it: another one with the same id would carry the start out. It returns false if it has
-// not by the given time, if another one has, or if the start has expired.
+// not by the given time, if another one has, or if the start has expired. A stop does not wait.
 func (s *session) awaitResponse(ctx context.Context, o batch.Order, until time.Time) bool {
-	for !s.runner.hasResponded(o.Incarnation) {
+	for o.Kind == batch.OrderStart && !s.runner.hasResponded(o.Incarnation) {
 		if ctx.Err() != nil || !time.Now().Before(until) || s.expired(o) {
 			return false
 		}
 		_, err := s.requestReport(ctx, s.runner.currentAnnouncement().Address, o.Incarnation)
 		if errkind.Is(err, errkind.StaleIncarnation) {
-			s.runner.noteOtherProcess(o.Incarnation)
+			s.runner.markReplaced(o.Incarnation)
 			return false
 		}
 		if err != nil {
@@ -175,10 +175,10 @@
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 		sentAt, token := s.runner.opts.Clock(), s.fence.token()
 		outcome.OrderResult = send(attemptCtx)
-		s.noteOtherProcess(o, sentAt, &outcome)
+		s.rejectOtherAnswer(o, sentAt, &outcome)
 		failedAtOnce := attemptCtx.Err() == nil
 		cancel()
-		if outcome.Fenced && token < s.fence.token() {
+		if outcome.Fenced && token < s.fence.token() && s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
 			continue // Another call had no answer meanwhile.
 		}
 		if outcome.Kind != batch.AnswerUnknown || ctx.Err() != nil {
@@ -193,15 +193,15 @@
 		if time.Since(start) >= orderTimeout {
 			return outcome
 		}
-		if o.Kind == batch.OrderStart && !s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
+		if !s.awaitResponse(ctx, o, start.Add(orderTimeout)) {
 			return outcome
 		}
 	}
 }
 
-// noteOtherProcess takes the answer of another process for none: the platform tells processes with
+// rejectOtherAnswer takes the answer of another process for none: the platform tells processes with
 // the same id apart only in reports.
-func (s *session) noteOtherProcess(o batch.Order, sentAt time.Duration, outcome *orderOutcome) {
+func (s *session) rejectOtherAnswer(o batch.Order, sentAt time.Duration, outcome *orderOutcome) {
 	if outcome.Kind == batch.AnswerUnknown || !s.runner.clockWentBack(o.Incarnation, sentAt, outcome.ClockMs) {
 		return
 	}
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -166,18 +166,18 @@
 	}
 	if !info.Unreachable {
 		info.Unreachable = true
-		r.publishRefusals("upstream_unreachable", "upstream process is out of reach: its address refuses connections", refusals)
+		r.publishUnreachable("upstream_unreachable", "upstream process is out of reach: its address refuses connections", refusals)
 	}
 	if r.leaving && !info.Left && refusals >= refusalsUntilLeft {
 		info.Left = true
-		r.publishRefusals("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
+		r.publishUnreachable("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
 	}
 	return !r.leaving || info.Left
 }
 
-// publishRefusals counts and logs what refused connections mean, and tells the owner. The
-// caller holds r.mu.
-func (r *Runner) publishRefusals(event, message string, refusals int) {
+// publishUnreachable counts and logs why the current process is out of reach, and tells the owner.
+// The caller holds r.mu.
+func (r *Runner) publishUnreachable(event, message string, refusals int) {
 	info := &r.announcement.Info
 	r.opts.Count(event)
 	r.opts.Logger.Warn().Str("upstream", string(info.Incarnation.Upstream)).Int64("born_ms", info.Incarnation.StartedMs).
@@ -283,8 +283,8 @@
 	return s.serve(ctx, stream)
 }
 
-// attachSession replaces the current session. It refuses an owner with an older epoch, which
-// serves as the fencing token, and a second owner with the same one.
+// attachSession replaces the current session. It refuses an owner with an older epoch, a second
+// owner with the same one, and an older stream of the owner.
 func (r *Runner) attachSession(s *session) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,6 +301,9 @@
 			Msg("second owner with the same epoch is refused")
 		return errkind.New(errkind.StaleEpoch, "epoch %d belongs to %s", epoch, r.owner)
 	}
+	if epoch == r.epoch && r.lastFence != nil {
+		s.fence.follow(r.lastFence)
+	}
 	if r.session != nil {
 		r.session.cancel()
 	}
@@ -332,7 +335,8 @@
 func (r *Runner) noteWorkerClock(report batch.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if report.Incarnation == r.announcement.Incarnation {
+	late := report.Incarnation == r.clock.incarnation && report.ClockMs < r.clock.ms
+	if report.Incarnation == r.announcement.Incarnation && !late {
 		r.clock = clockReading{report.Incarnation, report.ClockMs, r.opts.Clock()}
 	}
 }
@@ -398,14 +402,14 @@
 	return r.failure.incarnation != incarnation
 }
 
-// noteOtherProcess records that another process than an incarnation of the upstream process
-// responds at its address. Its announcement follows.
-func (r *Runner) noteOtherProcess(incarnation batch.Incarnation) {
+// markReplaced records that another process than an incarnation of the upstream process responds
+// at its address. Its announcement follows.
+func (r *Runner) markReplaced(incarnation batch.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if info := &r.announcement.Info; r.announcement.Incarnation == incarnation && !info.Unreachable {
 		info.Unreachable = true
-		r.publishRefusals("upstream_replaced", "upstream process is out of reach: another process responds at its address", 0)
+		r.publishUnreachable("upstream_replaced", "upstream process is out of reach: another process responds at its address", 0)
 	}
 }
 
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -177,7 +177,7 @@
 		if granted.DeadlineMs == 0 {
 			request.Wait = min(wait, unleasedWait)
 		}
-		renews := !failed && extends(granted, applied)
+		renews := !failed && s.mayRenew(granted) && extends(granted, applied)
 		if renews {
 			request.DeadlineMs, request.Cursor, request.Wait = granted.DeadlineMs, granted.Cursor, 0
 		}
@@ -207,9 +207,13 @@
 func (s *session) renew(ctx context.Context, announced batchapi.Announcement, request batchapi.RenewRequest, margin time.Duration) (report batch.Report, timedOut bool, err error) {
 	renewCtx, cancel := context.WithTimeout(ctx, request.Wait+margin)
 	defer cancel()
-	sentAt := s.runner.opts.Clock()
-	request.Token = s.fence.token()
-	report, err = s.runner.opts.Tasks.Renew(renewCtx, announced.Address, request)
+	var sentAt time.Duration
+	for again := true; again; {
+		sentAt, request.Token = s.runner.opts.Clock(), s.fence.token()
+		report, err = s.runner.opts.Tasks.Renew(renewCtx, announced.Address, request)
+		// Another call had no answer meanwhile, so that this one was refused.
+		again = errkind.Is(err, errkind.StaleEpoch) && request.Token < s.fence.token()
+	}
 	if err != nil {
 		s.runner.noteCallFailed(announced.Incarnation)
 		if mayBeCarriedOut(err) {
@@ -231,6 +235,23 @@
 	return report, false, nil
 }
 
+// mayRenew reports whether a lease may be sent to the process that it is for: it has responded since
+// the latest failed call, and the lease is recent.
+func (s *session) mayRenew(granted batch.LeaseRenewal) bool {
+	if clock, ok := s.runner.workerClock(granted.Incarnation); ok && clock >= sendBy(granted) {
+		return false
+	}
+	return s.runner.hasResponded(granted.Incarnation)
+}
+
+// sendBy returns the time on the worker's clock from which on a lease must not be sent.
+func sendBy(granted batch.LeaseRenewal) int64 {
+	if granted.SendByMs == 0 {
+		return granted.DeadlineMs
+	}
+	return min(granted.SendByMs, granted.DeadlineMs)
+}
+
 // extends reports whether a renewal is worth a call after another one.
 func extends(granted, applied batch.LeaseRenewal) bool {
 	return granted.DeadlineMs > 0 && (granted.Incarnation != applied.Incarnation || granted.Cursor > applied.Cursor ||
@@ -270,7 +291,7 @@
 		s.runner.opts.Logger.Warn().Err(err).Uint64("epoch", uint64(s.fence.epoch)).Msg("lease renewal failed; the worker sent no report")
 	}
 	if errkind.Is(err, errkind.StaleIncarnation) {
-		s.runner.noteOtherProcess(incarnation)
+		s.runner.markReplaced(incarnation)
 	}
 	if !errkind.Is(err, errkind.Unreachable) {
 		sleep(ctx, renewRetryDelay)
--- a/control/runner/successor_test.go
+++ b/control/runner/successor_test.go
@@ -19,9 +19,11 @@
 // are for.
 type process struct {
 	*machine
-	// bornAt is when the process started, and percent the rate of its clock.
-	bornAt  time.Time
-	percent int64
+	// bornAt is when the process started.
+	bornAt time.Time
+	// percent is the rate of its clock since slowSince.
+	slowSince time.Time
+	percent   int64
 	// responseTime is how long it takes to respond. If holdsOpen is set, calls that may wait for
 	// an end do so.
 	responseTime time.Duration
@@ -29,7 +31,12 @@
 	starts       []batch.Order
 }
 
-func (p *process) clockMs() int64 { return time.Since(p.bornAt).Milliseconds() * p.percent / 100 }
+func (p *process) clockMs() int64 {
+	if p.percent == 100 {
+		return time.Since(p.bornAt).Milliseconds()
+	}
+	return p.slowSince.Sub(p.bornAt).Milliseconds() + time.Since(p.slowSince).Milliseconds()*p.percent/100
+}
 
 func (p *process) Renew(ctx context.Context, address string, r batchapi.RenewRequest) (batch.Report, error) {
 	time.Sleep(p.responseTime)
@@ -113,7 +120,7 @@
 				Convey("Starts are accepted", t, func() {
 					events := &eventCounts{counts: make(map[string]int)}
 					p, s := newProcess(events)
-					p.percent = percent
+					p.slowSince, p.percent = time.Now(), percent
 					_, err := s.requestReport(context.Background(), "a", s.runner.announcement.Incarnation)
 					So(err, ShouldBeNil)
 					p.responseTime = responseTime
