Use a ticket only for the process that it was issued for

Callers saw jobs of a queue with a placement advisor stand still after a worker had been restarted under its id: for 60.9 s with tickets valid for 60 s, in which the worker rejected 30 starts, and each of them counted as its fault, so that other work avoided it too.

Cause: the tickets of a step were kept by the id of the process, which stays, although a ticket is valid for one life of it. The advisor was not asked again before all of them had expired. A rejected ticket looked like any other rejection.

Tickets are now kept by worker, for the process that it had when the advisor was asked, and dropped when another one takes its place. The advisor is asked again when no ticket is valid, as before, or when a suitable worker that it allowed before has none, once a second for a step at most. Its answers replace only the tickets of the workers that it was asked about. An order has a new answer for a rejected ticket: that ticket is dropped and counts as no fault.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -275,6 +275,7 @@
 var answerNames = map[batch.AnswerKind]string{
 	batch.AnswerOK: "ok", batch.AnswerOKRepeated: "ok_repeated",
 	batch.AnswerRejected: "rejected", batch.AnswerUnknown: "lost", batch.AnswerRejectedNoCapacity: "no_room",
+	batch.AnswerRejectedTicket: "no_ticket",
 }
 
 // sleep waits for the given time or until ctx ends.
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -167,6 +167,8 @@
 	}{
 		{0, false, batch.OrderStart, batch.AnswerOK, batch.AnswerOK, 1},
 		{2, false, batch.OrderStart, batch.AnswerOK, batch.AnswerOKRepeated, 3},
+		{0, false, batch.OrderStart, batch.AnswerRejectedTicket, batch.AnswerRejectedTicket, 1},
+		{1, false, batch.OrderStart, batch.AnswerRejectedTicket, batch.AnswerUnknown, 2},
 		{1, false, batch.OrderStart, batch.AnswerRejectedNoCapacity, batch.AnswerUnknown, 2},
 		{1, false, batch.OrderStop, batch.AnswerOK, batch.AnswerOK, 2},
 		{99, false, batch.OrderStart, batch.AnswerOK, batch.AnswerUnknown, 4},
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -173,11 +173,7 @@
 	if !t.job.spec.NeedsAdvice {
 		return true
 	}
-	a := t.job.advice[t.stepID()]
-	if a == nil || !now.Before(a.validUntil) {
-		return false
-	}
-	ticket, ok := a.tickets[o.Incarnation.Upstream]
+	ticket, ok := t.job.advice[t.stepID()].ticket(o.Worker, now)
 	o.Ticket = ticket
 	return ok
 }
--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -91,7 +91,7 @@
 		var tickets []Ticket
 		for _, w := range m.workers {
 			if w.allowed && slices.Contains(request.Workers, w.incarnation.Upstream) {
-				tickets = append(tickets, Ticket{Worker: w.incarnation.Upstream, Text: "t"})
+				tickets = append(tickets, m.ticketFor(w))
 			}
 		}
 		if m.chance(4, "advice lost") {
@@ -101,6 +101,18 @@
 	}
 }
 
+// ticketFor returns a ticket for the current process of a worker.
+func (m *model) ticketFor(w *modelWorker) Ticket {
+	return Ticket{Worker: w.incarnation.Upstream, Text: fmt.Sprint(w.incarnation.StartedMs, m.now.Add(modelTicketTime).UnixMilli())}
+}
+
+// takesTicket reports whether a worker starts a run of the job with the given ticket.
+func (m *model) takesTicket(w *modelWorker, j *Job, ticket string) bool {
+	var startedMs, validUntilMs int64
+	_, err := fmt.Sscan(ticket, &startedMs, &validUntilMs)
+	return !j.NeedsAdvice || err == nil && startedMs == w.incarnation.StartedMs && m.now.UnixMilli() <= validUntilMs
+}
+
 // Guards against jobs that never end although a worker that suits them is idle: work that
 // needs a label, rack or permission of few workers, last attempts, orders that were dropped,
 // and workers whose clock was set back between two restarts.
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -265,6 +265,9 @@
 	if o.Run.Number <= w.finished[o.Run.Task] || o.DeadlineMs < clock {
 		return AnswerRejected, clock
 	}
+	if !m.takesTicket(w, m.jobs[o.Run.Task.Job], o.Ticket) {
+		return AnswerRejectedTicket, clock
+	}
 	w.leaseDeadline = max(w.leaseDeadline, min(o.DeadlineMs, clock+testTiming.MaxLease.Milliseconds()))
 	m.checkStart(w, o.Run)
 	w.running[o.Run] = m.now
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -20,16 +20,16 @@
 // eligible reports whether the step's tasks may run on the worker, including the
 // placement advisor's answer.
 func (p *plan) eligible(u *unit, c *workerCapacity) bool {
-	return u.hasTicket(c) && p.suits(u, c)
+	return p.hasTicket(u, c) && p.suits(u, c)
 }
 
 // hasTicket reports whether the placement advisor allows the step on the worker, or
 // need not be asked.
-func (u *unit) hasTicket(c *workerCapacity) bool {
+func (p *plan) hasTicket(u *unit, c *workerCapacity) bool {
 	if !u.job.spec.NeedsAdvice {
 		return true
 	}
-	_, ok := u.tickets[c.worker.info.Incarnation.Upstream]
+	_, ok := u.advice.ticket(c.worker.info.ID, p.ticketsUntil())
 	return ok
 }
 
@@ -107,7 +107,7 @@
 		need = len(u.tasks)
 	}
 	for _, c := range p.workers {
-		if u.hasTicket(c) && u.meetsRequirements(c) && !p.avoids(u, c) {
+		if p.hasTicket(u, c) && u.meetsRequirements(c) && !p.avoids(u, c) {
 			need -= u.idleCapacity(c)
 		}
 		if need <= 0 {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 // unit is a set of waiting tasks that is planned together: a gang, which is
@@ -27,8 +25,8 @@
 	lastAttemptSince time.Time
 	// alternative caches hasAlternative.
 	alternative *bool
-	// tickets holds the tickets of the workers that the placement advisor allows.
-	tickets map[ident.Upstream]string
+	// advice is what the placement advisor has said, or nil if it need not be asked.
+	advice *advice
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
 	// stopsAwaited reports that the unit may preempt runs that hold up later steps.
@@ -267,12 +265,9 @@
 // place starts the tasks of a unit that fit now, and reserves or frees capacity
 // for the others.
 func (p *plan) place(u *unit) {
-	if u.job.spec.NeedsAdvice {
-		u.tickets = p.validTickets(u)
-		if u.tickets == nil {
-			p.noteWaiting(u, u.tasks[0], WaitForAdvice)
-			return
-		}
+	if u.job.spec.NeedsAdvice && !p.consult(u) {
+		p.noteWaiting(u, u.tasks[0], WaitForAdvice)
+		return
 	}
 	u.setOverdue(p.stoodStill(u) >= maxDeferral)
 	if u.step.Gang {
@@ -390,9 +385,10 @@
 	}
 	j.record.Started = true
 	p.scheduler.markDirty(j.spec.ID)
+	ticket, _ := u.advice.ticket(w.info.ID, p.now)
 	p.scheduler.pendingStarts = append(p.scheduler.pendingStarts, Order{
 		Kind: OrderStart, Worker: w.info.ID, Incarnation: w.info.Incarnation, Run: t.run(),
-		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: u.tickets[w.info.Incarnation.Upstream], Reason: ReasonPlaced,
+		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: ticket, Reason: ReasonPlaced,
 	})
 	p.scheduler.logRun("run placed", t, p.now)
 }
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -56,6 +56,7 @@
 	w.fenced = false
 	w.processed, w.acked, w.clockMs = 0, 0, 0
 	clear(w.orphans)
+	s.dropTickets(w.info.ID)
 	for _, t := range w.active {
 		if t.Incarnation == incarnation {
 			continue
@@ -381,6 +382,9 @@
 	// AnswerOKRepeated means that the order was carried out, but an earlier
 	// attempt had no answer and may still arrive.
 	AnswerOKRepeated
+	// AnswerRejectedTicket means that the order was rejected because its ticket is not, or no
+	// longer, valid.
+	AnswerRejectedTicket
 )
 
 // Answered applies the answer to an order. clockMs is the worker's clock at the
@@ -411,9 +415,12 @@
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
 		}
-	case AnswerRejected, AnswerRejectedNoCapacity:
-		if kind == AnswerRejected {
+	case AnswerRejected, AnswerRejectedNoCapacity, AnswerRejectedTicket:
+		switch kind {
+		case AnswerRejected:
 			w.recordFault(now, 1)
+		case AnswerRejectedTicket:
+			t.dropRejectedTicket(o)
 		}
 		s.conclude(t, EvidenceRejected, now)
 	case AnswerUnknown:
