--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -474,15 +474,3 @@
 	}
 	return now.Sub(since) >= maxAnswerTime
 }
-
-func (s *Scheduler) logRun(event string, t *task, now time.Time) {
-	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason), StartUncertain: t.startUncertain}
-	if w := s.workers[t.Worker]; w != nil && !w.reportedAt.IsZero() {
-		n.AgeMs = now.Sub(w.reportedAt).Milliseconds()
-	}
-	s.logEvent(n)
-}
-
-func (s *Scheduler) logRunEnd(t *task, end EndedTask) {
-	s.logEvent(LogEvent{Event: "run ended " + string(end.Kind), Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason)})
-}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -158,25 +158,6 @@
 // the worker's clock, with a delay, and compares it with Order.StartByMs.
 const maxSendAge = MaxStartAge + 1500*time.Millisecond
 
-// LogEvent describes a scheduling decision or a change of the assumed state, for
-// the log.
-type LogEvent struct {
-	Event  string
-	Run    Run
-	Worker ident.Worker
-	Reason string
-	// AgeMs is the age of the worker's latest report at the time of the decision.
-	AgeMs int64
-	// StartUncertain reports that an attempt to start the run had no answer.
-	StartUncertain bool
-	// WaitedMs is how long the step has waited, in milliseconds, if it waits.
-	WaitedMs int64
-	// For is the job for which a run is preempted, and CostCoreSeconds the cost of the
-	// stop, for a member of a gang that of the whole gang.
-	For             ident.Job
-	CostCoreSeconds float64
-}
-
 // Scheduler holds the state of the jobs and workers of all services. It is not safe
 // for concurrent use.
 type Scheduler struct {
@@ -389,8 +370,6 @@
 	t.stop = stopState{requested: true, reason: reason, since: s.tickedAt}
 }
 
-func (s *Scheduler) logEvent(event LogEvent) { s.logEvents = append(s.logEvents, event) }
-
 // Forget drops at most limit jobs whose retention time is over and returns their
 // ids.
 func (s *Scheduler) Forget(now time.Time, limit int) []ident.Job {
@@ -481,13 +460,6 @@
 	return out
 }
 
-// TakeLogEvents removes and returns the events recorded since the last call.
-func (s *Scheduler) TakeLogEvents() []LogEvent {
-	out := s.logEvents
-	s.logEvents = nil
-	return out
-}
-
 // LeaseRenewal renews the lease of a worker; Cursor acknowledges the ends of its
 // runs up to that number.
 type LeaseRenewal struct {
