Keep reclaimed room while the advisor is asked for new tickets

Callers saw bulk jobs that never ended and a guaranteed gang that never started: on the one worker that the advisor allows for both, the bulk tasks started and were stopped for the gang some 120 times in ten minutes.

Without a ticket it was left out of the plan and held no room, so that the bulk tasks started in the pass that asked the advisor again. The next ticket came after it, and the gang reclaimed the room again; the time between fits the validity, and the cycle had no end.

Tickets are now renewed 2 s, or a quarter of their validity, before they run out, as long as work waits for a place. Work that may stop others keeps its place for 1.5 s without a ticket, where the advisor allowed it before; that is the time for which rules may let other jobs stand still.

Limit: an advisor that takes longer to answer than the renewal is ahead and 1.5 s more still lets other work start in the room and be stopped for it.

--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -42,12 +42,15 @@
 	allowed map[ident.Upstream]bool
 	// askedAt is when the advisor was last asked about a worker.
 	askedAt map[ident.Upstream]time.Time
+	// lackingSince is since when a waiting unit has had no valid ticket, or zero.
+	lackingSince time.Time
 }
 
-// heldTicket is the text of a ticket, and when it expires.
+// heldTicket is the text of a ticket, when it expires, and when waiting units ask for the next
+// one.
 type heldTicket struct {
-	text       string
-	validUntil time.Time
+	text                string
+	validUntil, renewAt time.Time
 }
 
 const (
@@ -58,6 +61,9 @@
 	// used. Committing a start and delivering it to the worker take less time
 	// than this.
 	ticketExpiryMargin = 500 * time.Millisecond
+	// maxTicketRenewal is how long before its expiry a ticket is renewed for work that still
+	// waits, or a quarter of its validity if that is less.
+	maxTicketRenewal = 2 * time.Second
 	// adviceRetryInterval is the minimum time between two advice requests for a
 	// step.
 	adviceRetryInterval = time.Second
@@ -89,12 +95,14 @@
 	for _, t := range tickets {
 		texts[t.Worker] = t.Text
 	}
+	validUntil := sent.Add(valid)
+	renewAt := validUntil.Add(-ticketExpiryMargin - min(maxTicketRenewal, valid/4))
 	for id, incarnation := range a.requested {
 		text, allowed := texts[incarnation.Upstream]
 		a.allowed[incarnation.Upstream] = allowed
 		delete(a.tickets, id)
 		if allowed && s.workers[id].info.Incarnation == incarnation {
-			a.tickets[id] = heldTicket{text, sent.Add(valid)}
+			a.tickets[id] = heldTicket{text, validUntil, renewAt}
 		}
 	}
 }
@@ -125,8 +133,8 @@
 }
 
 // consult looks up what the advisor has said about a unit's step. It returns false if there is
-// no valid ticket. It queues a request if there is none, or none for a suitable worker that the
-// advisor allowed before.
+// no valid ticket. It queues a request if there is none, or if a suitable worker that the advisor
+// allowed before has none or one that has to be renewed.
 func (p *plan) consult(u *unit) bool {
 	id := u.stepID()
 	a := u.job.advice[id]
@@ -146,7 +154,13 @@
 		_, ok := a.ticket(worker, p.ticketsUntil())
 		found = found || ok
 	}
-	if a.pending || p.now.Sub(a.requestedAt) < adviceRetryInterval || found && !p.lacksTicket(u) {
+	switch {
+	case found:
+		a.lackingSince = time.Time{}
+	case a.lackingSince.IsZero():
+		a.lackingSince = p.now
+	}
+	if a.pending || p.now.Sub(a.requestedAt) < adviceRetryInterval || found && !p.needsTicket(u) {
 		return found
 	}
 	a.pending, a.requestedAt = true, p.now
@@ -157,14 +171,32 @@
 // ticketsUntil is the time at which a ticket must still be valid to be used.
 func (p *plan) ticketsUntil() time.Time { return p.now.Add(ticketExpiryMargin) }
 
-// lacksTicket reports whether the unit has no valid ticket for a suitable worker that the advisor
-// allowed before.
-func (p *plan) lacksTicket(u *unit) bool {
+// needsTicket reports whether a suitable worker that the advisor allowed before has no ticket, or
+// one that has to be renewed.
+func (p *plan) needsTicket(u *unit) bool {
 	return slices.ContainsFunc(p.workers, func(c *workerCapacity) bool {
-		return u.advice.allowed[c.worker.info.Incarnation.Upstream] && !p.hasTicket(u, c) && p.suits(u, c)
+		held, ok := u.advice.tickets[c.worker.info.ID]
+		return u.advice.allowed[c.worker.info.Incarnation.Upstream] && (!ok || !p.now.Before(held.renewAt)) && p.suits(u, c)
 	})
 }
 
+// maxPlaceKept is how long a unit without a ticket keeps its place. Nothing else may start there
+// meanwhile, so that this must not let other jobs stand still for too long.
+const maxPlaceKept = maxDeferral
+
+// keepPlace allocates capacity to a unit whose tickets have run out before the next ones have
+// come, where the advisor allowed it before: other work would start there, and be stopped for the
+// unit once it has a ticket. Units that stop no other work keep nothing.
+func (p *plan) keepPlace(u *unit) {
+	if u.tier > tierNormal || p.now.Sub(u.advice.lackingSince) >= maxPlaceKept {
+		return
+	}
+	kept := *u
+	kept.keepsPlace = true
+	kept.setOverdue(u.overdue)
+	p.tryAllocate(&kept, len(u.tasks), freeSoon)
+}
+
 // candidates returns the workers to ask about: first those that the advisor
 // allowed before, because that does not change, then those that it was not asked about for
 // the longest time, and among these those that will have the most free accelerators
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -29,6 +29,9 @@
 	if !u.job.spec.NeedsAdvice {
 		return true
 	}
+	if u.keepsPlace {
+		return u.advice.allowed[c.worker.info.Incarnation.Upstream]
+	}
 	_, ok := u.advice.ticket(c.worker.info.ID, p.ticketsUntil())
 	return ok
 }
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -27,6 +27,8 @@
 	alternative *bool
 	// advice is what the placement advisor has said, or nil if it need not be asked.
 	advice *advice
+	// keepsPlace reports that workers that the advisor allowed before count as if they had a ticket.
+	keepsPlace bool
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
 	// stopsAwaited reports that the unit may preempt runs that hold up later steps.
@@ -267,6 +269,7 @@
 func (p *plan) place(u *unit) {
 	if u.job.spec.NeedsAdvice && !p.consult(u) {
 		p.noteWaiting(u, u.tasks[0], WaitForAdvice)
+		p.keepPlace(u)
 		return
 	}
 	u.setOverdue(p.stoodStill(u) >= maxDeferral)
