--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -36,7 +36,7 @@
 	requestedAt time.Time
 	// requested holds the workers of the latest request, with their incarnations at that time.
 	requested map[ident.Worker]Incarnation
-	// tickets holds the latest ticket for the current incarnation of each worker.
+	// tickets holds the latest ticket for each worker.
 	tickets map[ident.Worker]heldTicket
 	// allowed holds the upstream ids that the advisor allowed when it was last asked about them.
 	allowed map[ident.Upstream]bool
@@ -46,10 +46,11 @@
 	lackingSince time.Time
 }
 
-// heldTicket is the text of a ticket, when it expires, and when waiting units ask for the next
-// one.
+// heldTicket is the text of a ticket, the incarnation that it is for, when it expires, and when
+// waiting units ask for the next one.
 type heldTicket struct {
 	text                string
+	incarnation         Incarnation
 	validUntil, renewAt time.Time
 }
 
@@ -101,17 +102,8 @@
 		text, allowed := texts[incarnation.Upstream]
 		a.allowed[incarnation.Upstream] = allowed
 		delete(a.tickets, id)
-		if allowed && s.workers[id].info.Incarnation == incarnation {
-			a.tickets[id] = heldTicket{text, validUntil, renewAt}
-		}
-	}
-}
-
-// dropTickets drops the tickets for the former incarnation of a worker.
-func (s *Scheduler) dropTickets(id ident.Worker) {
-	for _, j := range s.jobs {
-		for _, a := range j.advice {
-			delete(a.tickets, id)
+		if allowed {
+			a.tickets[id] = heldTicket{text, incarnation, validUntil, renewAt}
 		}
 	}
 }
@@ -123,12 +115,18 @@
 	}
 }
 
+// held returns the latest ticket for the current incarnation of a worker.
+func (a *advice) held(w *worker) (heldTicket, bool) {
+	held, ok := a.tickets[w.info.ID]
+	return held, ok && held.incarnation == w.info.Incarnation
+}
+
 // ticket returns the ticket for a worker if it is valid at the given time.
-func (a *advice) ticket(id ident.Worker, at time.Time) (string, bool) {
+func (a *advice) ticket(w *worker, at time.Time) (string, bool) {
 	if a == nil {
 		return "", false
 	}
-	held, ok := a.tickets[id]
+	held, ok := a.held(w)
 	return held.text, ok && at.Before(held.validUntil)
 }
 
@@ -151,7 +149,7 @@
 	u.advice = a
 	found := false
 	for worker := range a.tickets {
-		_, ok := a.ticket(worker, p.ticketsUntil())
+		_, ok := a.ticket(p.scheduler.workers[worker], p.ticketsUntil())
 		found = found || ok
 	}
 	switch {
@@ -175,7 +173,7 @@
 // one that has to be renewed.
 func (p *plan) needsTicket(u *unit) bool {
 	return slices.ContainsFunc(p.workers, func(c *workerCapacity) bool {
-		held, ok := u.advice.tickets[c.worker.info.ID]
+		held, ok := u.advice.held(c.worker)
 		return u.advice.allowed[c.worker.info.Incarnation.Upstream] && (!ok || !p.now.Before(held.renewAt)) && p.suits(u, c)
 	})
 }
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -153,7 +153,7 @@
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return o, false
 	}
-	if t.stop.requested || !w.attached || !s.mayGrantLease(w) || !t.renewTicket(&o, now) {
+	if t.stop.requested || !w.attached || !s.mayGrantLease(w) || !t.renewTicket(&o, w, now) {
 		// The start was never sent, so no stop is needed either.
 		s.requeue(t, now)
 		return o, false
@@ -169,11 +169,11 @@
 
 // renewTicket replaces the ticket of a start by the newest one. It returns false if the
 // placement advisor has to be asked again.
-func (t *task) renewTicket(o *Order, now time.Time) bool {
+func (t *task) renewTicket(o *Order, w *worker, now time.Time) bool {
 	if !t.job.spec.NeedsAdvice {
 		return true
 	}
-	ticket, ok := t.job.advice[t.stepID()].ticket(o.Worker, now)
+	ticket, ok := t.job.advice[t.stepID()].ticket(w, now)
 	o.Ticket = ticket
 	return ok
 }
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -32,7 +32,7 @@
 	if u.keepsPlace {
 		return u.advice.allowed[c.worker.info.Incarnation.Upstream]
 	}
-	_, ok := u.advice.ticket(c.worker.info.ID, p.ticketsUntil())
+	_, ok := u.advice.ticket(c.worker, p.ticketsUntil())
 	return ok
 }
 
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -378,7 +378,7 @@
 	}
 	j.record.Started = true
 	p.scheduler.markDirty(j.spec.ID)
-	ticket, _ := u.advice.ticket(w.info.ID, p.now)
+	ticket, _ := u.advice.ticket(w, p.now)
 	p.scheduler.pendingStarts = append(p.scheduler.pendingStarts, Order{
 		Kind: OrderStart, Worker: w.info.ID, Incarnation: w.info.Incarnation, Run: t.run(),
 		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: ticket, Reason: ReasonPlaced,
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -56,7 +56,6 @@
 	w.fenced = false
 	w.processed, w.acked, w.clockMs = 0, 0, 0
 	clear(w.orphans)
-	s.dropTickets(w.info.ID)
 	for _, t := range w.active {
 		if t.Incarnation == incarnation {
 			continue
