--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 // unit is a set of waiting tasks that is planned together: a gang, which is
@@ -27,8 +25,10 @@
 	lastAttemptSince time.Time
 	// alternative caches hasAlternative.
 	alternative *bool
-	// tickets holds the tickets of the workers that the placement advisor allows.
-	tickets map[ident.Upstream]string
+	// advice is what the placement advisor has said, or nil if it need not be asked.
+	advice *advice
+	// keepsPlace reports that workers that the advisor allowed before count as if they had a ticket.
+	keepsPlace bool
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
 	// stopsAwaited reports that the unit may preempt runs that hold up later steps.
@@ -267,12 +267,10 @@
 // place starts the tasks of a unit that fit now, and reserves or frees capacity
 // for the others.
 func (p *plan) place(u *unit) {
-	if u.job.spec.NeedsAdvice {
-		u.tickets = p.validTickets(u)
-		if u.tickets == nil {
-			p.noteWaiting(u, u.tasks[0], WaitForAdvice)
-			return
-		}
+	if u.job.spec.NeedsAdvice && !p.consult(u) {
+		p.noteWaiting(u, u.tasks[0], WaitForAdvice)
+		p.keepPlace(u)
+		return
 	}
 	u.setOverdue(p.stoodStill(u) >= maxDeferral)
 	if u.step.Gang {
@@ -311,22 +309,11 @@
 	checkpoint := commonCheckpoint(u.tasks)
 	for i, t := range u.tasks {
 		t.Run = run
-		t.Checkpoint = checkpoint
+		t.resumeFrom(checkpoint)
 		p.start(u, t, workers[i])
 	}
 }
 
-// commonCheckpoint returns the checkpoint of any member; it is valid for all of
-// them.
-func commonCheckpoint(gang []*task) string {
-	for _, t := range gang {
-		if t.Checkpoint != "" {
-			return t.Checkpoint
-		}
-	}
-	return ""
-}
-
 // waitForCapacity allocates capacity that is being freed to the tasks. If that is
 // not enough, it preempts other work or makes a reservation.
 func (p *plan) waitForCapacity(u *unit, tasks []*task) {
@@ -382,6 +369,7 @@
 	t.Run++
 	t.Worker, t.Incarnation = w.info.ID, w.info.Incarnation
 	t.startedAt, t.progressedAt = p.now, p.now
+	t.resumeFrom(t.Checkpoint)
 	t.resumed = t.Checkpoint != ""
 	w.active[t.id] = t
 	j := u.job
@@ -390,9 +378,10 @@
 	}
 	j.record.Started = true
 	p.scheduler.markDirty(j.spec.ID)
+	ticket, _ := u.advice.ticket(w, p.now)
 	p.scheduler.pendingStarts = append(p.scheduler.pendingStarts, Order{
 		Kind: OrderStart, Worker: w.info.ID, Incarnation: w.info.Incarnation, Run: t.run(),
-		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: u.tickets[w.info.Incarnation.Upstream], Reason: ReasonPlaced,
+		Payload: j.spec.Payload, Checkpoint: t.Checkpoint, Ticket: ticket, Reason: ReasonPlaced,
 	})
 	p.scheduler.logRun("run placed", t, p.now)
 }
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -74,6 +74,8 @@
 	t.Incarnation = incarnation
 	s.markDirty(t.id.Job)
 	t.confirmed, t.confirmedMs = false, 0
+	t.percent, t.firstPercent, t.firstPercentAt = 0, 0, time.Time{}
+	t.repetition = repetition{possible: true}
 	t.stop = stopState{}
 	if !t.recovered {
 		s.requestStop(t, ReasonNoAnswer)
@@ -131,8 +133,10 @@
 	if t == nil || t.Phase != TaskWaiting || t.Worker != w.info.ID || t.Incarnation.Upstream != w.info.Incarnation.Upstream || t.job.record.State.Final() {
 		return
 	}
-	if end.Checkpoint != "" {
-		t.Checkpoint = end.Checkpoint
+	if t.Incarnation != w.info.Incarnation {
+		t.repetition.possible = true
+	}
+	if t.takeCheckpoint(end.Checkpoint, 0) {
 		s.markDirty(t.id.Job)
 	}
 	if end.Kind != EndSucceeded || !s.gangHasRun(t, end.Run.Number) {
@@ -215,13 +219,11 @@
 	if t.firstPercentAt.IsZero() {
 		t.firstPercent, t.firstPercentAt = row.Percent, now
 	}
+	t.takeCheckpoint(row.Checkpoint, row.Percent)
 	if row.Percent != t.percent {
 		t.percent = row.Percent
 		t.progressedAt = now
 	}
-	if row.Checkpoint != "" {
-		t.Checkpoint = row.Checkpoint
-	}
 }
 
 // orphanStopInterval is the time between two stop orders for a run that belongs
@@ -240,9 +242,7 @@
 // applyEnd applies the end of a run that a worker reports.
 func (s *Scheduler) applyEnd(t *task, end EndedTask, now time.Time) {
 	w := s.workers[t.Worker]
-	if end.Checkpoint != "" {
-		t.Checkpoint = end.Checkpoint
-	}
+	t.takeCheckpoint(end.Checkpoint, t.percent)
 	s.logRunEnd(t, end)
 	switch end.Kind {
 	case EndSucceeded:
@@ -269,7 +269,7 @@
 			s.clearRun(m)
 		}
 		m.Phase = TaskSucceeded
-		m.Checkpoint = ""
+		m.dropCheckpoint()
 	}
 	j := t.job
 	s.markDirty(j.spec.ID)
@@ -381,6 +381,9 @@
 	// AnswerOKRepeated means that the order was carried out, but an earlier
 	// attempt had no answer and may still arrive.
 	AnswerOKRepeated
+	// AnswerRejectedTicket means that the order was rejected because its ticket is not, or no
+	// longer, valid.
+	AnswerRejectedTicket
 )
 
 // Answered applies the answer to an order. clockMs is the worker's clock at the
@@ -411,9 +414,12 @@
 		if !t.confirmed {
 			t.confirmed, t.confirmedMs = true, clockMs
 		}
-	case AnswerRejected, AnswerRejectedNoCapacity:
-		if kind == AnswerRejected {
+	case AnswerRejected, AnswerRejectedNoCapacity, AnswerRejectedTicket:
+		switch kind {
+		case AnswerRejected:
 			w.recordFault(now, 1)
+		case AnswerRejectedTicket:
+			t.dropRejectedTicket(o)
 		}
 		s.conclude(t, EvidenceRejected, now)
 	case AnswerUnknown:
@@ -467,15 +473,3 @@
 	}
 	return now.Sub(since) >= maxAnswerTime
 }
-
-func (s *Scheduler) logRun(event string, t *task, now time.Time) {
-	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason), StartUncertain: t.startUncertain}
-	if w := s.workers[t.Worker]; w != nil && !w.reportedAt.IsZero() {
-		n.AgeMs = now.Sub(w.reportedAt).Milliseconds()
-	}
-	s.logEvent(n)
-}
-
-func (s *Scheduler) logRunEnd(t *task, end EndedTask) {
-	s.logEvent(LogEvent{Event: "run ended " + string(end.Kind), Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason)})
-}
