Keep runs whose start was open when their owner was lost

The owner that sent such a start waits for it, but its successor did not know of it. It counted one lease from its takeover, or less by the lease ends in the owner's row.

The owner's row now lists the workers with open starts, from the transaction that permits a start until the first one after its answer. A successor keeps the runs on a listed worker for 16 s longer, unless the worker reports to it. The first successor writes down when that ends on the store's clock, so that it does not begin anew with each owner. Beyond 4 KB the row says that there are more, and a successor takes all workers as listed; so it does with a row of an older version or an unreadable one. A process that has left before it reported may be started again under its id, so that its runs are kept too. Ruled out: 16 s more for all inherited runs, with which tasks of lost workers stand still for 17.75 s, of 14 s (docs/decisions/open-starts.md).

Price: 10 bytes with a transaction without open starts, and 15 bytes for each worker with one (ids of 10 characters). A task on a listed worker that is lost as well stands still for up to 22.5 s from the takeover.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -161,7 +161,10 @@
 	if !c.mayCampaign(view, time.Now()) {
 		return nil
 	}
-	owner := jobstore.Owner{Epoch: view.Owner.Epoch + 1, Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, CPUShare: c.opts.CPUShare, LeaseEnds: view.Owner.LeaseEnds}
+	owner := jobstore.Owner{
+		Epoch: view.Owner.Epoch + 1, Entry: c.opts.Entry, Incarnation: c.opts.Incarnation, CPUShare: c.opts.CPUShare,
+		LeaseEnds: view.Owner.LeaseEnds, OpenStarts: openStartsIn(view),
+	}
 	writer := &fencedWriter{store: c.opts.Store, relay: c.opts.Relay, rowVersion: view.Version, owner: owner, clock: c.opts.Clock}
 	err := writer.commit(ctx, nil, nil)
 	c.opts.Logger.Info().Uint64("epoch", uint64(owner.Epoch)).Str("reason", reason).
@@ -177,6 +180,14 @@
 	return newOwnerLoop(c, writer, grantedUntil(reason, time.Now()))
 }
 
+// openStartsIn returns the open starts of earlier owners, or nil if they are not known.
+func openStartsIn(view jobstore.OwnerView) *batch.OpenStarts {
+	if view.Version == 0 {
+		return &batch.OpenStarts{} // There was no owner.
+	}
+	return view.Owner.OpenStarts
+}
+
 // forgetRemovedJobs forgets what is kept of jobs that the store no longer holds.
 func (c *Candidate) forgetRemovedJobs() {
 	removed := func(id ident.Job, _ bool) bool {
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
@@ -102,3 +103,28 @@
 			Msg("owner's row has no room for the lease ends of all silent workers")
 	}
 }
+
+// recordOpenStarts lets the next transaction state which workers have open starts. It logs once
+// in a row that there are too many to list them.
+func (l *ownerLoop) recordOpenStarts(now time.Time) {
+	open, omitted := l.scheduler.RecordOpenStarts(now)
+	l.writer.owner.OpenStarts = open
+	if omitted == 0 {
+		l.openStartsOmitted = false
+		return
+	}
+	l.candidate.opts.Count("open_starts_omitted")
+	if !l.openStartsOmitted {
+		l.openStartsOmitted = true
+		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("omitted", omitted).
+			Msg("owner's row has no room for the workers with open starts")
+	}
+}
+
+// describeOpenStarts returns on how many workers an earlier owner had open starts, or "unknown".
+func describeOpenStarts(open *batch.OpenStarts) string {
+	if open == nil || open.More {
+		return "unknown"
+	}
+	return strconv.Itoa(len(open.Workers))
+}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -50,8 +50,9 @@
 	// draining is set on shutdown, when nothing more is started.
 	draining    bool
 	lastCleanup time.Time
-	// leaseEndsOmitted is set while lease ends are left out of the owner's row.
-	leaseEndsOmitted bool
+	// leaseEndsOmitted is set while lease ends are left out of the owner's row,
+	// openStartsOmitted while workers with open starts are.
+	leaseEndsOmitted, openStartsOmitted bool
 	// summarizedAt is when the scheduler was last summarized, summaryLoggedAt when that was
 	// last logged.
 	summarizedAt, summaryLoggedAt time.Time
@@ -77,6 +78,7 @@
 func newOwnerLoop(candidate *Candidate, writer *fencedWriter, grantedUntil time.Time) *ownerLoop {
 	scheduler := batch.New(candidate.opts.Timing, grantedUntil)
 	scheduler.InheritLeaseEnds(writer.owner.LeaseEnds)
+	scheduler.InheritOpenStarts(writer.owner.OpenStarts)
 	scheduler.ReadClock(writer.reading)
 	return &ownerLoop{
 		candidate: candidate, writer: writer, epoch: writer.owner.Epoch, scheduler: scheduler,
@@ -143,7 +145,8 @@
 		l.loadJob(j, j.Record, now)
 	}
 	l.candidate.opts.Logger.Info().Uint64("epoch", uint64(l.epoch)).Int("jobs", len(snapshot.Jobs)).
-		Int("workers", len(snapshot.Workers)).Msg("ownership acquired, scheduler started")
+		Int("workers", len(snapshot.Workers)).Str("open_starts", describeOpenStarts(l.writer.owner.OpenStarts)).
+		Msg("ownership acquired, scheduler started")
 }
 
 // loadJob hands a job to the scheduler unless it is set aside or its state is unreadable.
@@ -303,6 +306,7 @@
 		removeKeys = l.cleanupKeys(now)
 	}
 	l.recordLeaseEnds(c, now)
+	l.recordOpenStarts(now)
 	l.inFlight, l.lastCommitStart = c, now
 	l.group.Go(func() {
 		var err error
@@ -469,6 +473,7 @@
 	l.giveUpHeldStarts(time.Now())
 	if c, puts, ok := l.prepare(); ok {
 		l.recordLeaseEnds(c, time.Now())
+		l.recordOpenStarts(time.Now())
 		l.commitRelease(l.ctx, puts)
 	}
 }
--- a/control/batchowner/ownerloop_test.go
+++ b/control/batchowner/ownerloop_test.go
@@ -45,7 +45,7 @@
 		Logger: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		Count:  func(event string) { b.events[event]++ }, Observe: func(string, time.Duration) {},
 	})
-	writer := &fencedWriter{store: b.store, owner: jobstore.Owner{Epoch: 1, Entry: "e1"}, clock: clock}
+	writer := &fencedWriter{store: b.store, owner: jobstore.Owner{Epoch: 1, Entry: "e1", OpenStarts: &batch.OpenStarts{}}, clock: clock}
 	b.ownerLoop = newOwnerLoop(candidate, writer, time.Now())
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.conn = &agentConn{loop: b.ownerLoop, worker: "w1"}
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -192,8 +192,8 @@
 	var owner Owner
 	if err := decode(row, &owner); err != nil {
 		// The epoch of the last readable row stays: workers reject orders of a lower one. Its
-		// lease ends may no longer hold.
-		r.owner.LeaseEnds = nil
+		// lease ends and open starts may no longer hold.
+		r.owner.LeaseEnds, r.owner.OpenStarts = nil, nil
 		return err
 	}
 	r.owner = owner
--- a/control/jobstore/replica_test.go
+++ b/control/jobstore/replica_test.go
@@ -118,12 +118,13 @@
 	Convey("An unreadable owner's row keeps the last epoch, and can be replaced", t, func() {
 		r := NewReplica(func(string, error) {})
 		r.Apply([]rows.Row{
-			{Key: OwnerKey, Version: 4, Value: []byte(`{"epoch":12,"entry":"e1","ends":{"w1":5}}`)},
+			{Key: OwnerKey, Version: 4, Value: []byte(`{"epoch":12,"entry":"e1","ends":{"w1":5},"open":{"w":{"w2":7}}}`)},
 			{Key: OwnerKey, Version: 7, Value: []byte(`"odd"`)},
 		})
 		So(r.owner.Epoch, ShouldEqual, ident.Epoch(12))
 		So(r.ownerVersion, ShouldEqual, rows.Version(7))
 		So(r.owner.LeaseEnds, ShouldBeEmpty)
+		So(r.owner.OpenStarts, ShouldBeNil)
 	})
 }
 
--- a/control/jobstore/rows.go
+++ b/control/jobstore/rows.go
@@ -60,6 +60,9 @@
 	// LeaseEnds holds until the next transaction of the owner, or of its successor, is durable.
 	// It is not changed in place. Rows of older versions of the program have none.
 	LeaseEnds batch.LeaseEnds `json:"ends,omitempty"`
+	// OpenStarts is nil in rows of older versions of the program: it is not known then. It is
+	// not changed in place.
+	OpenStarts *batch.OpenStarts `json:"open,omitempty"`
 }
 
 // Worker is the content of a worker's row.
--- a/sched/batch/bench_test.go
+++ b/sched/batch/bench_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -37,6 +38,34 @@
 	}
 }
 
+// BenchmarkRecordOpenStarts measures the list of a transaction by the number of workers with a
+// start without an answer.
+func BenchmarkRecordOpenStarts(b *testing.B) {
+	for _, open := range []int{0, 20, 250, 5000} {
+		b.Run(fmt.Sprint("open_", open), func(b *testing.B) {
+			bed := newTestbed()
+			bed.scheduler.Tick(bed.now)
+			for i := range open {
+				id := fmt.Sprintf("side-%05d", i)
+				bed.addWorker(id, fmt.Sprintf("r%d", i/16))
+				bed.submit(testJob("j"+id, 2, testStep(1, 8)))
+			}
+			for len(bed.runCycle()) > 0 {
+			}
+			bed.readClock(0, 0)
+			var listed *OpenStarts
+			for b.Loop() {
+				listed, _ = bed.scheduler.RecordOpenStarts(bed.now)
+			}
+			raw, err := json.Marshal(listed)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(raw)), "row-bytes")
+		})
+	}
+}
+
 // BenchmarkRecordLeaseEnds measures the record of a transaction by the number of workers, of
 // which a quarter is silent or none.
 func BenchmarkRecordLeaseEnds(b *testing.B) {
--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -57,6 +57,7 @@
 		return
 	}
 	s.storeClock = reading
+	s.open.readClock(reading)
 	for id := range s.leaseEnds {
 		if w := s.workers[id]; w != nil {
 			s.applyLeaseEnd(w)
@@ -205,11 +206,14 @@
 	return added
 }
 
-// encodedSize returns how many bytes the record takes in JSON at the most, with its separators.
-func (w *silentWorker) encodedSize() int {
+func (w *silentWorker) encodedSize() int { return encodedEntrySize(w.info.ID, w.end.atMs) }
+
+// encodedEntrySize returns how many bytes a worker with its time takes in JSON at the most, with
+// its separators.
+func encodedEntrySize(id ident.Worker, atMs int64) int {
 	const separators, longestEscape = 4, 6
-	size := len(strconv.FormatInt(w.end.atMs, 10)) + separators
-	for _, char := range []byte(w.info.ID) {
+	size := len(strconv.FormatInt(atMs, 10)) + separators
+	for _, char := range []byte(id) {
 		size++
 		if char < ' ' || char > '~' || strings.IndexByte(`"\<>&`, char) >= 0 {
 			size += longestEscape - 1
--- a/sched/batch/leaseends_test.go
+++ b/sched/batch/leaseends_test.go
@@ -50,10 +50,14 @@
 }
 
 // successor returns a testbed with the next owner, which takes over now.
-func (b *testbed) successor(ends LeaseEnds) *testbed {
+func (b *testbed) successor(ends LeaseEnds) *testbed { return b.successorWith(ends, &OpenStarts{}) }
+
+// successorWith does the same with the open starts in the owner's row, or nil if it has none.
+func (b *testbed) successorWith(ends LeaseEnds, open *OpenStarts) *testbed {
 	next := &testbed{scheduler: New(testTiming, b.now), now: b.now, clockMs: b.clockMs}
 	next.scheduler.Configure(nil, map[ident.Service]bool{"svc": true})
 	next.scheduler.InheritLeaseEnds(ends)
+	next.scheduler.InheritOpenStarts(open)
 	for id, j := range b.scheduler.jobs {
 		next.scheduler.Load(j.spec, j.snapshot(), false, b.now)
 		next.scheduler.handling = id
--- a/sched/batch/model_faults_test.go
+++ b/sched/batch/model_faults_test.go
@@ -103,8 +103,13 @@
 		StartedMs: (1000+m.incarnations-int64(back))*1000 + m.incarnations,
 	}
 	m.t.Logf("process start of %s, incarnation %d", w.id, next.StartedMs)
+	fence := 0
+	if m.late != nil {
+		fence = w.highestEpoch
+	}
 	*w = modelWorker{
-		modelSite: w.modelSite, id: w.id, up: true, startedAt: m.now, attached: w.attached, incarnation: next,
+		highestEpoch: fence,
+		modelSite:    w.modelSite, id: w.id, up: true, startedAt: m.now, attached: w.attached, incarnation: next,
 		running: make(map[Run]time.Time), finished: make(map[TaskID]int), endedAt: make(map[int64]time.Time),
 		rows: append(w.rows, w.rowOf(next)), sent: m.inFlight(w),
 	}
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -67,8 +67,9 @@
 	// records and canceled hold the contents of the store.
 	records  map[ident.Job]Record
 	canceled map[ident.Job]bool
-	// leaseEnds is what the owner's row in the store tells.
-	leaseEnds LeaseEnds
+	// leaseEnds and openStarts are what the owner's row in the store tells.
+	leaseEnds  LeaseEnds
+	openStarts *OpenStarts
 	// succeeded holds the tasks whose success is recorded in the store.
 	succeeded    map[TaskID]bool
 	incarnations int64
@@ -81,12 +82,15 @@
 	// scarce makes jobs need what few workers have, drops orders, sets clocks back and lets
 	// incomplete gangs end. calm ends all faults.
 	scarce, calm bool
+	// late is not nil if starts may be carried out late by the next process with the id.
+	late *modelOwnerChanges
 }
 
 func newModel(t *rapid.T, sites []modelSite) *model {
 	m := &model{
 		t: t, now: testStart, jobs: make(map[ident.Job]*Job), records: make(map[ident.Job]Record),
 		canceled: make(map[ident.Job]bool), succeeded: make(map[TaskID]bool), failing: make(map[ident.Job]bool),
+		openStarts: &OpenStarts{},
 	}
 	for i, site := range sites {
 		w := &modelWorker{id: ident.Worker(fmt.Sprintf("w%d", i)), modelSite: site}
@@ -103,6 +107,10 @@
 	m.t.Logf("takeover, epoch %d", m.epoch)
 	m.scheduler = New(testTiming, m.now)
 	m.scheduler.InheritLeaseEnds(m.leaseEnds)
+	m.scheduler.InheritOpenStarts(m.openStarts)
+	if m.late != nil {
+		m.late.held = nil
+	}
 	m.readClock()
 	m.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
 	for _, w := range m.workers {
@@ -137,6 +145,10 @@
 	stops := m.scheduler.TakeStops()
 	c := m.scheduler.Prepare(100, nil)
 	ends, _ := m.scheduler.RecordLeaseEnds(c, m.now)
+	open, _ := m.scheduler.RecordOpenStarts(m.now)
+	if m.refuses(c) {
+		return
+	}
 	m.reportDuringCommit()
 	if m.crashes("crash before commit") {
 		m.takeover()
@@ -145,7 +157,7 @@
 	for id, record := range c.Records {
 		m.persist(id, record)
 	}
-	m.leaseEnds = ends
+	m.leaseEnds, m.openStarts = ends, open
 	m.reportDuringCommit()
 	if m.crashes("crash after commit") {
 		m.takeover()
@@ -159,7 +171,7 @@
 	if m.chance(9, "cancel during commit") {
 		m.cancel()
 	}
-	starts := m.scheduler.ReleaseStarts(c, m.now, m.now)
+	starts := m.release(c)
 	for _, o := range starts {
 		if m.canceled[o.Run.Task.Job] {
 			m.t.Fatalf("start of %v is sent after the cancellation", o.Run)
@@ -196,6 +208,10 @@
 		m.scheduler.Answered(o, AnswerRejected, 0, m.now)
 		return
 	}
+	if m.late != nil {
+		m.deliverLate(o)
+		return
+	}
 	if m.calm {
 		m.deliverAtOnce(o)
 		return
@@ -351,7 +367,7 @@
 		if d.arrivesAt.After(m.now) {
 			return false
 		}
-		if w := m.worker(d.order.Worker); w.incarnation == d.order.Incarnation {
+		if w := m.worker(d.order.Worker); w.incarnation == d.order.Incarnation || m.late != nil {
 			m.apply(d.order, d.epoch)
 		}
 		return true
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -372,6 +372,7 @@
 	t.resumeFrom(t.Checkpoint)
 	t.resumed = t.Checkpoint != ""
 	w.active[t.id] = t
+	p.scheduler.open.own[t] = struct{}{}
 	j := u.job
 	if j.record.State == JobQueued {
 		j.record.State = JobRunning
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -86,7 +86,7 @@
 // may still be carried out by its successor keeps its lease.
 func (s *Scheduler) endRunsOfLeftProcess(w *worker, now time.Time) {
 	for _, t := range w.active {
-		if !t.recovered && !t.startConcluded() {
+		if !t.startConcluded() && (!t.recovered || s.mayHoldLateLease(w, t, now)) {
 			continue
 		}
 		s.conclude(t, EvidenceLeft, now)
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -150,16 +150,6 @@
 // cancellation, also on the slowest clock.
 const MaxStartAge = 2500 * time.Millisecond
 
-// MaxCallDelay is how long after it was sent a call without an answer may be carried out, also by
-// a process that was restarted under the same id meanwhile. The clock of that process begins
-// anew, so that any deadline of the call gives it the longest lease.
-const MaxCallDelay = 12 * time.Second
-
-// maxSendAge is how long after the owner's view was current an agent may send a start, and how long
-// after a report the lease that was granted on it: the agent has read the worker's clock, with a
-// delay, and compares it with Order.StartByMs and LeaseRenewal.SendByMs.
-const maxSendAge = MaxStartAge + 1500*time.Millisecond
-
 // Scheduler holds the state of the jobs and workers of all services. It is not safe
 // for concurrent use.
 type Scheduler struct {
@@ -199,6 +189,7 @@
 	// leaseEnds holds the workers that the durable record of lease ends lists, or may list once
 	// a commit is durable.
 	leaseEnds map[ident.Worker]leaseEnd
+	open      openStarts
 	// silent holds the workers that had runs and no recent report at the latest Tick.
 	silent []*worker
 	// storeClock is the latest reading of the store's clock, or zero.
@@ -235,6 +226,10 @@
 		durations:             make(map[string]*durationHistory),
 		leaseEnds:             make(map[ident.Worker]leaseEnd),
 		earlierLeasesExpireAt: grantedUntil.Add(leaseExpiry(timing.MaxLease)),
+		open: openStarts{
+			own: make(map[*task]struct{}), inherited: make(map[ident.Worker]*lateEnd),
+			latest: grantedUntil.Add(lateLeaseTime(timing.MaxLease)),
+		},
 	}
 }
 
@@ -400,26 +395,6 @@
 	return false
 }
 
-// leaseDeadline returns the end of a full lease on the worker's clock, counted
-// from its latest report.
-func (w *worker) leaseDeadline(lease time.Duration) int64 { return w.clockMs + lease.Milliseconds() }
-
-// clockAt returns a lower bound of the worker's clock at a time. The clock was read before the
-// latest report arrived, and may be slow.
-func (w *worker) clockAt(at time.Time) int64 {
-	sinceReport := at.Sub(w.reportedAt)
-	if sinceReport > 0 {
-		sinceReport -= sinceReport * SlowClockPercent / 100
-	}
-	return w.clockMs + sinceReport.Milliseconds()
-}
-
-func (w *worker) extendLeaseBound(lease time.Duration) {
-	if bound := w.reportedAt.Add(leaseExpiry(lease)); bound.After(w.leaseBound) {
-		w.leaseBound = bound
-	}
-}
-
 // activeTask returns the task whose current run is r, or nil.
 func (s *Scheduler) activeTask(r Run) *task {
 	if t := s.latestRun(r); t != nil && t.Phase == TaskActive {
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -67,14 +67,14 @@
 
 // mayHoldLateLease reports whether a process restarted under the worker's id may have carried
 // the start out late, and hold a lease since then that has not expired.
-// Later calls of the former process may extend that.
 func (s *Scheduler) mayHoldLateLease(w *worker, t *task, now time.Time) bool {
-	if !t.startUncertain || w.reportedAt.After(t.lateUntil) {
-		return false
+	var bound time.Time
+	if last := w.lastLateCall(t); !last.IsZero() {
+		bound = last.Add(leaseExpiry(s.timing.MaxLease))
+	} else if t.recovered {
+		bound = s.inheritedEnd(w)
 	}
-	lastCall := latest(t.lateUntil, w.reportedAt.Add(maxSendAge+MaxCallDelay))
-	bound := lastCall.Add(leaseExpiry(s.timing.MaxLease))
-	return now.Before(bound) || s.inGrace(&t.grace, bound, now)
+	return !bound.IsZero() && (now.Before(bound) || s.inGrace(&t.grace, bound, now))
 }
 
 // gracePeriod is until when runs are kept after their lease has expired at a time, because
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -126,6 +126,26 @@
 	return &worker{info: info, active: make(map[TaskID]*task), orphans: make(map[Run]time.Time)}
 }
 
+// leaseDeadline returns the end of a full lease on the worker's clock, counted
+// from its latest report.
+func (w *worker) leaseDeadline(lease time.Duration) int64 { return w.clockMs + lease.Milliseconds() }
+
+// clockAt returns a lower bound of the worker's clock at a time. The clock was read before the
+// latest report arrived, and may be slow.
+func (w *worker) clockAt(at time.Time) int64 {
+	sinceReport := at.Sub(w.reportedAt)
+	if sinceReport > 0 {
+		sinceReport -= sinceReport * SlowClockPercent / 100
+	}
+	return w.clockMs + sinceReport.Milliseconds()
+}
+
+func (w *worker) extendLeaseBound(lease time.Duration) {
+	if bound := w.reportedAt.Add(leaseExpiry(lease)); bound.After(w.leaseBound) {
+		w.leaseBound = bound
+	}
+}
+
 // freeCapacity returns the capacity that no run takes; soon also counts the runs
 // that are being stopped.
 func (w *worker) freeCapacity() (now, soon Resources) {
