Raise the fencing token once for calls that fail together

Cause: the token rose by one with each call without an answer, of which a stream has 4,095. 380 stops that wait for the same silent worker have four such calls a second each, so that a stream ended after two to three seconds with all orders on it; the owner attached again and repeated them.

A call without an answer has to be below the token of later calls, no more. Its own token is compared now: if the token has risen since, nothing is done.

TestCallsLostTogetherDoNotEndStream (virtual time) fails without it.

--- a/control/runner/fence.go
+++ b/control/runner/fence.go
@@ -16,8 +16,8 @@
 )
 
 // fence makes the fencing tokens of the calls on one stream. A worker keeps the highest token that
-// it has seen and ignores calls with a lower one. The token rises with each call that had no answer,
-// so that once the worker has taken a later call it ignores that one, also if it was restarted in
+// it has seen and ignores calls with a lower one. The token rises above that of each call that had no
+// answer, so that once the worker has taken a later call it ignores that one, also if it was restarted in
 // between; and with each stream, because an agent that is restarted forgets its calls.
 type fence struct {
 	epoch ident.Epoch
@@ -26,16 +26,26 @@
 	unanswered atomic.Uint64
 }
 
-func (f *fence) token() ident.FencingToken {
+func (f *fence) token() ident.FencingToken { return f.tokenAfter(f.unanswered.Load()) }
+
+// tokenAfter returns the token after the given number of raises.
+func (f *fence) tokenAfter(unanswered uint64) ident.FencingToken {
 	stream := min(f.stream, maxStream)
-	return ident.FencingToken(uint64(f.epoch)<<(streamBits+unansweredBits) | stream<<unansweredBits | f.unanswered.Load())
+	return ident.FencingToken(uint64(f.epoch)<<(streamBits+unansweredBits) | stream<<unansweredBits | unanswered)
 }
 
 // raise makes the worker ignore earlier calls once it has taken a later one. It returns false if
 // that needs another stream.
-func (f *fence) raise() bool {
+func (f *fence) raise() bool { return f.raiseAbove(f.token()) }
+
+// raiseAbove does the same for calls with the given token. Calls that fail together raise the
+// token once: later ones carry a higher token already.
+func (f *fence) raiseAbove(token ident.FencingToken) bool {
 	for {
 		n := f.unanswered.Load()
+		if f.tokenAfter(n) > token {
+			return true
+		}
 		if n >= maxUnanswered {
 			return false
 		}
@@ -55,8 +65,11 @@
 }
 
 // raiseFence makes the worker ignore the calls so far that had no answer.
-func (s *session) raiseFence() {
-	if !s.fence.raise() {
+func (s *session) raiseFence() { s.fenceOff(s.fence.token()) }
+
+// fenceOff makes the worker ignore the calls with the given token that had no answer.
+func (s *session) fenceOff(token ident.FencingToken) {
+	if !s.fence.raiseAbove(token) {
 		s.runner.opts.Count("fence_exhausted")
 		s.cancel() // The owner attaches again.
 	}
--- /dev/null
+++ b/control/runner/flood_test.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lacewingpier/lacewingpier/control/rpc"
+	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/sched/batch"
+	"github.com/lacewingpier/lacewingpier/sched/batchapi"
+)
+
+// silentTasks answers no call, and counts the stops that wait for an answer.
+type silentTasks struct {
+	hangingTasks
+	stopping, mostStopping, stops atomic.Int32
+}
+
+func (l *silentTasks) Renew(ctx context.Context, _ string, _ batchapi.RenewRequest) (batch.Report, error) {
+	<-ctx.Done()
+	return batch.Report{}, ctx.Err()
+}
+
+func (l *silentTasks) Stop(ctx context.Context, _ string, _ ident.FencingToken, _ batch.Order) batchapi.OrderResult {
+	n := l.stopping.Add(1)
+	defer l.stopping.Add(-1)
+	l.stops.Add(1)
+	l.mostStopping.Store(max(l.mostStopping.Load(), n))
+	<-ctx.Done()
+	return batchapi.OrderResult{Kind: batch.AnswerUnknown, Reason: "no answer"}
+}
+
+// Guards against a stream that ends, with all orders on it, because a worker that is silent for a
+// few seconds leaves the calls of a wide job without an answer.
+func TestCallsLostTogetherDoNotEndStream(t *testing.T) {
+	const rounds, runs = 3, 760
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Calls that fail together raise the token a few times", t, func() {
+			ended := false
+			r := newRunner(&rowWriter{}, func(string) {})
+			r.opts.Tasks = &silentTasks{hangingTasks: hangingTasks{begin: time.Now()}}
+			announce(r, announcement(5, 1, false))
+			incarnation := batch.Incarnation{Upstream: "u", StartedMs: 5}
+			s := &session{runner: r, cancel: func() { ended = true }, outbound: make(chan *rpc.FromRunner, rounds*runs), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+			ctx, cancel := context.WithCancel(context.Background())
+			for range rounds {
+				for i := range runs {
+					o := batch.Order{Kind: batch.OrderStop, Incarnation: incarnation, Run: batch.Run{Task: batch.TaskID{Index: i}, Number: 1}}
+					go s.forwardOrder(ctx, rpc.OrderMessage(uint64(i), o).GetOrder())
+				}
+				time.Sleep(orderTimeout)
+			}
+			cancel()
+			synctest.Wait()
+			So(ended, ShouldBeFalse)
+			So(s.fence.unanswered.Load(), ShouldBeBetween, 0, 100)
+		})
+	})
+}
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -34,8 +35,8 @@
 	case announced.Incarnation != o.Incarnation:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
 	case o.Kind == batch.OrderStop:
-		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.fence.token(), o)
+		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context, token ident.FencingToken) batchapi.OrderResult {
+			return s.runner.opts.Tasks.Stop(ctx, announced.Address, token, o)
 		})
 	case announced.Info.Unreachable || announced.Info.Left:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process is out of reach"}
@@ -63,8 +64,8 @@
 		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process does not respond"}}
 	}
 	limited := withinStartBy(o)
-	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.fence.token(), limited)
+	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context, token ident.FencingToken) batchapi.OrderResult {
+		return s.runner.opts.Tasks.Start(ctx, announced.Address, token, limited)
 	})
 	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs >= o.StartByMs {
 		return s.expire(outcome)
@@ -166,7 +167,7 @@
 
 // sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
 // order has expired. Repeating is safe because orders are idempotent.
-func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context) batchapi.OrderResult) orderOutcome {
+func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context, ident.FencingToken) batchapi.OrderResult) orderOutcome {
 	var outcome orderOutcome
 	for start := time.Now(); ; {
 		if s.expired(o) {
@@ -174,7 +175,7 @@
 		}
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 		sentAt, token := s.runner.opts.Clock(), s.fence.token()
-		outcome.OrderResult = send(attemptCtx)
+		outcome.OrderResult = send(attemptCtx, token)
 		s.rejectOtherAnswer(o, sentAt, &outcome)
 		failedAtOnce := attemptCtx.Err() == nil
 		cancel()
@@ -185,7 +186,7 @@
 			return outcome
 		}
 		outcome.unanswered++
-		s.raiseFence()
+		s.fenceOff(token)
 		s.runner.opts.Count("order_unanswered")
 		if failedAtOnce {
 			sleep(ctx, orderRetryDelay)
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		s.runner.noteCallFailed(announced.Incarnation)
 		if mayBeCarriedOut(err) {
-			s.raiseFence()
+			s.fenceOff(request.Token)
 		}
 		s.noteLostLease(err, request)
 		return report, renewCtx.Err() != nil, err
