Let answers to the owner wait instead of ending its stream

Cause: the queue to the owner holds 256 messages, and a full one closed the stream at once. When the starts that wait for a slot expire, or many stops fail together, 380 and more answers come within milliseconds. The owner lost the stream with all its orders, attached again and repeated them.

Reports and answers wait for room now, for 2 s at most; an owner that takes nothing for longer still loses the stream. A change of the worker's state is sent under the runner's lock and doesn't wait. Both ways in which an agent closes a stream have a log line; there were only counters.

TestManyAnswersAtOnceDoNotEndStream (virtual time) fails without it.

--- a/control/runner/fence.go
+++ b/control/runner/fence.go
@@ -71,6 +71,7 @@
 func (s *session) fenceOff(token ident.FencingToken) {
 	if !s.fence.raiseAbove(token) {
 		s.runner.opts.Count("fence_exhausted")
+		s.runner.opts.Logger.Warn().Uint64("epoch", uint64(s.fence.epoch)).Msg("stream to the owner is closed: its fencing tokens are used up")
 		s.cancel() // The owner attaches again.
 	}
 }
--- a/control/runner/flood_test.go
+++ b/control/runner/flood_test.go
@@ -62,3 +62,42 @@
 		})
 	})
 }
+
+// Guards against a stream that ends, with all orders on it, because many answers come at once.
+func TestManyAnswersAtOnceDoNotEndStream(t *testing.T) {
+	const orders = 8 * outboundQueueLimit
+	// forward forwards orders that are rejected at once to an owner that takes no message until a
+	// time has passed. It returns the number of answers, and whether the stream has ended.
+	forward := func(after time.Duration) (answers int, ended bool) {
+		r := newRunner(&rowWriter{}, func(string) {})
+		announce(r, announcement(5, 1, false))
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &session{runner: r, cancel: cancel, outbound: make(chan *rpc.FromRunner, outboundQueueLimit), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+		former := batch.Incarnation{Upstream: "u", StartedMs: 4}
+		for i := range orders {
+			go s.forwardOrder(ctx, rpc.OrderMessage(uint64(i), batch.Order{Incarnation: former}).GetOrder())
+		}
+		time.Sleep(after)
+		for answers < orders {
+			select {
+			case <-s.outbound:
+				answers++
+			case <-ctx.Done():
+				return answers, true
+			}
+		}
+		cancel()
+		return answers, false
+	}
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Answers wait for room in the queue", t, func() {
+			answers, ended := forward(outboundTimeout / 2)
+			So(ended, ShouldBeFalse)
+			So(answers, ShouldEqual, orders)
+		})
+		Convey("The stream of an owner that takes none ends", t, func() {
+			_, ended := forward(2 * outboundTimeout)
+			So(ended, ShouldBeTrue)
+		})
+	})
+}
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -21,7 +21,7 @@
 	// After a panic the order may have been carried out, as if its answer had been lost.
 	_ = s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) })
 	s.logOrder(o, result)
-	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
+	s.sendWhenFree(ctx, &rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
 		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
 	}}})
 	notify(s.wakeup)
@@ -125,7 +125,7 @@
 		result.ClockMs = 0
 		return
 	}
-	s.send(rpc.ReportMessage(report))
+	s.sendWhenFree(ctx, rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
 	switch {
 	case lists(report, o.Run):
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -15,10 +15,13 @@
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
 
-// outboundQueueLimit bounds the messages that are queued for the owner. A stream
-// whose queue is full is closed.
+// outboundQueueLimit bounds the messages that are queued for the owner. Reports and answers wait
+// for room. A stream whose queue stays full is closed.
 const outboundQueueLimit = 256
 
+// outboundTimeout is how long a message waits for room in the queue.
+const outboundTimeout = 2 * time.Second
+
 // maxConcurrentStarts bounds the calls that order a start at the same time, each of which may
 // need a connection. Further starts wait until they expire. Stops do not wait.
 const maxConcurrentStarts = 64
@@ -47,9 +50,33 @@
 	select {
 	case s.outbound <- m:
 	default:
-		s.runner.opts.Count("session_overrun")
-		s.cancel()
+		s.overrun()
+	}
+}
+
+// sendWhenFree queues a message for the owner as soon as there is room, unless ctx ends. It closes
+// the stream if there is none within outboundTimeout.
+func (s *session) sendWhenFree(ctx context.Context, m *rpc.FromRunner) {
+	select {
+	case s.outbound <- m:
+		return
+	default:
 	}
+	timer := time.NewTimer(outboundTimeout)
+	defer timer.Stop()
+	select {
+	case s.outbound <- m:
+	case <-ctx.Done():
+	case <-timer.C:
+		s.overrun()
+	}
+}
+
+// overrun closes a stream that takes no more messages. The owner attaches again.
+func (s *session) overrun() {
+	s.runner.opts.Count("session_overrun")
+	s.runner.opts.Logger.Warn().Uint64("epoch", uint64(s.fence.epoch)).Msg("stream to the owner is closed: too many messages wait for it")
+	s.cancel()
 }
 
 func (s *session) sendWorker(info batch.WorkerInfo) {
@@ -197,7 +224,7 @@
 		}
 		wait = renewWait
 		before := s.renewalCount()
-		s.send(rpc.ReportMessage(report))
+		s.sendWhenFree(ctx, rpc.ReportMessage(report))
 		s.awaitRenewal(ctx, before)
 		s.awaitAck(ctx, report)
 	}
