Bound the stops that an agent orders at the same time

Cause: starts had 64 slots, stops none. The owner repeats the stop of a run each 0.7 s until it is answered, the agent each of them four times a second: one agent had up to 2,200 open orders, and its calls without an answer, each of which costs a connection, came to 4,094 in 1.7 to 3 s. So the worker answered neither them nor the reports, and the owner went on.

64 stops are ordered at the same time, in slots of their own, so that they don't wait for starts. One stop of each run waits; a repetition meanwhile is answered as lost, which is what it was when it timed out, and the owner repeats it. A stop that got its turn is compared with the current process again.

TestManyStopsAtOnceAreBounded (virtual time) fails without it: 2,280 calls at the same time.

--- a/control/runner/flood_test.go
+++ b/control/runner/flood_test.go
@@ -101,3 +101,36 @@
 		})
 	})
 }
+
+// Guards against stops of a wide job, repeated by the owner, that keep a slow worker from answering
+// any call.
+func TestManyStopsAtOnceAreBounded(t *testing.T) {
+	const runs, repeats, limit = 380, 6, 64
+	synctest.Test(t, func(t *testing.T) {
+		Convey("One stop of each run waits, and the number of calls at once is bounded", t, func() {
+			r := newRunner(&rowWriter{}, func(string) {})
+			tasks := &silentTasks{hangingTasks: hangingTasks{begin: time.Now()}}
+			r.opts.Tasks = tasks
+			announce(r, announcement(5, 1, false))
+			incarnation := batch.Incarnation{Upstream: "u", StartedMs: 5}
+			ctx, cancel := context.WithCancel(context.Background())
+			s := &session{runner: r, cancel: cancel, outbound: make(chan *rpc.FromRunner, runs*repeats), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, maxConcurrentStarts)}
+			for repeat := range repeats {
+				for i := range runs {
+					o := batch.Order{Kind: batch.OrderStop, Incarnation: incarnation, Run: batch.Run{Task: batch.TaskID{Index: i}, Number: 1}}
+					go s.forwardOrder(ctx, rpc.OrderMessage(uint64(repeat*runs+i), o).GetOrder())
+				}
+				synctest.Wait()
+				So(len(s.outbound)+len(s.stops.runs), ShouldBeGreaterThanOrEqualTo, (repeat+1)*runs)
+			}
+			So(tasks.mostStopping.Load(), ShouldBeLessThanOrEqualTo, limit)
+			// Each run's turn comes although none is answered.
+			time.Sleep((runs/limit + 1) * orderTimeout)
+			synctest.Wait()
+			So(tasks.stops.Load(), ShouldEqual, runs*int32(orderTimeout/orderAttemptTimeout))
+			So(len(s.outbound), ShouldEqual, runs*repeats)
+			So(s.stops.runs, ShouldBeEmpty)
+			cancel()
+		})
+	})
+}
--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -33,11 +33,9 @@
 	var result orderOutcome
 	switch {
 	case announced.Incarnation != o.Incarnation:
-		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
+		result = otherIncarnation()
 	case o.Kind == batch.OrderStop:
-		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context, token ident.FencingToken) batchapi.OrderResult {
-			return s.runner.opts.Tasks.Stop(ctx, announced.Address, token, o)
-		})
+		result = s.stop(ctx, o)
 	case announced.Info.Unreachable || announced.Info.Left:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process is out of reach"}
 	case announced.Info.Draining:
@@ -52,6 +50,11 @@
 	return result
 }
 
+// otherIncarnation returns the result of an order for another incarnation than the current one.
+func otherIncarnation() orderOutcome {
+	return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}}
+}
+
 // start orders a start as soon as there is a free slot.
 func (s *session) start(ctx context.Context, announced batchapi.Announcement, o batch.Order) orderOutcome {
 	select {
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -23,7 +23,7 @@
 const outboundTimeout = 2 * time.Second
 
 // maxConcurrentStarts bounds the calls that order a start at the same time, each of which may
-// need a connection. Further starts wait until they expire. Stops do not wait.
+// need a connection. Further starts wait until they expire. Stops do not wait for them.
 const maxConcurrentStarts = 64
 
 // session is the stream to one owner.
@@ -38,6 +38,8 @@
 	wakeup chan struct{}
 	// startSlots holds a value for each start that is being ordered.
 	startSlots chan struct{}
+	// stops holds the stops that wait or are being ordered.
+	stops stopQueue
 
 	mu sync.Mutex
 	// renewal is the latest lease renewal that the owner has sent, and renewals counts them.
