--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -20,7 +21,7 @@
 	// After a panic the order may have been carried out, as if its answer had been lost.
 	_ = s.runner.guard.Run("order for "+string(o.Run.Task.Job), func() { result = s.carryOut(ctx, o) })
 	s.logOrder(o, result)
-	s.send(&rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
+	s.sendWhenFree(ctx, &rpc.FromRunner{Kind: &rpc.FromRunner_Answer{Answer: &rpc.OrderAnswer{
 		Sequence: m.GetSequence(), Kind: uint32(result.Kind), ClockMs: result.ClockMs, Reason: result.Reason,
 	}}})
 	notify(s.wakeup)
@@ -32,11 +33,9 @@
 	var result orderOutcome
 	switch {
 	case announced.Incarnation != o.Incarnation:
-		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}
+		result = otherIncarnation()
 	case o.Kind == batch.OrderStop:
-		result = s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-			return s.runner.opts.Tasks.Stop(ctx, announced.Address, s.fence.token(), o)
-		})
+		result = s.stop(ctx, o)
 	case announced.Info.Unreachable || announced.Info.Left:
 		result.OrderResult = batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process is out of reach"}
 	case announced.Info.Draining:
@@ -51,6 +50,11 @@
 	return result
 }
 
+// otherIncarnation returns the result of an order for another incarnation than the current one.
+func otherIncarnation() orderOutcome {
+	return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejected, Reason: "the order names another incarnation"}}
+}
+
 // start orders a start as soon as there is a free slot.
 func (s *session) start(ctx context.Context, announced batchapi.Announcement, o batch.Order) orderOutcome {
 	select {
@@ -63,8 +67,8 @@
 		return orderOutcome{OrderResult: batchapi.OrderResult{Kind: batch.AnswerRejectedNoCapacity, Reason: "the upstream process does not respond"}}
 	}
 	limited := withinStartBy(o)
-	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context) batchapi.OrderResult {
-		return s.runner.opts.Tasks.Start(ctx, announced.Address, s.fence.token(), limited)
+	outcome := s.sendUntilAnswered(ctx, o, func(ctx context.Context, token ident.FencingToken) batchapi.OrderResult {
+		return s.runner.opts.Tasks.Start(ctx, announced.Address, token, limited)
 	})
 	if o.StartByMs > 0 && outcome.Kind == batch.AnswerRejected && outcome.ClockMs >= o.StartByMs {
 		return s.expire(outcome)
@@ -124,7 +128,7 @@
 		result.ClockMs = 0
 		return
 	}
-	s.send(rpc.ReportMessage(report))
+	s.sendWhenFree(ctx, rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
 	switch {
 	case lists(report, o.Run):
@@ -166,7 +170,7 @@
 
 // sendUntilAnswered sends an order until it has an answer, orderTimeout has passed or the
 // order has expired. Repeating is safe because orders are idempotent.
-func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context) batchapi.OrderResult) orderOutcome {
+func (s *session) sendUntilAnswered(ctx context.Context, o batch.Order, send func(context.Context, ident.FencingToken) batchapi.OrderResult) orderOutcome {
 	var outcome orderOutcome
 	for start := time.Now(); ; {
 		if s.expired(o) {
@@ -174,7 +178,7 @@
 		}
 		attemptCtx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 		sentAt, token := s.runner.opts.Clock(), s.fence.token()
-		outcome.OrderResult = send(attemptCtx)
+		outcome.OrderResult = send(attemptCtx, token)
 		s.rejectOtherAnswer(o, sentAt, &outcome)
 		failedAtOnce := attemptCtx.Err() == nil
 		cancel()
@@ -185,7 +189,7 @@
 			return outcome
 		}
 		outcome.unanswered++
-		s.raiseFence()
+		s.fenceOff(token)
 		s.runner.opts.Count("order_unanswered")
 		if failedAtOnce {
 			sleep(ctx, orderRetryDelay)
