Let jobs that stand still start where others wait for stops

Cause, from a log of the passes there: until 2.2 s the gang finds no rack. In the pass in which it would start in several, 47.05 s, an earlier normal gang of seven whole workers, 1-0187, preempts bulk runs on two workers. It is allocated these and five idle ones, in this and every pass until the runs have stopped at 47.9 s. An overdue unit overruled headroom, reservations and the rack, but not such an allocation. Ruled out: reservations, of which the idle workers had none any more, and workers that are avoided.

A pass now records what is allocated to units that cannot start yet, by tier. A job that has stood still for 2.2 s starts one task, or one gang, in idle room that units of its own tier hold so, one rack first. Room of guaranteed and urgent work is never taken: they would stop the job again.

Limit: bulk work that stands still waits for room that normal units hold.

--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -340,7 +340,7 @@
 		}
 	}
 	for _, c := range chosen.placements {
-		p.allocate(u, c)
+		p.allocateWaiting(u, c)
 	}
 }
 
