Tell entries at once when an upstream's announcement expires

Callers of the request path could be sent to a silent upstream for longer than the bound of 3 s: its announcement is valid for 2.5 s, and entries learned of its expiry with the next periodic report, up to 0.5 s later.

The agent reports when the announcement expires.

--- a/control/agent/agent.go
+++ b/control/agent/agent.go
@@ -55,9 +55,11 @@
 	healthClient   *http.Client
 	checkRequested chan struct{}
 
-	mu             sync.Mutex
-	upstream       Announcement
-	announcedAt    time.Time
+	mu          sync.Mutex
+	upstream    Announcement
+	announcedAt time.Time
+	// expiry fires when the announcement expires.
+	expiry         *time.Timer
 	health         health
 	dispatchClient *http.Client
 	limiter        *limit.Limiter
--- a/control/agent/announce.go
+++ b/control/agent/announce.go
@@ -59,6 +59,7 @@
 	stateBefore := a.state(now)
 	a.upstream = announcement
 	a.announcedAt = now
+	a.watchExpiry()
 	a.limiter.Resize(announcement.Slots, announcement.Connections)
 	if previous.Upstream != announcement.Upstream || previous.Addr != announcement.Addr {
 		a.health = health{}
@@ -76,6 +77,19 @@
 	}
 }
 
+// watchExpiry notifies the entries when the announcement expires: their next periodic report would
+// exceed the bound for detecting an unresponsive upstream. The caller must hold a.mu.
+func (a *Agent) watchExpiry() {
+	if a.expiry != nil {
+		a.expiry.Stop()
+	}
+	a.expiry = time.AfterFunc(announcementTTL+time.Millisecond, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.notifyEntries()
+	})
+}
+
 // upstreamClient returns a client that opens at most the given number of
 // connections.
 func upstreamClient(n transport.Network, connections int) *http.Client {
