--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -45,8 +45,6 @@
 	free, freeSoon Resources
 	// idle is the capacity that no run takes, whatever is allocated to waiting units.
 	idle Resources
-	// awaited is the capacity that is allocated, by tier, to waiting units.
-	awaited [tierExpired + 1]Resources
 	// probation reports that the worker gets only a single run at a time, one
 	// that may fail without harm; probing reports that it has one already.
 	probation, probing bool
@@ -336,7 +334,7 @@
 	if u.step.Gang {
 		workers := p.gangPlacement(u, n, v)
 		for _, c := range workers {
-			p.allocateWaiting(u, c)
+			p.allocate(u, c)
 		}
 		return workers != nil
 	}
@@ -345,17 +343,11 @@
 		if c == nil {
 			return false
 		}
-		p.allocateWaiting(u, c)
+		p.allocate(u, c)
 	}
 	return true
 }
 
-// allocateWaiting allocates capacity for one task of a unit that cannot start yet.
-func (p *plan) allocateWaiting(u *unit, c *workerCapacity) {
-	p.allocate(u, c)
-	c.awaited[u.tier] = c.awaited[u.tier].plus(u.step.demand())
-}
-
 // allocate takes the capacity for one task of the unit on the worker.
 func (p *plan) allocate(u *unit, c *workerCapacity) {
 	r := u.step.demand()
--- a/sched/batch/preempt.go
+++ b/sched/batch/preempt.go
@@ -340,7 +340,7 @@
 		}
 	}
 	for _, c := range chosen.placements {
-		p.allocateWaiting(u, c)
+		p.allocate(u, c)
 	}
 }
 
--- a/sched/batch/standstill.go
+++ b/sched/batch/standstill.go
@@ -17,11 +17,6 @@
 // several. That costs more than other deferrals save, so that it leaves only what a start takes.
 const maxRackDeferral = 2200 * time.Millisecond
 
-// maxStopDeferral is how long a job may stand still beside idle capacity that an earlier unit holds
-// until runs elsewhere have stopped. Most stops end before, and those of a unit that loses its
-// place were in vain.
-const maxStopDeferral = maxRackDeferral
-
 // standstillLogDelay is how long a job stands still before this is logged, with the rule that
 // will be overruled at maxDeferral.
 const standstillLogDelay = time.Second
@@ -71,20 +66,17 @@
 }
 
 // workerFor returns the worker on which a task of the unit starts, or nil. For an overdue
-// unit, that may be capacity kept for others.
+// unit, that may be capacity reserved for others.
 func (p *plan) workerFor(u *unit) *workerCapacity {
 	c := p.bestWorker(u, freeNow)
 	if c == nil && u.overdue {
 		c = p.bestWorker(u.ignoringReservations(), freeNow)
 	}
-	if c == nil && p.overrulesStops(u) {
-		c = p.bestWorker(u.ignoringReservations(), u.freeBesideStops())
-	}
 	return c
 }
 
 // workersForGang returns the workers on which the members of a gang start, or nil. For an
-// overdue gang, that may be capacity kept for others, and at last workers of several racks.
+// overdue gang, that may be capacity reserved for others, and at last workers of several racks.
 func (p *plan) workersForGang(u *unit) []*workerCapacity {
 	n := len(u.tasks)
 	workers := p.gangPlacement(u, n, freeNow)
@@ -94,33 +86,9 @@
 	if workers == nil && p.stoodStill(u) >= maxRackDeferral {
 		workers = p.pack(u.ignoringReservations(), p.workers, n, freeNow)
 	}
-	if workers == nil && p.overrulesStops(u) {
-		workers = p.gangBesideStops(u.ignoringReservations(), n)
-	}
 	return workers
 }
 
-// gangBesideStops returns the workers on which a gang that overrules stops starts, or nil.
-func (p *plan) gangBesideStops(u *unit, n int) []*workerCapacity {
-	v := u.freeBesideStops()
-	if workers := p.gangPlacement(u, n, v); workers != nil {
-		return workers
-	}
-	return p.pack(u, p.workers, n, v)
-}
-
-// overrulesStops reports whether the unit may start in idle capacity that units of its tier
-// hold while they wait for runs to stop elsewhere. Units of more urgent tiers keep theirs,
-// because they would stop the unit again.
-func (p *plan) overrulesStops(u *unit) bool {
-	return u.overdue && u.tier >= tierNormal && p.stoodStill(u) >= maxStopDeferral
-}
-
-// freeBesideStops is the view of the free capacity in which a unit that overrules stops starts.
-func (u *unit) freeBesideStops() capacityView {
-	return func(c *workerCapacity) Resources { return c.free.plus(c.awaited[u.tier]) }
-}
-
 // setOverdue also drops what depends on it.
 func (u *unit) setOverdue(overdue bool) { u.overdue, u.alternative = overdue, nil }
 
