Send ends that the answer to a renewal lists to the owner

Since renewals have calls of their own, the agent dropped their answers: the next call lists the ends again, unless the process has left by then, which leaves at once after its last run. So the success was lost and the departure taken as its end. The same holds for the reports that a start waits for.

A report that lists ends is always sent. TestEndsListedByRenewalsReachTheOwner fails without the change.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -115,6 +115,9 @@
 	if err == nil {
 		s.runner.noteResponse(incarnation, sentAt)
 		s.runner.noteWorkerClock(report)
+		if len(report.Ended) > 0 {
+			s.sendWhenFree(ctx, rpc.ReportMessage(report))
+		}
 	}
 	return report, err
 }
@@ -128,7 +131,9 @@
 		result.ClockMs = 0
 		return
 	}
-	s.sendWhenFree(ctx, rpc.ReportMessage(report))
+	if len(report.Ended) == 0 {
+		s.sendWhenFree(ctx, rpc.ReportMessage(report))
+	}
 	result.ClockMs = report.ClockMs
 	switch {
 	case lists(report, o.Run):
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -222,7 +222,10 @@
 		refusals, margin = 0, max(margin/2, renewTimeoutMargin)
 		if renews {
 			applied = granted
-			continue
+			if len(report.Ended) == 0 {
+				continue
+			}
+			// The process may leave before the next call lists these ends again.
 		}
 		wait = renewWait
 		before := s.renewalCount()
--- a/control/runner/session_test.go
+++ b/control/runner/session_test.go
@@ -159,3 +159,41 @@
 		})
 	})
 }
+
+// endingTasks lists an end in the answer to the first renewal with a lease, and leaves after it.
+type endingTasks struct {
+	batchapi.Tasks
+	left bool
+}
+
+func (e *endingTasks) Renew(ctx context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+	if e.left {
+		return batch.Report{}, errkind.New(errkind.Unreachable, "connection refused")
+	}
+	report := batch.Report{Incarnation: r.Incarnation, ClockMs: 1}
+	if e.left = r.DeadlineMs > 0; e.left {
+		report.Ended = []batch.EndedTask{{Number: 1, Kind: batch.EndSucceeded}}
+	}
+	return report, nil
+}
+
+// Guards against a success that is lost, so that its task runs again: only the answer to a renewal
+// lists it, because the process leaves right after.
+func TestEndsListedByRenewalsReachTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The report is sent", t, func() {
+			r := newRunner(&rowWriter{}, func(string) {})
+			r.opts.Tasks = &endingTasks{}
+			announce(r, announcement(5, 1, false))
+			incarnation := r.currentAnnouncement().Incarnation
+			s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1),
+				renewal: batch.LeaseRenewal{Incarnation: incarnation, DeadlineMs: 6000}}
+			s.loopFor(time.Second)
+			ends := 0
+			for len(s.outbound) > 0 {
+				ends += len((<-s.outbound).GetReport().GetEnded())
+			}
+			So(ends, ShouldEqual, 1)
+		})
+	})
+}
