Let the model's agent tell a successor's answer by its clock

Cause, from a log of the conclusions: three starts for a process that had been restarted under its id were answered by the next one, whose clock stood at 1. A report that the former process had made at 12,878 was delivered after that, did not list the runs, and proved their end (not_listed, confirmed at 1). The agent takes such an answer for none since (TestStartCarriedOutBySuccessorHasNoAnswer), the agent of the model did not.

The model's agent does so now; workers, late orders and invariants are the same.

--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -236,16 +236,26 @@
 }
 
 func (m *model) deliverAtOnce(o Order) {
-	kind, clock := m.apply(o, m.epoch)
+	kind, clock := m.forward(o)
 	m.scheduler.Answered(o, kind, clock, m.now)
 }
 
+// forward lets a worker act on an order, and returns the answer that the agent passes on: it tells
+// by the clock that another incarnation has carried the order out.
+func (m *model) forward(o Order) (AnswerKind, int64) {
+	kind, clock := m.apply(o, m.epoch)
+	if kind == AnswerOK && m.worker(o.Worker).incarnation != o.Incarnation {
+		return AnswerUnknown, 0
+	}
+	return kind, clock
+}
+
 // deliverTwice carries out an order whose first attempt had no answer and arrives
 // later.
 func (m *model) deliverTwice(o Order) {
 	delay := time.Duration(rapid.IntRange(100, 9000).Draw(m.t, "delay of the first attempt")) * time.Millisecond
 	m.delayed = append(m.delayed, delayedOrder{o, m.epoch, m.now.Add(delay)})
-	kind, clock := m.apply(o, m.epoch)
+	kind, clock := m.forward(o)
 	switch {
 	case o.Kind == OrderStop:
 	case kind == AnswerOK:
