--- a/control/batche2e/first_call_test.go
+++ b/control/batche2e/first_call_test.go
@@ -1,15 +1,9 @@
 package batche2e
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/lacewingpier/lacewingpier/control/rpc"
-	"github.com/lacewingpier/lacewingpier/control/runner"
-	"github.com/lacewingpier/lacewingpier/control/transport"
-	"github.com/lacewingpier/lacewingpier/core/ident"
-	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
 
@@ -19,26 +13,6 @@
 	set(m, &m.renew, func(batchapi.RenewRequest) fate { return fate{held: true} })
 }
 
-// startAgentOf starts the agent of a machine again. The process has not announced itself.
-func (s *cluster) startAgentOf(m *machine, id string) {
-	w, address := m.worker, "10.0.1."+id+":7000"
-	r := runner.New(runner.Options{
-		ID: ident.Worker("w" + id), Address: address, Tasks: m, Store: w.store, Logger: discardLogger(), Count: ignoreEvent,
-		Clock: func() time.Duration { return time.Since(s.log.start) + time.Hour },
-	})
-	listener, err := w.host.Listen(address)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	server := transport.NewGRPCServer()
-	rpc.RegisterTaskRunnerServer(server, r)
-	ctx, cancel := context.WithCancel(context.Background())
-	w.runner, w.server, w.stop = r, server, func() { cancel(); server.Stop() }
-	go func() { _ = server.Serve(listener) }()
-	go r.Publish(ctx)
-	go r.Verify(ctx)
-}
-
 // Guards against a second run of a task whose stop was answered: the process is restarted a moment
 // before the start arrives, or while its agent is cut off, so that it has seen no fencing token.
 func TestStoppedStartIsNotCarriedOutBeforeFirstCall(t *testing.T) {
@@ -98,13 +72,7 @@
 			a := s.startEntry("1")
 			m := s.startMachine("1")
 			s.wait(age)
-			attempts := 0
-			set(m, &m.start, func(batch.Order) fate {
-				if attempts++; attempts == 1 {
-					return fate{late: 6 * time.Second}
-				}
-				return fate{}
-			})
+			set(m, &m.start, firstAttemptIsLate(6*time.Second))
 			s.submit(a, "bulk", job1, "1s", 1)
 			s.wait(3 * time.Second)
 			s.freeze(m)
@@ -127,13 +95,7 @@
 		a := s.startEntry("1")
 		m := s.startMachine("1")
 		s.wait(age)
-		attempts := 0
-		set(m, &m.start, func(batch.Order) fate {
-			if attempts++; attempts == 1 {
-				return fate{late: 11900 * time.Millisecond}
-			}
-			return fate{}
-		})
+		set(m, &m.start, firstAttemptIsLate(11900*time.Millisecond))
 		sent := time.Now()
 		s.submit(a, "bulk", job1, "5m", 1)
 		s.wait(time.Second)
--- a/control/batche2e/former_calls_test.go
+++ b/control/batche2e/former_calls_test.go
@@ -189,8 +189,15 @@
 	m.renew = func(batchapi.RenewRequest) fate { return fate{} }
 	w.host = s.net.Host("10.0.1." + id)
 	s.workers[id] = w
-	address := "10.0.1." + id + ":7000"
-	w.runner = runner.New(runner.Options{
+	s.startAgentOf(m, id)
+	w.announce(false)
+	return m
+}
+
+// startAgentOf starts the agent of a machine, to which the process has not announced itself.
+func (s *cluster) startAgentOf(m *machine, id string) {
+	w, address := m.worker, "10.0.1."+id+":7000"
+	r := runner.New(runner.Options{
 		ID: ident.Worker("w" + id), Address: address, Tasks: m, Store: w.store, Logger: discardLogger(), Count: ignoreEvent,
 		Clock: func() time.Duration { return time.Since(s.log.start) + time.Hour },
 	})
@@ -198,15 +205,13 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	w.server = transport.NewGRPCServer()
-	rpc.RegisterTaskRunnerServer(w.server, w.runner)
+	server := transport.NewGRPCServer()
+	rpc.RegisterTaskRunnerServer(server, r)
 	ctx, cancel := context.WithCancel(context.Background())
-	w.stop = func() { cancel(); w.server.Stop() }
-	go func() { _ = w.server.Serve(listener) }()
-	go w.runner.Publish(ctx)
-	go w.runner.Verify(ctx)
-	w.announce(false)
-	return m
+	w.runner, w.server, w.stop = r, server, func() { cancel(); server.Stop() }
+	go func() { _ = server.Serve(listener) }()
+	go r.Publish(ctx)
+	go r.Verify(ctx)
 }
 
 // lines returns how many lines of the transcript contain a text.
@@ -284,6 +289,17 @@
 	}
 }
 
+// firstAttemptIsLate makes the first attempt to start a run late.
+func firstAttemptIsLate(late time.Duration) func(batch.Order) fate {
+	attempts := 0
+	return func(batch.Order) fate {
+		if attempts++; attempts > 1 {
+			return fate{}
+		}
+		return fate{late: late}
+	}
+}
+
 // age is how old the processes are that are restarted: a time on their clock is far in the future
 // for the next one.
 const age = time.Minute
@@ -322,13 +338,7 @@
 		a := s.startEntry("1")
 		m := s.startMachine("1")
 		s.wait(age)
-		attempts := 0
-		set(m, &m.start, func(batch.Order) fate {
-			if attempts++; attempts == 1 {
-				return fate{late: 6 * time.Second}
-			}
-			return fate{}
-		})
+		set(m, &m.start, firstAttemptIsLate(6*time.Second))
 		s.submit(a, "bulk", job1, "1s", 1)
 		s.wait(2 * time.Second)
 		s.startAgain(m, 300*time.Millisecond)
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -88,37 +88,30 @@
 }
 
 // recordLeaseEnds lets the next transaction, which makes the commit durable, state when the
-// leases of silent workers end. It logs once in a row that some have no room.
+// leases of silent workers end.
 func (l *ownerLoop) recordLeaseEnds(c *batch.Commit, now time.Time) {
 	ends, omitted := l.scheduler.RecordLeaseEnds(c, now)
 	l.writer.owner.LeaseEnds = ends
-	if omitted == 0 {
-		l.leaseEndsOmitted = false
-		return
-	}
-	l.candidate.opts.Count("lease_ends_omitted")
-	if !l.leaseEndsOmitted {
-		l.leaseEndsOmitted = true
-		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("recorded", len(ends)).Int("omitted", omitted).
-			Msg("owner's row has no room for the lease ends of all silent workers")
-	}
+	l.noteOmitted(&l.leaseEndsOmitted, len(ends), omitted, "lease_ends_omitted", "owner's row has no room for the lease ends of all silent workers")
 }
 
-// recordOpenStarts lets the next transaction state which workers have open starts. It logs once
-// in a row that there are too many to list them.
+// recordOpenStarts lets the next transaction state which workers have open starts.
 func (l *ownerLoop) recordOpenStarts(now time.Time) {
 	open, omitted := l.scheduler.RecordOpenStarts(now)
 	l.writer.owner.OpenStarts = open
-	if omitted == 0 {
-		l.openStartsOmitted = false
-		return
+	l.noteOmitted(&l.openStartsOmitted, len(open.Workers), omitted, "open_starts_omitted", "owner's row has no room for the workers with open starts")
+}
+
+// noteOmitted counts transactions for which the owner's row has no room for some workers, and logs
+// the first one in a row.
+func (l *ownerLoop) noteOmitted(before *bool, recorded, omitted int, event, message string) {
+	if omitted > 0 {
+		l.candidate.opts.Count(event)
 	}
-	l.candidate.opts.Count("open_starts_omitted")
-	if !l.openStartsOmitted {
-		l.openStartsOmitted = true
-		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("omitted", omitted).
-			Msg("owner's row has no room for the workers with open starts")
+	if omitted > 0 && !*before {
+		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("recorded", recorded).Int("omitted", omitted).Msg(message)
 	}
+	*before = omitted > 0
 }
 
 // describeOpenStarts returns on how many workers an earlier owner had open starts, or "unknown".
--- a/control/runner/fence.go
+++ b/control/runner/fence.go
@@ -16,9 +16,9 @@
 )
 
 // fence makes the fencing tokens of the calls on one stream. A worker keeps the highest token that
-// it has seen and ignores calls with a lower one. The token rises above that of each call that had no
-// answer, so that once the worker has taken a later call it ignores that one, also if it was restarted in
-// between; and with each stream, because an agent that is restarted forgets its calls.
+// it has seen and ignores calls with a lower one. The token rises above that of each call without
+// an answer, so that the worker ignores this call once it has taken a later one, also if it was
+// restarted in between; and with each stream, because an agent that is restarted forgets its calls.
 type fence struct {
 	epoch ident.Epoch
 	// stream numbers the streams under the epoch. The owner counts them.
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -360,11 +360,8 @@
 	if r.clock.incarnation != incarnation || clockMs <= 0 {
 		return false
 	}
-	passed := sentAt - r.clock.at
-	if passed > 0 {
-		passed -= passed * batch.SlowClockPercent / 100
-	}
-	return clockMs < r.clock.ms+passed.Milliseconds()-clockResolutionMs
+	earliest := r.clock.ms + batch.MinClockAdvance(sentAt-r.clock.at).Milliseconds()
+	return clockMs < earliest-clockResolutionMs
 }
 
 // clockResolutionMs bounds the rounding of two readings in whole milliseconds.
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -250,8 +250,8 @@
 		s.runner.noteCallFailed(announced.Incarnation)
 		if mayBeCarriedOut(err) {
 			s.fenceOff(request.Token)
+			s.noteLostLease(err, request)
 		}
-		s.noteLostLease(err, request)
 		return report, renewCtx.Err() != nil, err
 	}
 	if report.Unreadable > 0 {
@@ -301,10 +301,10 @@
 	return s.renewal
 }
 
-// noteLostLease reports that a call with a lease has failed. It may be carried out later, by the
-// next process with the same id too, unless nobody listened.
+// noteLostLease reports that a call which may be carried out later, by the next process with the
+// same id too, carries a lease.
 func (s *session) noteLostLease(err error, request batchapi.RenewRequest) {
-	if request.DeadlineMs == 0 || errkind.Is(err, errkind.Unreachable) {
+	if request.DeadlineMs == 0 {
 		return
 	}
 	s.runner.opts.Count("lease_unanswered")
--- a/control/runner/successor_test.go
+++ b/control/runner/successor_test.go
@@ -114,7 +114,7 @@
 
 // Guards against answers of the intended process that are taken for those of another one.
 func TestSlowClocksAndResponsesAreNoRestart(t *testing.T) {
-	for _, percent := range []int64{100 - batch.SlowClockPercent, 100} {
+	for _, percent := range []int64{98, 100} {
 		for _, responseTime := range []time.Duration{0, 3 * time.Millisecond, 200 * time.Millisecond} {
 			synctest.Test(t, func(t *testing.T) {
 				Convey("Starts are accepted", t, func() {
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -233,8 +233,17 @@
 	}
 }
 
-// SlowClockPercent is by how much a worker's clock may be slow.
-const SlowClockPercent = 2
+// slowClockPercent is by how much a worker's clock may be slow.
+const slowClockPercent = 2
+
+// MinClockAdvance returns by how much a worker's clock advances in the given time at least.
+// Negative times are returned as they are.
+func MinClockAdvance(d time.Duration) time.Duration {
+	if d > 0 {
+		d -= d * slowClockPercent / 100
+	}
+	return d
+}
 
 // leaseExpiryMargin covers the delay of a message that was in flight.
 const leaseExpiryMargin = 300 * time.Millisecond
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -133,11 +133,7 @@
 // clockAt returns a lower bound of the worker's clock at a time. The clock was read before the
 // latest report arrived, and may be slow.
 func (w *worker) clockAt(at time.Time) int64 {
-	sinceReport := at.Sub(w.reportedAt)
-	if sinceReport > 0 {
-		sinceReport -= sinceReport * SlowClockPercent / 100
-	}
-	return w.clockMs + sinceReport.Milliseconds()
+	return w.clockMs + MinClockAdvance(at.Sub(w.reportedAt)).Milliseconds()
 }
 
 func (w *worker) extendLeaseBound(lease time.Duration) {
