Pass on ends that any call to a worker's process lists

Like the answers to renewals before, reports that the agent asked for while it verified another process, or while a start waited, were dropped. If they list an end and the process leaves before another call lists it again, the owner takes the departure as the end of a run that has succeeded, and its task runs again.

Each report that lists ends goes to the owner, in one place.

--- a/control/runner/orders.go
+++ b/control/runner/orders.go
@@ -94,7 +94,8 @@
 		if ctx.Err() != nil || !time.Now().Before(until) || s.expired(o) {
 			return false
 		}
-		_, err := s.requestReport(ctx, s.runner.currentAnnouncement().Address, o.Incarnation)
+		report, err := s.requestReport(ctx, s.runner.currentAnnouncement().Address, o.Incarnation)
+		s.runner.passOnEnds(report)
 		if errkind.Is(err, errkind.StaleIncarnation) {
 			s.runner.markReplaced(o.Incarnation)
 			return false
@@ -115,9 +116,6 @@
 	if err == nil {
 		s.runner.noteResponse(incarnation, sentAt)
 		s.runner.noteWorkerClock(report)
-		if len(report.Ended) > 0 {
-			s.sendWhenFree(ctx, rpc.ReportMessage(report))
-		}
 	}
 	return report, err
 }
@@ -131,9 +129,7 @@
 		result.ClockMs = 0
 		return
 	}
-	if len(report.Ended) == 0 {
-		s.sendWhenFree(ctx, rpc.ReportMessage(report))
-	}
+	s.sendWhenFree(ctx, rpc.ReportMessage(report))
 	result.ClockMs = report.ClockMs
 	switch {
 	case lists(report, o.Run):
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -399,6 +399,16 @@
 	return r.failure.incarnation != incarnation
 }
 
+// passOnEnds sends a report that was asked for something else to the owner if it lists ends: the
+// process may leave before another call lists them again.
+func (r *Runner) passOnEnds(report batch.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(report.Ended) > 0 && r.session != nil {
+		r.session.send(rpc.ReportMessage(report))
+	}
+}
+
 // markReplaced records that another process than an incarnation of the upstream process responds
 // at its address. Its announcement follows.
 func (r *Runner) markReplaced(incarnation batch.Incarnation) {
--- a/control/runner/session_test.go
+++ b/control/runner/session_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -160,40 +161,64 @@
 	})
 }
 
-// endingTasks lists an end in the answer to the first renewal with a lease, and leaves after it.
+// endingTasks lists an end in the answer to one call, and leaves after it.
 type endingTasks struct {
 	batchapi.Tasks
+	// last reports whether a call is the one that the process answers last.
+	last func(batchapi.RenewRequest) bool
 	left bool
 }
 
-func (e *endingTasks) Renew(ctx context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
+func (e *endingTasks) Renew(_ context.Context, _ string, r batchapi.RenewRequest) (batch.Report, error) {
 	if e.left {
 		return batch.Report{}, errkind.New(errkind.Unreachable, "connection refused")
 	}
 	report := batch.Report{Incarnation: r.Incarnation, ClockMs: 1}
-	if e.left = r.DeadlineMs > 0; e.left {
+	if e.left = e.last(r); e.left {
 		report.Ended = []batch.EndedTask{{Number: 1, Kind: batch.EndSucceeded}}
 	}
 	return report, nil
 }
 
-// Guards against a success that is lost, so that its task runs again: only the answer to a renewal
-// lists it, because the process leaves right after.
-func TestEndsListedByRenewalsReachTheOwner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		Convey("The report is sent", t, func() {
-			r := newRunner(&rowWriter{}, func(string) {})
-			r.opts.Tasks = &endingTasks{}
-			announce(r, announcement(5, 1, false))
-			incarnation := r.currentAnnouncement().Incarnation
-			s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1),
-				renewal: batch.LeaseRenewal{Incarnation: incarnation, DeadlineMs: 6000}}
-			s.loopFor(time.Second)
-			ends := 0
-			for len(s.outbound) > 0 {
-				ends += len((<-s.outbound).GetReport().GetEnded())
-			}
-			So(ends, ShouldEqual, 1)
+func (e *endingTasks) Start(context.Context, string, ident.FencingToken, batch.Order) batchapi.OrderResult {
+	return batchapi.OrderResult{Kind: batch.AnswerRejected}
+}
+
+// Guards against a success that is lost, so that its task runs again: only the answer to a call
+// for something else lists it, because the process leaves right after.
+func TestEndsListedByAnyCallReachTheOwner(t *testing.T) {
+	anyCall := func(batchapi.RenewRequest) bool { return true }
+	for name, c := range map[string]struct {
+		last func(batchapi.RenewRequest) bool
+		call func(s *session)
+	}{
+		"a renewal of the lease": {
+			func(r batchapi.RenewRequest) bool { return r.DeadlineMs > 0 },
+			func(s *session) { s.loopFor(time.Second) },
+		},
+		"a start that waits for a response": {anyCall, func(s *session) {
+			s.runner.noteCallFailed(s.runner.currentAnnouncement().Incarnation)
+			s.startOnce()
+		}},
+		"the verification of another process": {anyCall, func(s *session) {
+			s.runner.mayRespond(context.Background(), s.runner.currentAnnouncement())
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("The report is sent: "+name, t, func() {
+				r := newRunner(&rowWriter{}, func(string) {})
+				r.opts.Tasks = &endingTasks{last: c.last}
+				s := &session{runner: r, cancel: func() {}, outbound: make(chan *rpc.FromRunner, 100), wakeup: make(chan struct{}, 1), startSlots: make(chan struct{}, 1)}
+				So(r.attachSession(s), ShouldBeNil)
+				announce(r, announcement(5, 1, false))
+				s.renewal = batch.LeaseRenewal{Incarnation: r.currentAnnouncement().Incarnation, DeadlineMs: 6000}
+				c.call(s)
+				ends := 0
+				for len(s.outbound) > 0 {
+					ends += len((<-s.outbound).GetReport().GetEnded())
+				}
+				So(ends, ShouldEqual, 1)
+			})
 		})
-	})
+	}
 }
--- a/control/runner/verify.go
+++ b/control/runner/verify.go
@@ -175,6 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
 	defer cancel()
 	report, err := r.opts.Tasks.Renew(ctx, a.Address, batchapi.RenewRequest{Token: r.fencingToken(), Incarnation: a.Incarnation})
+	r.passOnEnds(report)
 	if errkind.Is(err, errkind.StaleEpoch) && report.Incarnation == a.Incarnation {
 		return nil // The refusal names the incarnation.
 	}
