--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -435,6 +435,8 @@
 			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
 		case event.Event == batch.EventStandsStill:
 			l.candidate.opts.Count("job_stands_still_" + event.Reason)
+		case event.Event == batch.EventSlow:
+			l.candidate.opts.Count("worker_slow")
 		case event.WaitedMs > 0:
 			l.candidate.opts.Count("wait_" + event.Reason)
 		}
@@ -448,6 +450,9 @@
 		if event.For != "" {
 			line = line.Str("for", string(event.For)).Float64("cost_core_seconds", event.CostCoreSeconds)
 		}
+		if event.Event == batch.EventSlow || event.Event == batch.EventNotSlow {
+			line = line.Int("speed_percent", event.SpeedPercent)
+		}
 		line.Msg(event.Event)
 	}
 }
--- a/sched/batch/logevents.go
+++ b/sched/batch/logevents.go
@@ -23,6 +23,8 @@
 	// stop, for a member of a gang that of the whole gang.
 	For             ident.Job
 	CostCoreSeconds float64
+	// SpeedPercent is the estimated speed of a worker, if the event is about that.
+	SpeedPercent int
 }
 
 // TakeLogEvents removes and returns the events recorded since the last call.
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -88,7 +88,7 @@
 	if u.forgivesFaults(p.now, c) {
 		return false
 	}
-	if c.probation && (u.step.Gang || u.tier < tierBulk) {
+	if (c.probation || c.worker.slow(p.now)) && (u.step.Gang || u.tier < tierBulk) {
 		return true
 	}
 	return c.worker.hasRecentFault(p.now) && p.mayWaitForLastAttempt(u)
@@ -219,6 +219,9 @@
 	if alone := !interferes(u, a); alone == interferes(u, b) {
 		return alone
 	}
+	if slow := a.worker.slow(p.now); slow != b.worker.slow(p.now) {
+		return !slow
+	}
 	fa, fb := v(a), v(b)
 	return cmp.Or(cmp.Compare(fa.Accelerators, fb.Accelerators), cmp.Compare(fa.MilliCores, fb.MilliCores)) < 0
 }
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -132,12 +132,17 @@
 // leavesHeadroom reports whether the headroom stays free if n more tasks of the
 // unit start.
 func (p *plan) leavesHeadroom(u *unit, n int) bool {
-	if u.overdue || u.mayUseHeadroom() || p.headroomLiesIdle(u) {
+	if u.overdue || u.mayUseHeadroom() && !p.hasSlack(u) || p.headroomLiesIdle(u) {
 		return true
 	}
 	return freeAccelerators(p.workers, freeNow)-n*u.step.PerTask.Accelerators >= p.headroom
 }
 
+// hasSlack reports whether a later start costs the unit's callers nothing yet.
+func (p *plan) hasSlack(u *unit) bool {
+	return u.tier >= tierBulk && p.now.Before(u.latestStart)
+}
+
 // headroomPatience is how long work waits for headroom while most accelerators are free.
 const headroomPatience = 2 * time.Second
 
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -75,6 +75,7 @@
 	s.markDirty(t.id.Job)
 	t.confirmed, t.confirmedMs = false, 0
 	t.percent, t.firstPercent, t.firstPercentAt = 0, 0, time.Time{}
+	t.observed, t.stallLogged = observation{}, false
 	t.repetition = repetition{possible: true}
 	t.stop = stopState{}
 	if !t.recovered {
@@ -104,6 +105,7 @@
 	w.reportedAt, w.clockMs = now, r.ClockMs
 	s.processEnds(w, r.Ended, now)
 	s.reconcileRunning(w, r, now)
+	s.observeSpeed(w, now)
 	s.handling = ""
 }
 
@@ -220,6 +222,7 @@
 		t.firstPercent, t.firstPercentAt = row.Percent, now
 	}
 	t.takeCheckpoint(row.Checkpoint, row.Percent)
+	t.observe(row.Percent, clockMs, now)
 	if row.Percent != t.percent {
 		t.percent = row.Percent
 		t.progressedAt = now
@@ -360,6 +363,7 @@
 	t.overTargetSince, t.firstPercentAt, t.unansweredSince = time.Time{}, time.Time{}, time.Time{}
 	t.sentAt, t.lateUntil = time.Time{}, time.Time{}
 	t.firstPercent = 0
+	t.observed, t.stallLogged = observation{}, false
 	t.stop = stopState{}
 }
 
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -49,6 +49,9 @@
 	// firstPercentAt.
 	firstPercent   int
 	firstPercentAt time.Time
+	// observed is what the latest report told, and stallLogged that a stall has been logged.
+	observed    observation
+	stallLogged bool
 	// resumed reports that the run started from a checkpoint.
 	resumed    bool
 	repetition repetition
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// stallTimeout is how long a run may make no progress before it is moved. Even
-// work on a slow worker away from its data advances by one percent in less time.
-const stallTimeout = 5 * time.Second
-
 // stopRetryInterval is the time between two stop orders for a run while none is
 // answered.
 const stopRetryInterval = 700 * time.Millisecond
@@ -91,22 +87,6 @@
 	return grace.expired.Equal(expired) && now.Before(grace.until)
 }
 
-func (s *Scheduler) checkProgress(w *worker, t *task, now time.Time) {
-	if t.step().LongRunning || !t.confirmed || t.stop.requested {
-		return
-	}
-	since := t.progressedAt
-	if since.Before(s.resumedAt) {
-		since = s.resumedAt
-	}
-	if now.Sub(w.reportedAt) > reportTimeout || now.Sub(since) < stallTimeout+s.timing.Restore {
-		return
-	}
-	w.recordFault(now, suspectFaults)
-	s.logRun("run makes no progress", t, now)
-	s.requestStop(t, ReasonStalled)
-}
-
 // queueStop queues the stop order of a run to be stopped while its worker is
 // attached, and again after each stopRetryInterval until it is answered.
 func (s *Scheduler) queueStop(w *worker, t *task, now time.Time) {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/sched/health"
 )
 
 // WorkerInfo describes a worker, as reported by its agent.
@@ -114,6 +115,10 @@
 	// noBestEffortUntil is until when the worker gets no best-effort tasks,
 	// because they slowed down serving ones.
 	noBestEffortUntil time.Time
+	// speed is learned from the progress of runs; stalledAt is when a run on the worker was last
+	// found stalled.
+	speed     health.Speed
+	stalledAt time.Time
 	// faults is the weighted number of faults since the last success, the latest
 	// at faultAt.
 	faults  int
