--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -148,10 +148,12 @@
 }
 
 const (
-	// renewWait is how long the upstream process holds a renewal open while no
-	// task ends (long poll). It is also the period of the reports by which the
-	// owner sees that the stream is alive.
+	// renewWait is the period of the reports by which the owner sees that the stream is alive.
 	renewWait = 1500 * time.Millisecond
+	// pollWait is how long the upstream process holds a call open while no task ends (long
+	// poll). A call whose answer is lost hides an end for that long, and a run that stands
+	// still is noticed after two of them. The process is on the same machine.
+	pollWait = 500 * time.Millisecond
 	// renewTimeoutMargin is added to the wait to get the timeout of a renewal.
 	// It is short because the process is on the same machine.
 	renewTimeoutMargin = 400 * time.Millisecond
@@ -195,6 +197,7 @@
 	// the same id, and must not take over the lease and the cursor of its predecessor.
 	failed := false
 	var applied batch.LeaseRenewal
+	var progress progressWatch
 	for ctx.Err() == nil {
 		announced := s.runner.currentAnnouncement()
 		if announced.Incarnation == (batch.Incarnation{}) {
@@ -227,7 +230,10 @@
 			}
 			// The process may leave before the next call lists these ends again.
 		}
-		wait = renewWait
+		wait = pollWait
+		if !progress.note(report, time.Now()) && granted.DeadlineMs > 0 {
+			continue
+		}
 		before := s.renewalCount()
 		s.sendWhenFree(ctx, rpc.ReportMessage(report))
 		s.awaitRenewal(ctx, before)
