Refuse jobs that can be of no value behind the published backlog

Cause: nothing is refused for lack of capacity; a job that can't end within three times its objective is accepted, waits, takes capacity and is stopped, and its caller does not learn it early. Change: the owner measures the work that waits and runs by service, label and priority and publishes it in its row; sched/admission decides by it; the gateway answers 429 no_value_left with a time to come back before it writes the job's row. Setting admission.refuse_hopeless.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -56,6 +56,7 @@
 	// summarizedAt is when the scheduler was last summarized, summaryLoggedAt when that was
 	// last logged.
 	summarizedAt, summaryLoggedAt time.Time
+	backlog                       backlogPublisher
 }
 
 const (
@@ -307,6 +308,7 @@
 	}
 	l.recordLeaseEnds(c, now)
 	l.recordOpenStarts(now)
+	l.publishBacklog(now)
 	l.inFlight, l.lastCommitStart = c, now
 	l.group.Go(func() {
 		var err error
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -27,7 +27,9 @@
 	Writer  *jobstore.Writer
 	// RowBytes is the largest value of a row of the store, or zero for the usual one.
 	RowBytes int
-	Logger   *log.Logger
+	// RefuseHopeless lets the gateway refuse jobs that would end too late to be of value.
+	RefuseHopeless bool
+	Logger         *log.Logger
 	// Count is called with the name and the result kind of each call, Observe with
 	// its duration.
 	Count   func(call, kind string)
@@ -41,6 +43,7 @@
 	mu sync.Mutex
 	// refreshFailedAt is when a read of a job's state last failed.
 	refreshFailedAt time.Time
+	writes          writesInProgress
 }
 
 // New returns a gateway.
@@ -127,7 +130,13 @@
 	if err := g.checkRows(job, value); err != nil {
 		return err
 	}
-	return g.createRow(ctx, jobstore.JobKey(t.job), value)
+	if err := g.admit(ctx, job); err != nil {
+		return err
+	}
+	g.writes.begin(t.job)
+	err = g.createRow(ctx, jobstore.JobKey(t.job), value)
+	g.writes.end(t.job, err, time.Now())
+	return err
 }
 
 // checkRows returns an error of kind InvalidArgument if the store cannot hold the row of a job,
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -51,6 +51,7 @@
 	entries      map[ident.Entry]Entry
 	owner        Owner
 	ownerVersion rows.Version
+	backlog      publishedBacklog
 	// completeTo is the version up to which the replica has all changes. Single rows may
 	// be newer.
 	completeTo rows.Version
@@ -189,6 +190,7 @@
 func (r *Replica) applyOwnerLocked(row rows.Row) error {
 	r.ownerVersion = row.Version
 	r.ownerChangedAt = time.Now()
+	r.backlog.current = false
 	var owner Owner
 	if err := decode(row, &owner); err != nil {
 		// The epoch of the last readable row stays: workers reject orders of a lower one. Its
@@ -197,7 +199,7 @@
 		return err
 	}
 	r.owner = owner
-	return nil
+	return r.applyBacklogLocked()
 }
 
 func (r *Replica) applyJobLocked(row rows.Row) error {
--- a/control/jobstore/rows.go
+++ b/control/jobstore/rows.go
@@ -63,6 +63,9 @@
 	// OpenStarts is nil in rows of older versions of the program: it is not known then. It is
 	// not changed in place.
 	OpenStarts *batch.OpenStarts `json:"open,omitempty"`
+	// Backlog is an encoded admission.Backlog, or empty. It is decoded apart from the row, so
+	// that one that can't be read costs nothing else. It is not changed in place.
+	Backlog json.RawMessage `json:"load,omitempty"`
 }
 
 // Worker is the content of a worker's row.
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -119,8 +119,8 @@
 func (e *Entry) listen() (err error) {
 	gw := gateway.New(gateway.Options{
 		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
-		RowBytes: e.settings.StoreRowBytes,
-		Writer:   &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
+		RowBytes: e.settings.StoreRowBytes, RefuseHopeless: e.settings.Admission.refuseHopeless(),
+		Writer: &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
 	})
 	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
@@ -135,6 +135,9 @@
 	if err := e.publishGauges(); err != nil {
 		return err
 	}
+	if err := e.publishBacklog(); err != nil {
+		return err
+	}
 	return e.serveMetrics()
 }
 
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -63,8 +63,9 @@
 	TerminationGraceSeconds float64 `json:"termination_grace_s"`
 	// CPU is the CPU time that the process may use. Entries with a larger CPU
 	// share take the ownership first.
-	CPU   CPUSettings  `json:"processor"`
-	Tasks TaskSettings `json:"tasks"`
+	CPU       CPUSettings       `json:"processor"`
+	Tasks     TaskSettings      `json:"tasks"`
+	Admission AdmissionSettings `json:"admission"`
 }
 
 // Validate reports all invalid fields at once.
@@ -102,6 +103,15 @@
 	return time.Duration(s.TerminationGraceSeconds * float64(time.Second))
 }
 
+// AdmissionSettings says which jobs are refused although they are valid.
+type AdmissionSettings struct {
+	// RefuseHopeless lets the entry refuse jobs that would end too late to be of value. If it is
+	// missing, they are refused.
+	RefuseHopeless *bool `json:"refuse_hopeless"`
+}
+
+func (a AdmissionSettings) refuseHopeless() bool { return a.RefuseHopeless == nil || *a.RefuseHopeless }
+
 // CPUSettings describes the CPU time that a process may use.
 type CPUSettings struct {
 	// Share is the share of one core that the process may use.
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -81,6 +81,9 @@
 	JobUnknown
 	// HistoryLost means that the store no longer has the requested changes.
 	HistoryLost
+	// NoValueLeft means that the job would end too late to be of value, behind the work that
+	// waits before it.
+	NoValueLeft
 
 	kindCount
 )
@@ -157,6 +160,7 @@
 	Corrupt:           {"corrupt", http.StatusInternalServerError, codes.DataLoss, false, NotRun},
 	JobUnknown:        {"job_unknown", http.StatusGone, codes.NotFound, false, NotRun},
 	HistoryLost:       {"history_lost", http.StatusServiceUnavailable, codes.OutOfRange, true, NotRun},
+	NoValueLeft:       {"no_value_left", http.StatusTooManyRequests, codes.ResourceExhausted, true, NotRun},
 }
 
 // Kinds returns every kind in order.
