--- a/sched/admission/admission.go
+++ b/sched/admission/admission.go
@@ -85,10 +85,10 @@
 // Decide decides on a new job by a backlog of the given age. Without a backlog it accepts.
 func Decide(j *Job, b *Backlog, age time.Duration) Decision {
 	switch {
-	case j.Objective <= 0:
-		return accept(ReasonNoDeadline)
 	case b == nil:
 		return accept(ReasonNoFigures)
+	case j.Objective <= 0:
+		return accept(ReasonNoDeadline)
 	case age > MaxAge:
 		return accept(ReasonOldFigures)
 	}
