--- a/control/gateway/admission_test.go
+++ b/control/gateway/admission_test.go
@@ -58,9 +58,9 @@
 	if s.commitError != nil {
 		return rows.Applied{}, s.commitError
 	}
-	applied := make(chan error, 1)
+	applied, delay := make(chan error, 1), s.commitDelay
 	go func() {
-		time.Sleep(s.commitDelay)
+		time.Sleep(delay)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if row, ok := s.held[txn.Put[0].Key]; ok {
@@ -73,12 +73,21 @@
 	}()
 	select {
 	case err := <-applied:
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		return rows.Applied{Version: s.version}, err
 	case <-ctx.Done():
 		return rows.Applied{}, errkind.New(errkind.OutcomeUnknown, "no response")
 	}
 }
 
+// count returns how many rows are held.
+func (s *jobRows) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
 // busyEntry is an entry of a deployment whose backlog leaves no new job any value.
 type busyEntry struct {
 	gateway *Gateway
@@ -158,7 +167,7 @@
 			So(errkind.NoValueLeft.Answer().HTTPStatus, ShouldEqual, 429)
 			So(errkind.NoValueLeft.Answer().Outcome, ShouldEqual, errkind.NotRun)
 			So(errkind.RetryAfter(err), ShouldBeBetweenOrEqual, 60*time.Second, 90*time.Second)
-			So(e.store.held, ShouldBeEmpty)
+			So(e.store.count(), ShouldEqual, 0)
 			So(e.counts["admission no_value_left"], ShouldEqual, 1)
 			So(e.counts["submit no_value_left"], ShouldEqual, 1)
 			Convey("and is accepted once the queue is shorter", func() {
@@ -217,7 +226,7 @@
 			e.store.readError = errkind.New(errkind.StoreUnavailable, "refused")
 			accepted(e)
 			So(e.counts["admission unverified"], ShouldEqual, 1)
-			So(e.store.held, ShouldHaveLength, 1)
+			So(e.store.count(), ShouldEqual, 1)
 		})
 		Convey("A store that is slow to tell counts as one that does not tell", t, func() {
 			e := newBusyEntry(true)
@@ -233,7 +242,7 @@
 			e.publish(time.Hour)
 			So(errkind.Of(e.submit(testJob, 2, 1)), ShouldEqual, errkind.OutcomeUnknown)
 			time.Sleep(5 * time.Second)
-			So(e.store.held, ShouldHaveLength, 1)
+			So(e.store.count(), ShouldEqual, 1)
 			e.store.commitDelay = 0
 			e.publish(time.Hour) // may have been written at any time of the last 5 s
 			e.publish(time.Hour)
