Durations of recovered runs are not part of a queue's history

Cause: a new owner counts the runs of the former one from its takeover, and took the rest of each as the duration of a task. In a deployment with tasks of 2 s the mean of the queue was 55 ms after a takeover (control/batche2e), so that expected durations, objectives and the published backlog were far too low. Change: only runs that this owner has sent are recorded.

--- a/sched/batch/duration.go
+++ b/sched/batch/duration.go
@@ -47,9 +47,9 @@
 }
 
 // recordDuration adds the duration of a successful run to the history of its
-// queue.
+// queue. Of a run that an earlier owner has sent, the start is not known.
 func (s *Scheduler) recordDuration(t *task, now time.Time) {
-	if t.resumed || t.startedAt.IsZero() || t.step().LongRunning {
+	if t.resumed || t.sentAt.IsZero() || t.step().LongRunning {
 		return
 	}
 	d := s.durations[t.job.spec.Queue]
