--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -128,7 +128,7 @@
 	e := &entry{id: id, store: &storeClient{memoryStore: s.store}}
 	e.replica = jobstore.NewReplica(func(key string, err error) { s.t.Errorf("row %s: %v", key, err) })
 	e.gateway = gateway.New(gateway.Options{
-		Catalog: s.catalog.Load, Replica: e.replica, Logger: discardLogger(),
+		Catalog: s.catalog.Load, Replica: e.replica, Logger: discardLogger(), RefuseHopeless: true,
 		Writer: &jobstore.Writer{Store: e.store, Replica: e.replica},
 		Count:  func(string, string) {}, Observe: func(string, time.Duration) {},
 	})
