--- a/control/process/backlog.go
+++ b/control/process/backlog.go
@@ -9,10 +9,10 @@
 
 // publishBacklog publishes the backlog by which this entry refuses jobs, as it knows it. Without
 // figures, or with ones that are too old, all values are zero.
-func (e *Entry) publishBacklog() error {
+func (e *Entry) publishBacklog(current func(now time.Time) (*admission.Backlog, time.Duration)) error {
 	for priority := range admission.Priorities {
 		ahead := func() float64 {
-			backlog, age := e.replica.Backlog(time.Now())
+			backlog, age := current(time.Now())
 			if age > admission.MaxAge {
 				return 0
 			}
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -135,7 +135,7 @@
 	if err := e.publishGauges(); err != nil {
 		return err
 	}
-	if err := e.publishBacklog(); err != nil {
+	if err := e.publishBacklog(e.replica.Backlog); err != nil {
 		return err
 	}
 	return e.serveMetrics()
