Admission: priority classes, benchmark of the backlog, test of the answer

Cause: a priority below 0 is bulk work for the scheduler and was the most urgent one for admission. Change: one function tells the class of a priority.

--- a/control/gateway/admission_test.go
+++ b/control/gateway/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -141,7 +140,7 @@
 		panic(err)
 	}
 	e.clock++
-	e.replica.Advance([]rows.Row{jsonRow(jobstore.OwnerKey, e.clock, jobstore.Owner{Epoch: 1, Entry: "e1", Sequence: uint64(e.clock), Backlog: json.RawMessage(raw)})}, e.clock)
+	e.replica.Advance([]rows.Row{jsonRow(jobstore.OwnerKey, e.clock, jobstore.Owner{Epoch: 1, Entry: "e1", Sequence: uint64(e.clock), Backlog: raw})}, e.clock)
 }
 
 func (e *busyEntry) submit(id string, priority, accelerators int) error {
--- a/sched/admission/admission.go
+++ b/sched/admission/admission.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// Priorities is how many priorities are told apart; larger ones count as the last.
+	// Priorities is how many priorities are told apart.
 	Priorities = 3
 	// MaxAge is the age of the figures from which on nothing is refused: the owner renews its
 	// row once a second, and may have been replaced after 3 s.
@@ -80,6 +80,14 @@
 	Wait, Limit, RetryAfter time.Duration
 }
 
+// Class returns the index of a priority in the figures. All but the first ones count as the last.
+func Class(priority int) int {
+	if priority < 0 || priority >= Priorities {
+		return Priorities - 1
+	}
+	return priority
+}
+
 func accept(reason Reason) Decision { return Decision{Accepted: true, Reason: reason} }
 
 // Decide decides on a new job by a backlog of the given age. Without a backlog it accepts.
@@ -111,7 +119,7 @@
 	if start.Path <= 0 {
 		return accept(ReasonNoEstimate)
 	}
-	priority := min(max(j.Priority, 0), Priorities-1)
+	priority := Class(j.Priority)
 	limit := max(0, ValueObjectives*j.Objective-start.Path)
 	ahead := time.Duration(pool.AheadMs[priority]) * time.Millisecond
 	wait := ahead / durationError
--- a/sched/batch/backlog.go
+++ b/sched/batch/backlog.go
@@ -107,7 +107,7 @@
 	}
 	base := occurrence * j.spec.tasksPerOccurrence()
 	succeeded := j.succeededSteps(base)
-	priority := min(max(j.spec.Priority, 0), admission.Priorities-1)
+	priority := admission.Class(j.spec.Priority)
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
 		tasks := j.tasks[base : base+step.Tasks]
--- a/sched/batch/backlog_test.go
+++ b/sched/batch/backlog_test.go
@@ -213,3 +213,13 @@
 		}
 	})
 }
+
+// BenchmarkMeasureBacklog measures what the owner does once a second for its backlog.
+func BenchmarkMeasureBacklog(b *testing.B) {
+	bed := newBusy(2000)
+	var meter BacklogMeter
+	for b.Loop() {
+		bed.advance(time.Millisecond)
+		meter.Measure(bed.scheduler, bed.now)
+	}
+}
