Start nothing in evacuated zones, keep urgent work off cold workers

Cause: no code read the operator's requests to evacuate a zone, and nothing told the scheduler that a worker is slow after its start.

Change: the owner reads the requests ten times within the bound, through another entry if the store does not answer it. It releases starts only while its newest read is young enough, plans nothing before the first one, and withdraws starts whose zone was closed meanwhile, with their gangs. Work that fits only in closed zones has a wait reason of its own and reserves nothing. Heartbeats state for how long a worker stays cold; urgent work and gangs go there last, and its slowness is no fault.

--- a/control/batchowner/candidate.go
+++ b/control/batchowner/candidate.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingpier/lacewingpier/control/internal/boottime"
 	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
+	"github.com/lacewingpier/lacewingpier/control/zonewatch"
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
@@ -70,6 +71,8 @@
 	Catalog func() *catalog.Catalog
 	// Advise asks the placement advisor, or is nil if there is none.
 	Advise func(ctx context.Context, request batch.AdviceRequest) ([]batch.Ticket, time.Duration, error)
+	// Evacuations says how the owner reads which zones are evacuated, if at all.
+	Evacuations zonewatch.Options
 	// Connect opens connections to agents.
 	Connect Connector
 	Clock   boottime.Clock
@@ -85,6 +88,8 @@
 	opts Options
 	// summary is the latest one of the ownership, or nil without one.
 	summary atomic.Pointer[batch.Summary]
+	// evacuatedZones is the number of evacuated zones as the owner knows them.
+	evacuatedZones atomic.Int64
 	// freeSince is when this entry first saw that it could acquire the ownership.
 	freeSince time.Time
 	guard     panicguard.Guard
@@ -129,6 +134,7 @@
 // panicked. The next owner, which may be this entry, starts from the durable state.
 func (c *Candidate) runLoop(ctx context.Context, loop *ownerLoop) {
 	defer c.summary.Store(nil)
+	defer c.evacuatedZones.Store(0)
 	if c.guard.Run("scheduler", func() { loop.run(ctx) }) == nil {
 		return
 	}
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -39,6 +39,7 @@
 	unsent []*unsentStarts
 	// overflowing counts the changes that did not fit into events and may be out of order.
 	overflowing atomic.Int32
+	zones       zoneGate
 	limits      commitLimits
 	// shortened holds the jobs whose records had no room for all checkpoints.
 	shortened map[ident.Job]bool
@@ -101,6 +102,7 @@
 	defer l.group.Wait()
 	defer l.cancel()
 	l.load()
+	l.watchZones()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for !l.ownershipLost {
@@ -236,7 +238,7 @@
 	now := time.Now()
 	l.configure()
 	l.scheduler.Tick(now)
-	if l.writer.valid() && !l.draining {
+	if l.writer.valid() && !l.draining && l.zonesKnown() {
 		l.scheduler.Schedule(now)
 	}
 	l.scheduler.Tick(now)
@@ -435,6 +437,8 @@
 			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
 		case event.Event == batch.EventStandsStill:
 			l.candidate.opts.Count("job_stands_still_" + event.Reason)
+		case event.Event == batch.EventWithdrawnZone:
+			l.candidate.opts.Count("start_withdrawn_zone")
 		case event.WaitedMs > 0:
 			l.candidate.opts.Count("wait_" + event.Reason)
 		}
--- a/control/batchowner/summary.go
+++ b/control/batchowner/summary.go
@@ -27,6 +27,9 @@
 	return batch.Summary{}
 }
 
+// EvacuatedZones returns how many zones are evacuated, or zero while this entry is not the owner.
+func (c *Candidate) EvacuatedZones() int { return int(c.evacuatedZones.Load()) }
+
 // summarize publishes what the scheduler waits for, and logs it if anything has waited for long.
 func (l *ownerLoop) summarize(now time.Time) {
 	if now.Sub(l.summarizedAt) < summaryInterval {
--- a/control/batchowner/unsent.go
+++ b/control/batchowner/unsent.go
@@ -7,7 +7,8 @@
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 )
 
-// unsentStarts are starts whose records are durable. They are sent once the owner's view of
+// unsentStarts are starts whose records are durable. They are sent once the owner knows well
+// enough which zones are evacuated, and once the owner's view of
 // the jobs includes every cancellation that was acknowledged before their transaction: that
 // may have waited for the store far longer than a cancellation through another entry.
 type unsentStarts struct {
@@ -17,6 +18,8 @@
 	version rows.Version
 	// versionAt is when the transaction was sent whose response told the version.
 	versionAt time.Duration
+	// heldForZones reports that the view of the evacuated zones has held them back.
+	heldForZones bool
 	// heldSince is when the records were known to be durable.
 	heldSince time.Time
 }
@@ -72,11 +75,15 @@
 		}
 		inView := u.version > 0 && u.version <= complete && l.overflowing.Load() == 0
 		switch {
-		case inView || !l.writer.valid():
-			l.sendStarts(l.scheduler.ReleaseStarts(u.commit, now.Add(-viewAge), now), now)
+		case inView && l.zonesCurrent() || !l.writer.valid():
+			l.noteZonesCurrent()
+			l.sendStarts(l.scheduler.ReleaseStarts(u.commit, l.limitToZoneView(now.Add(-viewAge), now), now), now)
 		case now.Sub(u.heldSince) >= maxStartHold:
 			l.giveUpStarts(u, now)
 		default:
+			if inView {
+				l.noteHeldForZones(u)
+			}
 			l.unsent = append(l.unsent, u)
 		}
 	}
@@ -95,8 +102,10 @@
 // giveUpStarts returns the tasks of held starts to the waiting ones.
 func (l *ownerLoop) giveUpStarts(u *unsentStarts, now time.Time) {
 	orders := l.scheduler.ReleaseStarts(u.commit, now, now)
-	l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("starts", len(orders)).Uint64("version", uint64(u.version)).
-		Int64("held_ms", now.Sub(u.heldSince).Milliseconds()).Msg("starts are given up unsent: their view of the jobs is not current")
+	if !u.heldForZones { // Otherwise the outage has been logged.
+		l.candidate.opts.Logger.Warn().Uint64("epoch", uint64(l.epoch)).Int("starts", len(orders)).Uint64("version", uint64(u.version)).
+			Int64("held_ms", now.Sub(u.heldSince).Milliseconds()).Msg("starts are given up unsent: their view of the jobs is not current")
+	}
 	for _, order := range orders {
 		l.candidate.opts.Count("start_given_up")
 		l.scheduler.Answered(order, batch.AnswerRejectedNoCapacity, 0, now)
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -31,6 +32,8 @@
 	rpc.UnimplementedEntryPeerServer
 	// Store is this entry's direct connection to the store, so relays do not chain.
 	Store rows.Store
+	// Evacuations reads the zones that the operator has asked to evacuate from the store itself.
+	Evacuations func(ctx context.Context) ([]ident.Zone, error)
 	// Configuration answers a request for this entry's configuration.
 	Configuration func(ctx context.Context, req exchange.FetchRequest) exchange.Versioned
 
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -17,6 +17,7 @@
 	"github.com/lacewingpier/lacewingpier/control/peer"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/control/zonewatch"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/platform/adapter"
@@ -88,6 +89,9 @@
 	if err := e.publishSummary(candidate.Summary); err != nil {
 		return err
 	}
+	if err := e.publishEvacuations(candidate.EvacuatedZones); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.Background())
 	e.runBackground(background, "replica of the store", func(ctx context.Context) {
 		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
@@ -122,7 +126,7 @@
 		RowBytes: e.settings.StoreRowBytes,
 		Writer:   &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
 	})
-	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
+	server := &peer.Server{Store: e.store, Evacuations: e.store.ReadEvacuations, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
 		return err
 	}
@@ -187,6 +191,14 @@
 	}
 }
 
+// evacuations says how the owner reads which zones are evacuated.
+func (e *Entry) evacuations() zonewatch.Options {
+	return zonewatch.Options{
+		Bound: e.settings.evacuationBound(), Read: e.store.ReadEvacuations, Relay: e.peers.ReadEvacuations,
+		Clock: boottime.Now, Logger: e.logger, Count: e.count,
+	}
+}
+
 func (e *Entry) newCandidate() *batchowner.Candidate {
 	var advise func(context.Context, batch.AdviceRequest) ([]batch.Ticket, time.Duration, error)
 	if e.settings.AdvisorAddr != "" {
@@ -203,6 +215,7 @@
 		RowBytes:    e.settings.StoreRowBytes,
 		Timing:      e.settings.Tasks.Timing(),
 		Catalog:     e.config.Current,
+		Evacuations: e.evacuations(),
 		Connect:     connect,
 		Clock:       boottime.Now,
 		Logger:      e.logger,
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -63,7 +63,11 @@
 	TerminationGraceSeconds float64 `json:"termination_grace_s"`
 	// CPU is the CPU time that the process may use. Entries with a larger CPU
 	// share take the ownership first.
-	CPU   CPUSettings  `json:"processor"`
+	CPU CPUSettings `json:"processor"`
+	// EvacuationBoundMs is the time after the acknowledgement of an evacuation from which on no
+	// task may start in the zone. Zero, or no value, switches evacuations off.
+	EvacuationBoundMs int64 `json:"evacuation_bound_ms"`
+
 	Tasks TaskSettings `json:"tasks"`
 }
 
@@ -82,6 +86,9 @@
 	if s.TerminationGraceSeconds < 0 {
 		problems.Add("termination_grace_s", "must not be negative")
 	}
+	if s.EvacuationBoundMs != 0 && s.EvacuationBoundMs < minEvacuationBound.Milliseconds() {
+		problems.Add("evacuation_bound_ms", "must be zero or at least 1000")
+	}
 	if s.CPU.cpuShare() <= 0 {
 		problems.Add("processor", "share and speed must be above zero")
 	}
@@ -102,6 +109,14 @@
 	return time.Duration(s.TerminationGraceSeconds * float64(time.Second))
 }
 
+// minEvacuationBound is the shortest bound of an evacuation. A shorter one leaves starts no time
+// after the margin for messages in flight.
+const minEvacuationBound = time.Second
+
+func (s *EntrySettings) evacuationBound() time.Duration {
+	return time.Duration(s.EvacuationBoundMs) * time.Millisecond
+}
+
 // CPUSettings describes the CPU time that a process may use.
 type CPUSettings struct {
 	// Share is the share of one core that the process may use.
--- a/control/process/summary.go
+++ b/control/process/summary.go
@@ -35,6 +35,12 @@
 	return nil
 }
 
+// publishEvacuations publishes how many zones are evacuated, as the owner knows them.
+func (e *Entry) publishEvacuations(zones func() int) error {
+	return e.metrics.GaugeFunc("zones_evacuated", "Zones that are evacuated, on the owner; zero on other entries.",
+		func() float64 { return float64(zones()) })
+}
+
 // waitingSteps returns the waiting steps of all reasons together.
 func waitingSteps(s *batch.Summary) batch.Backlog {
 	var all batch.Backlog
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -51,6 +51,9 @@
 	draining, leaving bool
 	// sequence is the number of the latest announcement.
 	sequence int64
+	// coldUntil is until when the worker is cold, on the boot-time clock, as the announcement
+	// said that was sent to the owner last. It is zero if it did not call the worker cold.
+	coldUntil time.Duration
 	// epoch is the newest epoch of an owner that has attached, and owner the entry that has it.
 	epoch ident.Epoch
 	owner string
@@ -102,7 +105,7 @@
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
 	r.noteContradiction(former)
-	if a.Info.Draining != former.Draining || former.Left {
+	if cold := r.noteCold(); cold || a.Info.Draining != former.Draining || former.Left {
 		r.publishAnnouncement()
 	}
 }
@@ -116,6 +119,7 @@
 	}
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
+	r.noteCold()
 	if r.session != nil {
 		r.session.raiseFence() // Calls to the former process may be under way.
 	}
@@ -128,9 +132,9 @@
 func (r *Runner) publishAnnouncement() {
 	a := &r.announcement
 	r.opts.Logger.Info().Str("upstream", string(a.Incarnation.Upstream)).Int64("born_ms", a.Incarnation.StartedMs).
-		Str("machine", a.Info.Machine).Bool("draining", a.Info.Draining).Int64("sequence", a.Sequence).Msg("upstream announced")
+		Str("machine", a.Info.Machine).Bool("draining", a.Info.Draining).Int64("cold_ms", a.Info.ColdForMs).Int64("sequence", a.Sequence).Msg("upstream announced")
 	if r.session != nil {
-		r.session.sendWorker(a.Info)
+		r.session.sendWorker(r.currentInfo())
 	}
 }
 
@@ -150,7 +154,7 @@
 	r.leaving = r.draining
 	r.announcement.Info.Draining = true
 	if r.session != nil {
-		r.session.sendWorker(r.announcement.Info)
+		r.session.sendWorker(r.currentInfo())
 	}
 }
 
@@ -183,7 +187,7 @@
 	r.opts.Logger.Warn().Str("upstream", string(info.Incarnation.Upstream)).Int64("born_ms", info.Incarnation.StartedMs).
 		Int("refusals", refusals).Msg(message)
 	if r.session != nil {
-		r.session.sendWorker(*info)
+		r.session.sendWorker(r.currentInfo())
 	}
 }
 
@@ -199,7 +203,7 @@
 	info.Unreachable, info.Left, r.leaving = false, false, false
 	r.opts.Logger.Info().Str("upstream", string(incarnation.Upstream)).Msg("upstream process is within reach again")
 	if r.session != nil {
-		r.session.sendWorker(*info)
+		r.session.sendWorker(r.currentInfo())
 	}
 }
 
@@ -249,7 +253,7 @@
 	r.mu.Lock()
 	row := jobstore.Worker{Address: r.opts.Address, Info: r.announcement.Info}
 	r.mu.Unlock()
-	row.Info.ID, row.Info.Unreachable, row.Info.Left = r.opts.ID, false, false
+	row.Info.ID, row.Info.Unreachable, row.Info.Left, row.Info.ColdForMs = r.opts.ID, false, false, 0
 	value, err := jobstore.Encode(row)
 	if err != nil {
 		return err
@@ -309,7 +313,7 @@
 	}
 	r.epoch, r.owner, r.session, r.lastFence = epoch, s.owner, s, &s.fence
 	if r.announcement.Incarnation != (batch.Incarnation{}) {
-		s.sendWorker(r.announcement.Info)
+		s.sendWorker(r.currentInfo())
 	}
 	return nil
 }
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -131,9 +131,11 @@
 }
 
 // ReleaseStarts returns the starts of a durable commit that are to be sent at once, and
-// returns the tasks of the others to the waiting ones. It must be called once for each commit,
+// returns the tasks of the others to the waiting ones, among them those of gangs with a member
+// in a closed zone. It must be called once for each commit,
 // when all cancellations that were acknowledged before viewedAt are known.
 func (s *Scheduler) ReleaseStarts(c *Commit, viewedAt, now time.Time) []Order {
+	s.withdrawStarts(c, now)
 	var out []Order
 	for _, o := range c.starts {
 		s.handling = o.Run.Task.Job
--- a/sched/batch/interference.go
+++ b/sched/batch/interference.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) checkInterference(w *worker, now time.Time) {
 	for _, t := range w.active {
 		s.handling = t.id.Job
-		if t.isServing() && !t.overTargetSince.IsZero() && now.Sub(t.overTargetSince) >= interferenceTimeout {
+		if t.isServing() && !t.overTargetSince.IsZero() && now.Sub(w.slowUntil(t.overTargetSince)) >= interferenceTimeout {
 			s.stopBestEffort(w, now)
 			return
 		}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -199,7 +199,7 @@
 }
 
 // bestWorker returns the worker for one task, or nil if the task fits on none. It
-// prefers workers close to the task's data, then those without interference, then
+// prefers workers that are not cold, if the unit avoids those, then workers close to the task's data, then those without interference, then
 // those with the least free capacity, which keeps whole workers free for large tasks.
 func (p *plan) bestWorker(u *unit, v capacityView) *workerCapacity {
 	var best *workerCapacity
@@ -213,6 +213,9 @@
 
 // prefers reports whether a is a better worker than b for a task of the unit.
 func (p *plan) prefers(u *unit, a, b *workerCapacity, v capacityView) bool {
+	if cold := p.compareCold(u, a, b); cold != 0 {
+		return cold < 0
+	}
 	if near := nearData(u, a); near != nearData(u, b) {
 		return near
 	}
@@ -236,18 +239,19 @@
 	return p.rackPlacement(u, n, v)
 }
 
-// rackPlacement returns workers of one rack, of those that hold n members the one with the
-// least free capacity, or nil.
+// rackPlacement returns workers of one rack, of those that hold n members the one with the fewest
+// members on cold workers, then with the least free capacity, or nil.
 func (p *plan) rackPlacement(u *unit, n int, v capacityView) []*workerCapacity {
 	var best []*workerCapacity
-	leastFree := 0
+	leastCold, leastFree := 0, 0
 	for _, rack := range p.racks() {
 		workers := p.pack(u, rack, n, v)
 		if workers == nil {
 			continue
 		}
-		if free := freeAccelerators(rack, v); best == nil || free < leastFree {
-			best, leastFree = workers, free
+		cold, free := p.countCold(workers...), freeAccelerators(rack, v)
+		if best == nil || cmp.Or(cmp.Compare(cold, leastCold), cmp.Compare(free, leastFree)) < 0 {
+			best, leastCold, leastFree = workers, cold, free
 		}
 	}
 	return best
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -61,7 +61,9 @@
 	workers   []*workerCapacity
 	// idleWorkers are those with accelerators that no run took when the pass began.
 	idleWorkers []*workerCapacity
-	tiers       map[*job]tier
+	// closed holds the workers that only their zone keeps from getting new work.
+	closed []*workerCapacity
+	tiers  map[*job]tier
 	// reservations counts the units that have got a reservation.
 	reservations int
 	// headroom is how many accelerators are kept free for urgent work.
@@ -84,11 +86,14 @@
 	s.needsPlan, s.plannedAt = false, now
 	s.totalCapacity = Resources{}
 	for _, w := range s.workers {
+		if s.inClosedZone(w) {
+			continue
+		}
 		s.totalCapacity = s.totalCapacity.plus(w.info.Capacity)
 	}
 	p := &plan{scheduler: s, now: now, tiers: s.tiers(now)}
 	for _, w := range s.workers {
-		if w.usable(now, s.timing.MaxLease) && w.trusted(now) {
+		if w.usable(now, s.timing.MaxLease) && w.trusted(now) && !p.isClosed(w) {
 			free, soon := w.freeCapacity()
 			c := &workerCapacity{worker: w, free: free, freeSoon: soon, idle: free}
 			c.probation, c.probing = w.onProbation(now)
@@ -267,6 +272,10 @@
 // place starts the tasks of a unit that fit now, and reserves or frees capacity
 // for the others.
 func (p *plan) place(u *unit) {
+	if p.fitsOnlyInClosedZones(u) {
+		p.waitForZone(u)
+		return
+	}
 	if u.job.spec.NeedsAdvice && !p.consult(u) {
 		p.noteWaiting(u, u.tasks[0], WaitForAdvice)
 		p.keepPlace(u)
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -27,6 +27,7 @@
 		s.newIncarnation(w, info.Incarnation, now)
 	}
 	w.info = info
+	w.noteCold(now)
 	s.needsPlan = true
 	if info.Left {
 		s.endRunsOfLeftProcess(w, now)
@@ -247,7 +248,9 @@
 	switch end.Kind {
 	case EndSucceeded:
 		w.recordSuccess(t.startedAt)
-		s.recordDuration(t, now)
+		if !w.ranCold(t.startedAt) {
+			s.recordDuration(t, now)
+		}
 		s.completeTask(t, now)
 	case EndFailed:
 		w.recordFault(now, s.faultWeight(t, now))
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -199,6 +199,8 @@
 	// tickedAt is when Tick was last called, and resumedAt when it was last called after
 	// a gap of more than maxTickGap.
 	tickedAt, resumedAt time.Time
+	// closedZones holds the zones in which nothing may start.
+	closedZones map[ident.Zone]bool
 	// handling is the job that the call in progress is working on, or empty.
 	handling ident.Job
 }
--- a/sched/batch/summary.go
+++ b/sched/batch/summary.go
@@ -22,6 +22,8 @@
 	WorkerNotReporting WorkerState = "not_reporting"
 	WorkerDraining     WorkerState = "draining"
 	WorkerUnreachable  WorkerState = "unreachable"
+	// WorkerZoneEvacuated means that the worker's zone is closed.
+	WorkerZoneEvacuated WorkerState = "zone_evacuated"
 	// WorkerSuspect means that the worker gets no new work after faults.
 	WorkerSuspect WorkerState = "suspect"
 	// WorkerOnProbation means that the worker gets single runs of bulk work after faults, or
@@ -33,7 +35,8 @@
 
 // WorkerStates lists all states of a worker.
 var WorkerStates = []WorkerState{
-	WorkerAvailable, WorkerNotAttached, WorkerNotReporting, WorkerDraining, WorkerUnreachable, WorkerSuspect, WorkerOnProbation, WorkerNoBestEffort,
+	WorkerAvailable, WorkerNotAttached, WorkerNotReporting, WorkerDraining, WorkerUnreachable,
+	WorkerZoneEvacuated, WorkerSuspect, WorkerOnProbation, WorkerNoBestEffort,
 }
 
 // Backlog is what waits for the same.
@@ -112,7 +115,7 @@
 func (s *Scheduler) Summarize(now time.Time) Summary {
 	out := Summary{Waiting: make(map[WaitReason]Backlog), Workers: make(map[WorkerState]int)}
 	for _, w := range s.workers {
-		out.addWorker(w, now, s.timing.MaxLease)
+		out.addWorker(w, s.stateOf(w, now), now)
 		for _, t := range w.active {
 			out.addRun(t, now)
 		}
@@ -127,8 +130,7 @@
 	return out
 }
 
-func (s *Summary) addWorker(w *worker, now time.Time, lease time.Duration) {
-	state := w.state(now, lease)
+func (s *Summary) addWorker(w *worker, state WorkerState, now time.Time) {
 	s.Workers[state]++
 	if state == WorkerAvailable {
 		return
@@ -140,7 +142,7 @@
 	s.Problems = append(s.Problems, problem)
 }
 
-func (w *worker) state(now time.Time, lease time.Duration) WorkerState {
+func (s *Scheduler) stateOf(w *worker, now time.Time) WorkerState {
 	probation, _ := w.onProbation(now)
 	switch {
 	case w.info.Unreachable || w.info.Left:
@@ -149,8 +151,10 @@
 		return WorkerNotAttached
 	case w.info.Draining:
 		return WorkerDraining
-	case !w.usable(now, lease):
+	case !w.usable(now, s.timing.MaxLease):
 		return WorkerNotReporting
+	case s.inClosedZone(w):
+		return WorkerZoneEvacuated
 	case !w.trusted(now):
 		return WorkerSuspect
 	case probation:
--- a/sched/batch/summary_test.go
+++ b/sched/batch/summary_test.go
@@ -93,6 +93,10 @@
 		{WorkerNotReporting, false, func(b *testbed, _ *worker) { b.advance(reportTimeout) }},
 		{WorkerDraining, false, func(_ *testbed, w *worker) { w.info.Draining = true }},
 		{WorkerUnreachable, false, func(_ *testbed, w *worker) { w.info.Unreachable = true }},
+		{WorkerZoneEvacuated, true, func(b *testbed, w *worker) {
+			w.info.Zone = "z1"
+			b.scheduler.CloseZones(map[ident.Zone]bool{"z1": true})
+		}},
 		{WorkerSuspect, true, func(b *testbed, w *worker) { w.recordFault(b.now, suspectFaults) }},
 		{WorkerOnProbation, true, func(b *testbed, w *worker) { w.recordFault(b.now, suspectFaults); b.advance(suspectTime) }},
 		{WorkerNoBestEffort, true, func(b *testbed, w *worker) { w.noBestEffortUntil = b.now.Add(time.Second) }},
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -99,6 +99,7 @@
 	if since.Before(s.resumedAt) {
 		since = s.resumedAt
 	}
+	since = w.slowUntil(since)
 	if now.Sub(w.reportedAt) > reportTimeout || now.Sub(since) < stallTimeout+s.timing.Restore {
 		return
 	}
--- a/sched/batch/validate.go
+++ b/sched/batch/validate.go
@@ -96,6 +96,9 @@
 	if !inUnixRange(w.Incarnation.StartedMs) {
 		return invalid("start time %d is out of range", w.Incarnation.StartedMs)
 	}
+	if !durationInRange(w.ColdForMs) {
+		return invalid("the time %d ms for which the worker is cold is out of range", w.ColdForMs)
+	}
 	if len(w.Labels) > maxLabels {
 		return invalid("the worker has %d labels; the limit is %d", len(w.Labels), maxLabels)
 	}
--- a/sched/batch/waiting.go
+++ b/sched/batch/waiting.go
@@ -20,6 +20,8 @@
 	WaitForReservation WaitReason = "reserved"
 	// WaitForRack means that a gang that asks for one rack would fit into several.
 	WaitForRack WaitReason = "no_rack"
+	// WaitForZone means that the work fits only on workers of zones that are closed.
+	WaitForZone WaitReason = "zone_evacuated"
 	// WaitForCapacity means that the workers have no room.
 	WaitForCapacity WaitReason = "no_capacity"
 )
@@ -85,6 +87,9 @@
 
 // capacityReason tells apart why a unit found no room.
 func (p *plan) capacityReason(u *unit) WaitReason {
+	if p.fitsOnlyInClosedZones(u) {
+		return WaitForZone
+	}
 	reason := WaitForWorker
 	for _, c := range p.workers {
 		if !u.meetsRequirements(c) {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -28,6 +28,9 @@
 	// Unreachable reports that the upstream process refuses connections. It may run on, so
 	// that this proves nothing about its runs.
 	Unreachable bool `json:"un,omitempty"`
+	// ColdForMs is for how many milliseconds after the announcement the worker stays slow, because
+	// its process has started only lately.
+	ColdForMs int64 `json:"cd,omitempty"`
 }
 
 // RunningTask is an entry of a worker's report about a run in progress.
@@ -111,6 +114,9 @@
 	// suspectUntil is until when the worker gets no new work after faults such as
 	// stalled or failed runs.
 	suspectUntil time.Time
+	// coldUntil is until when the worker is slow because its process has started only lately, or
+	// zero.
+	coldUntil time.Time
 	// noBestEffortUntil is until when the worker gets no best-effort tasks,
 	// because they slowed down serving ones.
 	noBestEffortUntil time.Time
