Test evacuated zones and cold workers

Reads that wait for an entry no longer keep the next ones from the store: a store that answered after 1.3 s while other entries were silent let the view age to 2.3 s, above the 2 s up to which it lets work start.

--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -60,6 +60,11 @@
 	workers map[string]*worker
 	// lease is the longest lease of a worker.
 	lease time.Duration
+	// evacuationBound is the bound of evacuations, or zero if there are none.
+	evacuationBound time.Duration
+	peers           storeClients
+	// jobs is the number of jobs that work has submitted.
+	jobs int
 }
 
 type entry struct {
@@ -75,6 +80,7 @@
 type worker struct {
 	upstream *upstream
 	runner   *runner.Runner
+	zone     ident.Zone
 	store    *storeClient
 	host     *standin.Host
 	sequence int64
@@ -135,11 +141,12 @@
 	host := s.net.Host("10.0.0." + id)
 	d := batchowner.New(batchowner.Options{
 		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.store, Replica: e.replica, CPUShare: cpuShare,
-		Timing:  batch.Timing{MaxLease: s.lease, Restore: time.Second, Retention: time.Minute},
-		Catalog: s.catalog.Load,
-		Connect: func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
-		Clock:   func() time.Duration { return time.Since(s.log.start) + time.Hour },
-		Logger:  discardLogger(), Count: ignoreEvent, Observe: func(string, time.Duration) {},
+		Evacuations: s.evacuations(e),
+		Timing:      batch.Timing{MaxLease: s.lease, Restore: time.Second, Retention: time.Minute},
+		Catalog:     s.catalog.Load,
+		Connect:     func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
+		Clock:       func() time.Duration { return time.Since(s.log.start) + time.Hour },
+		Logger:      discardLogger(), Count: ignoreEvent, Observe: func(string, time.Duration) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	background, stopBackground := context.WithCancel(context.Background())
@@ -172,8 +179,11 @@
 }
 
 // startWorker starts a worker with its agent.
-func (s *cluster) startWorker(id string) *worker {
-	w := &worker{upstream: newUpstream("up"+id, s.log), store: &storeClient{memoryStore: s.store}}
+func (s *cluster) startWorker(id string) *worker { return s.startWorkerIn(id, "") }
+
+// startWorkerIn starts a worker with its agent in a zone.
+func (s *cluster) startWorkerIn(id string, zone ident.Zone) *worker {
+	w := &worker{zone: zone, upstream: newUpstream("up"+id, s.log), store: &storeClient{memoryStore: s.store}}
 	w.host = s.net.Host("10.0.1." + id)
 	s.workers[id] = w
 	s.startAgent(id)
@@ -208,7 +218,7 @@
 	w.runner.Announce(batchapi.Announcement{
 		Incarnation: w.upstream.incarnation(), Address: "app", Sequence: w.sequence,
 		Info: batch.WorkerInfo{
-			Service: "svc", Incarnation: w.upstream.incarnation(), Labels: []string{"a", "r1"}, Rack: "r1", Draining: draining,
+			Service: "svc", Zone: w.zone, Incarnation: w.upstream.incarnation(), Labels: []string{"a", "r1"}, Rack: "r1", Draining: draining,
 			Capacity: batch.Resources{MilliCores: 64000, MemoryMB: 100000, Accelerators: 8},
 		},
 	})
--- a/control/batche2e/store_test.go
+++ b/control/batche2e/store_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -21,12 +22,14 @@
 	version rows.Version
 	history []rows.Row
 	changed chan struct{}
+	// evacuated holds the zones that the operator evacuates.
+	evacuated map[ident.Zone]bool
 	// startedAt is when the store's clock showed zero.
 	startedAt time.Time
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{startedAt: time.Now().Add(-time.Hour), rows: make(map[string]rows.Row), changed: make(chan struct{})}
+	return &memoryStore{startedAt: time.Now().Add(-time.Hour), rows: make(map[string]rows.Row), evacuated: make(map[ident.Zone]bool), changed: make(chan struct{})}
 }
 
 // storeClient is one process's access to the store. It can inject failures.
@@ -36,6 +39,8 @@
 	// down makes every call fail. loseNextAnswer applies the next commit but
 	// returns an unknown outcome.
 	down, loseNextAnswer bool
+	// refusesEvacuations makes reads of the evacuated zones fail.
+	refusesEvacuations bool
 }
 
 func (c *storeClient) set(change func(*storeClient)) {
--- a/control/batchowner/zones.go
+++ b/control/batchowner/zones.go
@@ -28,10 +28,11 @@
 	if !opts.Enabled() {
 		return
 	}
-	l.zones.watch = zonewatch.New(*opts)
+	watch, ctx := zonewatch.New(*opts), l.ctx
+	l.zones.watch = watch
 	l.group.Go(func() {
-		l.candidate.guard.Loop(l.ctx, "evacuated zones", func(ctx context.Context) {
-			l.zones.watch.Run(ctx, func() { l.post(l.applyZoneView) })
+		l.candidate.guard.Loop(ctx, "evacuated zones", func(ctx context.Context) {
+			watch.Run(ctx, func() { l.post(l.applyZoneView) })
 		})
 	})
 }
--- a/control/zonewatch/zonewatch.go
+++ b/control/zonewatch/zonewatch.go
@@ -46,9 +46,9 @@
 	minViewPeriods = 2
 	// failureLogInterval is the least time between two log lines about reads that fail.
 	failureLogInterval = 10 * time.Second
-	// maxReads bounds the reads in progress. A store that takes more than a second to answer
-	// still gets a new read in each period.
-	maxReads = 4
+	// maxReads bounds the reads in progress. None lasts for longer than the bound, so that a new
+	// one begins in each period, however slowly the store answers.
+	maxReads = readsPerBound
 )
 
 // Enabled reports whether the deployment has evacuations.
@@ -118,7 +118,7 @@
 				defer func() { <-slots }()
 				w.read(ctx, onView)
 			})
-		default: // So many reads are in progress that another one would not help.
+		default:
 		}
 		select {
 		case <-ctx.Done():
--- a/sched/batch/model_faults_test.go
+++ b/sched/batch/model_faults_test.go
@@ -157,3 +157,12 @@
 	m.t.Logf("submit %s p%d, %d attempts, advice %v, %+v", id, j.Priority, j.MaxAttempts, j.NeedsAdvice, j.Steps[0])
 	m.scheduler.Load(j, Record{}, false, m.now)
 }
+
+// toggleReach cuts the agent of a worker off from the process beside it, or connects it again.
+func (m *model) toggleReach(w *modelWorker) {
+	w.unreachable = !w.unreachable && w.up
+	m.t.Logf("%s is out of reach: %v", w.id, w.unreachable)
+	if w.attached {
+		m.announce(w)
+	}
+}
--- a/sched/batch/model_openstarts_test.go
+++ b/sched/batch/model_openstarts_test.go
@@ -37,6 +37,9 @@
 
 // release returns the starts that are sent after a commit. Some are held before.
 func (m *model) release(c *Commit) []Order {
+	if m.closed != nil {
+		return m.releaseBesideClosedZones(c)
+	}
 	if m.late == nil {
 		return m.scheduler.ReleaseStarts(c, m.now, m.now)
 	}
--- a/sched/batch/model_scarce_test.go
+++ b/sched/batch/model_scarce_test.go
@@ -15,6 +15,7 @@
 // modelSite is what stays the same over the incarnations of a worker.
 type modelSite struct {
 	rack   ident.Rack
+	zone   ident.Zone
 	labels []string
 	// allowed reports that the placement advisor allows the worker.
 	allowed bool
@@ -23,7 +24,7 @@
 // rowOf returns what the row of a worker says of an incarnation.
 func (w *modelWorker) rowOf(incarnation Incarnation) WorkerInfo {
 	return WorkerInfo{
-		ID: w.id, Service: "svc", Incarnation: incarnation,
+		ID: w.id, Service: "svc", Incarnation: incarnation, Zone: w.zone,
 		Rack: w.rack, Labels: w.labels, Capacity: Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8},
 	}
 }
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -84,6 +84,8 @@
 	scarce, calm bool
 	// late is not nil if starts may be carried out late by the next process with the id.
 	late *modelOwnerChanges
+	// closed holds the closed zones, or is nil if no zone is ever closed.
+	closed map[ident.Zone]bool
 }
 
 func newModel(t *rapid.T, sites []modelSite) *model {
@@ -463,15 +465,6 @@
 	}
 }
 
-// toggleReach cuts the agent of a worker off from the process beside it, or connects it again.
-func (m *model) toggleReach(w *modelWorker) {
-	w.unreachable = !w.unreachable && w.up
-	m.t.Logf("%s is out of reach: %v", w.id, w.unreachable)
-	if w.attached {
-		m.announce(w)
-	}
-}
-
 // converge lets the owner reach every worker for a while. Afterwards no run may
 // exist that it does not know of.
 func (m *model) converge() {
