--- a/control/batche2e/evacuation_test.go
+++ b/control/batche2e/evacuation_test.go
@@ -55,8 +55,9 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	refuses := c.refusesEvacuations
+	refuses, delay := c.refusesEvacuations, c.evacuationDelay
 	c.mu.Unlock()
+	time.Sleep(delay)
 	if refuses {
 		return nil, errkind.New(errkind.StoreUnavailable, "refused")
 	}
@@ -166,9 +167,11 @@
 // predecessor died.
 func TestOwnerDiesAfterEvacuation(t *testing.T) {
 	for _, delay := range []time.Duration{0, 5, 100, 300, 490, 510, 1000, 2500, 4000} {
-		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+		t.Run((delay * time.Millisecond).String(), func(t *testing.T) {
 			play(t, func(s *cluster) {
 				s.startZoned()
+				// The next owner has work to start long before its first read is answered.
+				s.entries["2"].store.set(func(c *storeClient) { c.evacuationDelay = 400 * time.Millisecond })
 				s.evacuate("z1")
 				acknowledged := time.Now()
 				s.wait(delay * time.Millisecond)
--- a/control/batche2e/store_test.go
+++ b/control/batche2e/store_test.go
@@ -41,6 +41,8 @@
 	down, loseNextAnswer bool
 	// refusesEvacuations makes reads of the evacuated zones fail.
 	refusesEvacuations bool
+	// evacuationDelay is how much longer they take than other calls.
+	evacuationDelay time.Duration
 }
 
 func (c *storeClient) set(change func(*storeClient)) {
