--- a/control/batchowner/zones_test.go
+++ b/control/batchowner/zones_test.go
@@ -79,12 +79,12 @@
 		Bound: bound, Clock: opts.Clock, Logger: opts.Logger, Count: opts.Count,
 		Read: func(context.Context) ([]ident.Zone, error) {
 			b.set(func(e *evacuations) { e.direct++ })
-			return b.evacuations.read(func(e *evacuations) bool { return e.refused || e.down })
+			return b.read(func(e *evacuations) bool { return e.refused || e.down })
 		},
 		Relay: func(_ context.Context, onSend func()) ([]ident.Zone, error) {
 			b.set(func(e *evacuations) { e.relays++ })
 			onSend()
-			return b.evacuations.read(func(e *evacuations) bool { return e.down })
+			return b.read(func(e *evacuations) bool { return e.down })
 		},
 	}
 	b.second = &agentConn{loop: b.ownerLoop, worker: "w2"}
@@ -232,17 +232,19 @@
 		b.set(func(e *evacuations) { e.down = false })
 		So(b.run(600*time.Millisecond), ShouldHaveLength, 1)
 	})
-	play(t, "After a pause of the owner a new view is needed", testBound, func(e *evacuations) {}, func(b *zonedBed) {
-		So(b.run(100*time.Millisecond), ShouldBeEmpty)
-		b.hear(jobRow("j1", onFirst))
-		b.set(func(e *evacuations) { e.zones = []ident.Zone{"z1"} })
-		b.commitUnseen(func() { b.set(func(e *evacuations) { e.paused = 2100 * time.Millisecond }) })
-		b.advance()
-		b.sendHeldStarts()
-		So(b.writer.valid(), ShouldBeTrue)
-		So(b.conn.sendQueue, ShouldBeEmpty)
-		So(b.run(3*time.Second), ShouldBeEmpty)
-	})
+	for _, pause := range []time.Duration{2100 * time.Millisecond, 3 * time.Second, 10 * time.Second, time.Minute} {
+		play(t, "After a pause of the owner a new view is needed: "+pause.String(), testBound, func(e *evacuations) {}, func(b *zonedBed) {
+			So(b.run(100*time.Millisecond), ShouldBeEmpty)
+			b.hear(jobRow("j1", onFirst))
+			b.set(func(e *evacuations) { e.zones = []ident.Zone{"z1"} })
+			b.commitUnseen(func() { b.set(func(e *evacuations) { e.paused = pause }) })
+			b.advance()
+			b.sendHeldStarts()
+			So(b.writer.valid(), ShouldEqual, pause < ownerValidity)
+			So(b.conn.sendQueue, ShouldBeEmpty)
+			So(b.run(3*time.Second), ShouldBeEmpty)
+		})
+	}
 	play(t, "The store refuses the owner: another entry reads", testBound, func(e *evacuations) { e.refused = true }, func(b *zonedBed) {
 		b.hear(jobRow("j1", onFirst))
 		So(b.run(time.Second), ShouldHaveLength, 1)
