Settings memory_mb and max_fds of both processes

Cause: nothing tells a process how much memory and how many descriptors it may use, so it can't bound what its callers hold. Change: both settings templates state them from the platform's limits; they are decoded and checked, with defaults of 184 MB and 4,100 where they are missing. Nothing uses them yet. Result: go test ./control/process passes.

--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -4,6 +4,8 @@
 package process
 
 import (
+	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/settings"
@@ -26,8 +28,29 @@
 	// MetricsAddr is where the metrics are served.
 	MetricsAddr string `json:"metrics_addr"`
 	LogLevel    string `json:"log_level"`
+	// MemoryMB is the memory that the process may use, in millions of bytes. Zero stands for
+	// defaultMemoryMB.
+	MemoryMB float64 `json:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may have open. Zero stands for
+	// defaultMaxFDs.
+	MaxFDs int `json:"max_fds"`
 }
 
+const (
+	// defaultMemoryMB is the memory of the smallest machine of an entry.
+	defaultMemoryMB = 184
+	// defaultMaxFDs is the usual limit of the platform.
+	defaultMaxFDs = 4100
+	// minMemoryMB and minFDs are the smallest limits with which a process serves one request of
+	// each kind at each of its addresses.
+	minMemoryMB = 64
+	minFDs      = 400
+)
+
+func (p CommonSettings) memoryMB() float64 { return cmp.Or(p.MemoryMB, defaultMemoryMB) }
+
+func (p CommonSettings) maxFDs() int { return cmp.Or(p.MaxFDs, defaultMaxFDs) }
+
 // advertisedAddr returns the address that is published to the project's other
 // processes.
 func (p CommonSettings) advertisedAddr() string {
@@ -46,6 +69,12 @@
 	if p.AdvertiseAddr != "" {
 		problems.RequireAddr("advertise_addr", p.AdvertiseAddr)
 	}
+	if p.memoryMB() < minMemoryMB {
+		problems.Add("memory_mb", fmt.Sprintf("must be at least %d", minMemoryMB))
+	}
+	if p.maxFDs() < minFDs {
+		problems.Add("max_fds", fmt.Sprintf("must be at least %d", minFDs))
+	}
 }
 
 // EntrySettings configures an entry.
--- a/control/process/settings_test.go
+++ b/control/process/settings_test.go
@@ -25,6 +25,7 @@
 		"{{listen_addrs.control_plane|json}}", `"10.1.0.19:8526"`, "{{placement_advisor}}", "10.200.1.9:8524",
 		"{{bounds.max_hold_ms}}", "10000", "{{bounds.restore_ms}}", "600", "{{bounds.status_s}}", "120", "{{bounds.grace_s}}", "4.5",
 		"{{limits.cpu_share}}", "0.4", "{{limits.cores}}", "2", "{{platform.row_bytes|json}}", "32768",
+		"{{limits.memory_mb|json}}", "256", "{{limits.max_fds|json}}", "5000",
 	).Replace(string(raw))
 }
 
@@ -36,6 +37,8 @@
 		So(s.GRPCAddr, ShouldEqual, "10.1.0.19:7000")
 		So(s.CPU.cpuShare(), ShouldAlmostEqual, 0.8)
 		So(s.StoreRowBytes, ShouldEqual, 32768)
+		So(s.memoryMB(), ShouldEqual, 256)
+		So(s.maxFDs(), ShouldEqual, 5000)
 		So(s.terminationGrace(), ShouldEqual, 4500*time.Millisecond)
 		So(s.Tasks.Timing().MaxLease, ShouldEqual, 10*time.Second)
 		So(s.Tasks.Timing().Retention, ShouldEqual, 130*time.Second)
@@ -49,12 +52,21 @@
 		var s AgentSettings
 		So(settings.Decode([]byte(renderTemplate(t, "agent.json.tmpl")), &s), ShouldBeNil)
 		So(s.AnnounceAddr, ShouldEqual, "10.1.0.19:8526")
+		So(s.memoryMB(), ShouldEqual, 256)
+		So(s.maxFDs(), ShouldEqual, 5000)
+	})
+	Convey("Limits that the platform does not state have defaults", t, func() {
+		var s EntrySettings
+		text := strings.NewReplacer(`"memory_mb": 256`, `"memory_mb": null`, `"max_fds": 5000`, `"max_fds": null`).Replace(renderTemplate(t, "entry.json.tmpl"))
+		So(settings.Decode([]byte(text), &s), ShouldBeNil)
+		So(s.memoryMB(), ShouldEqual, defaultMemoryMB)
+		So(s.maxFDs(), ShouldEqual, defaultMaxFDs)
 	})
 	Convey("All invalid fields are reported at once", t, func() {
 		var s EntrySettings
-		err := settings.Decode([]byte(`{"node":"","caller_addr":"nowhere","store_row_bytes":-1}`), &s)
+		err := settings.Decode([]byte(`{"node":"","caller_addr":"nowhere","store_row_bytes":-1,"memory_mb":1,"max_fds":-5}`), &s)
 		So(errkind.Of(err), ShouldEqual, errkind.InvalidArgument)
-		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "store_row_bytes", "processor", "max_lease_ms"} {
+		for _, field := range []string{"node", "zone", "store_addr", "grpc_addr", "metrics_addr", "caller_addr", "ready_addr", "store_row_bytes", "processor", "max_lease_ms", "memory_mb", "max_fds"} {
 			So(err.Error(), ShouldContainSubstring, field)
 		}
 	})
