Bound what uncontrolled clients hold

Cause: heads, bodies, decoding and connections had no bound in number; a body of 256 KiB of empty steps alone took some 50 MB to decode. Change: a budget from memory_mb and max_fds; bounds of heads, connections and bodies in the HTTP servers, bodies read and decoded under reservations, bounds of the gRPC server, and the Go runtime's memory limit.

--- a/control/internal/httpserver/conn.go
+++ b/control/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -14,6 +15,7 @@
 // had already opened: a busy process may not have accepted them yet.
 type listener struct {
 	net.Listener
+	server    *Server
 	closeOnce sync.Once
 }
 
@@ -35,16 +37,27 @@
 	l.closeOnce.Do(func() { _ = l.Close() }) // It fails only if the listener has failed before.
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which the server has no room.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.acceptNext()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(raw, l.server)
+		if l.server.admit(c) {
+			return c, nil
+		}
+		_ = raw.Close() // It fails on closed connections only.
+	}
+}
+
+func (l *listener) acceptNext() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if d, ok := l.Listener.(deadliner); ok && errors.Is(err, os.ErrDeadlineExceeded) {
 		c, err = l.acceptOpened(d)
 	}
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, waiting: true}, nil
+	return c, err
 }
 
 // acceptOpened returns a connection that a caller has already opened. Without one it closes the
@@ -81,8 +94,15 @@
 // notice a deadline before the data that arrived ahead of it.
 type conn struct {
 	net.Conn
+	server *Server
+	// address is the address of the client without its port.
+	address string
+	// hold is guarded by the server's mutex.
+	hold hold
 
 	mu sync.Mutex
+	// head is what has arrived of the head that is being read.
+	head head
 	// waiting is set while nothing of the next request has been read, and serving while a
 	// request is served.
 	waiting, serving bool
@@ -92,6 +112,14 @@
 	deadline time.Time
 }
 
+func newConn(raw net.Conn, server *Server) *conn {
+	c := &conn{Conn: raw, server: server, waiting: true}
+	if host, _, err := net.SplitHostPort(raw.RemoteAddr().String()); err == nil {
+		c.address = host
+	}
+	return c
+}
+
 // past is a read deadline that has passed.
 var past = time.Unix(1, 0)
 
@@ -99,7 +127,7 @@
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.serving = true, false
+	c.waiting, c.serving, c.head = true, false, head{}
 }
 
 // beginRequest notes that the headers of a request have been read.
@@ -147,12 +175,38 @@
 			err = nil
 		}
 	}
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		err = errors.CombineErrors(err, c.requestBegun())
+	if n == 0 {
+		return 0, err
+	}
+	begun, arrived := c.received(p[:n])
+	if !c.server.acceptHead(c, arrived) {
+		return 0, io.EOF // net/http sends no response to it.
+	}
+	return n, errors.CombineErrors(err, begun)
+}
+
+// received notes that data has arrived. It returns what has arrived of the head that is being
+// read, or nothing if it belongs to a request that is served.
+func (c *conn) received(p []byte) (begun error, arrived head) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun = c.requestBegun()
+	if c.serving || !c.server.boundsHeads() {
+		return begun, head{}
+	}
+	c.head.add(p)
+	return begun, c.head
+}
+
+// Write implements net.Conn. A client that does not read its responses does not hold its
+// connection for ever.
+func (c *conn) Write(p []byte) (int, error) {
+	if d := c.server.opts.WriteTimeout; d > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(d)); err != nil {
+			return 0, err
+		}
 	}
-	return n, err
+	return c.Conn.Write(p)
 }
 
 // requestBegun restores the deadline that the server has set for the rest of the request. The
--- a/control/internal/httpserver/server.go
+++ b/control/internal/httpserver/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/core/budget"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 )
 
@@ -24,12 +25,28 @@
 	TLS *tls.Config
 	// MaxHeaderBytes bounds a request's headers; zero stands for the default of net/http.
 	MaxHeaderBytes int
+	// MaxHeaderLines bounds the number of lines of a request's head. Zero is no bound, and then
+	// Heads is not used.
+	MaxHeaderLines int
+	// MaxConnections bounds the open connections. Beyond it the connection is closed that has
+	// waited longest without a complete request. Zero is no bound.
+	MaxConnections int
+	// Heads accounts for the memory of request heads. It may be nil.
+	Heads *budget.Pool
+	// BodyTimeout bounds the time that a request's body may go without progress, and
+	// BodyTotalTimeout the time until it has arrived whole. Zero is no bound.
+	BodyTimeout, BodyTotalTimeout time.Duration
+	// WriteTimeout bounds the time until a client takes a part of a response. Zero is no bound.
+	WriteTimeout time.Duration
+	// Count is called with each event of EventConnectionShed, EventHeadRefused and
+	// EventBodyStalled. It may be nil.
+	Count func(event string)
 }
 
 // Server is an HTTP server. It is safe for concurrent use.
 type Server struct {
 	http     http.Server
-	tls      *tls.Config
+	opts     Options
 	draining atomic.Bool
 	// cancelCalls ends the contexts of all calls.
 	cancelCalls context.CancelFunc
@@ -43,17 +60,21 @@
 	conns    map[*conn]struct{}
 	stopping bool
 	stopped  bool
+	waiting  waiting
 }
 
 // New returns a server that is started by Serve.
 func New(opts Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{tls: opts.TLS, cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{})}
+	s := &Server{opts: opts, cancelCalls: cancel, idle: make(chan struct{}), conns: make(map[*conn]struct{}), waiting: newWaiting()}
 	s.http = http.Server{
-		Handler: closeWhenDraining(opts.Handler, s.draining.Load), ReadHeaderTimeout: opts.HeaderTimeout,
+		Handler: s.boundBodies(closeWhenDraining(opts.Handler, s.draining.Load)), ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnState:   s.connStateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, underlying(c))
+		},
 	}
 	return s
 }
@@ -61,14 +82,14 @@
 // Serve accepts connections until Shutdown, after which it returns nil. An error of kind
 // Internal means that the listener has failed.
 func (s *Server) Serve(l net.Listener) error {
-	tracked := &listener{Listener: l}
+	tracked := &listener{Listener: l, server: s}
 	if !s.addListener(tracked) {
 		return l.Close()
 	}
 	defer s.listenerEnded()
 	var accepting net.Listener = tracked
-	if s.tls != nil {
-		accepting = tls.NewListener(tracked, s.tls)
+	if s.opts.TLS != nil {
+		accepting = tls.NewListener(tracked, s.opts.TLS)
 	}
 	err := s.http.Serve(accepting)
 	if s.isStopping() {
@@ -185,11 +206,16 @@
 	}
 }
 
-func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
+// underlying returns the connection that the listener has accepted.
+func underlying(nc net.Conn) *conn {
 	if t, ok := nc.(*tls.Conn); ok {
 		nc = t.NetConn()
 	}
-	c := nc.(*conn) //nolint:forcetypeassert // All connections come from listener.Accept.
+	return nc.(*conn) //nolint:forcetypeassert // All connections come from listener.Accept.
+}
+
+func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
+	c := underlying(nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -197,11 +223,18 @@
 		s.conns[c] = struct{}{}
 	case http.StateIdle:
 		c.awaitRequest()
+		s.releaseHead(c)
+		c.hold.body = false
+		s.waiting.add(c)
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		s.waiting.remove(c)
+		s.releaseHead(c)
+		s.closed(c)
 		s.signalIdle()
 	case http.StateActive:
 		c.beginRequest()
+		s.waiting.remove(c)
 	}
 	if s.stopping {
 		c.expire()
--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -212,7 +212,7 @@
 		defer l.Close()
 		peer, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
-		c, err := (&listener{Listener: l}).Accept()
+		c, err := (&listener{Listener: l, server: New(Options{})}).Accept()
 		So(err, ShouldBeNil)
 		return c.(*conn), peer
 	}
@@ -349,7 +349,7 @@
 			clients[i] = s.dial()
 			clients[i].send(get("/"))
 		}
-		tracked := &listener{Listener: l}
+		tracked := &listener{Listener: l, server: s.Server}
 		tracked.close()
 		So(s.addListener(tracked), ShouldBeTrue)
 		Convey("all are answered, and then the listener is closed", func() {
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -43,6 +44,7 @@
 // tasks continue without the agent until their lease expires.
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info().Str("node", a.settings.Node).Str("zone", a.settings.Zone).Msg("agent is starting")
+	debug.SetMemoryLimit(a.plan.GoMemory)
 	if err := a.serveGRPC(func(s *grpc.Server) { rpc.RegisterTaskRunnerServer(s, a.runner) }); err != nil {
 		return err
 	}
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,7 @@
 // Run serves until ctx ends, then hands over the ownership and drains.
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info().Str("node", e.settings.Node).Str("zone", e.settings.Zone).Msg("entry is starting")
+	debug.SetMemoryLimit(e.plan.GoMemory)
 	if err := e.listen(); err != nil {
 		return err
 	}
@@ -126,7 +128,7 @@
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
 		return err
 	}
-	if e.callers, err = e.serveHTTP(e.settings.CallerAddr, adapter.JobHandler(gw)); err != nil {
+	if e.callers, err = e.serve(e.settings.CallerAddr, adapter.JobHandler(gw, e.bodies), e.callerBounds()); err != nil {
 		return err
 	}
 	if _, err := e.serveHTTP(e.settings.ReadyAddr, adapter.ReadyHandler(e.ready)); err != nil {
@@ -135,6 +137,9 @@
 	if err := e.publishGauges(); err != nil {
 		return err
 	}
+	if err := e.publishBounds(); err != nil {
+		return err
+	}
 	return e.serveMetrics()
 }
 
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/control/internal/panicguard"
 	"github.com/lacewingpier/lacewingpier/control/telemetry"
 	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/core/budget"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 )
 
@@ -24,23 +25,25 @@
 	logger   *log.Logger
 	metrics  *telemetry.Metrics
 	servers  []*httpserver.Server
-	grpc     *grpc.Server
-	group    conc.WaitGroup
-	guard    panicguard.Guard
+	plan     budget.Plan
+	// heads accounts for the memory of callers' request heads, and bodies for that of their
+	// bodies.
+	heads  *budget.Pool
+	bodies *budget.Bodies
+	events *eventLog
+	grpc   *grpc.Server
+	group  conc.WaitGroup
+	guard  panicguard.Guard
 }
 
-// Timeouts of the HTTP servers.
-const (
-	// headerTimeout bounds the time to read a request's headers.
-	headerTimeout = 3 * time.Second
-	// idleTimeout closes idle keep-alive connections.
-	idleTimeout = 15 * time.Second
-)
-
 func newProcess(role string, s CommonSettings, logger *log.Logger) *process {
 	identity := telemetry.Identity{Process: role, ID: s.Node, Zone: s.Zone, Region: s.Region}
 	p := &process{settings: s, logger: logger, metrics: telemetry.NewMetrics(identity)}
 	p.guard = panicguard.Guard{Logger: logger, Count: p.count}
+	p.plan = budget.NewPlan(s.memoryBytes(), s.maxFDs())
+	p.events = newEventLog(logger, p.count)
+	p.heads = budget.NewPool(p.plan.Heads)
+	p.bodies = budget.NewBodies(p.plan, func() { p.events.count(eventBodyRefused) })
 	return p
 }
 
@@ -64,13 +67,19 @@
 	p.metrics.Scope.Tagged(map[string]string{"call": call, "kind": kind}).Counter("answers").Inc(1)
 }
 
-// serveHTTP serves handler on an address until the server or the process is stopped.
+// serveHTTP serves a handler that is not meant for callers, within the bounds of such ports.
 func (p *process) serveHTTP(addr string, handler http.Handler) (*httpserver.Server, error) {
+	return p.serve(addr, handler, p.otherBounds())
+}
+
+// serve serves handler on an address until the server or the process is stopped.
+func (p *process) serve(addr string, handler http.Handler, opts httpserver.Options) (*httpserver.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	server := httpserver.New(httpserver.Options{Handler: p.guard.HTTP(handler), HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	opts.Handler = p.guard.HTTP(handler)
+	server := httpserver.New(opts)
 	p.servers = append(p.servers, server)
 	p.group.Go(func() {
 		if err := server.Serve(listener); err != nil {
@@ -86,7 +95,8 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidArgument, err, "listen")
 	}
-	p.grpc = transport.NewGRPCServer(p.guard.GRPCOptions()...)
+	listener = transport.LimitConnections(listener, p.plan.PeerConnections, func() { p.events.count(httpserver.EventConnectionShed) })
+	p.grpc = transport.NewGRPCServer(append(p.guard.GRPCOptions(), peerBounds()...)...)
 	register(p.grpc)
 	p.group.Go(func() {
 		if err := p.grpc.Serve(listener); err != nil {
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -49,6 +49,8 @@
 
 func (p CommonSettings) memoryMB() float64 { return cmp.Or(p.MemoryMB, defaultMemoryMB) }
 
+func (p CommonSettings) memoryBytes() int64 { return int64(p.memoryMB() * 1e6) }
+
 func (p CommonSettings) maxFDs() int { return cmp.Or(p.MaxFDs, defaultMaxFDs) }
 
 // advertisedAddr returns the address that is published to the project's other
--- a/control/transport/transport.go
+++ b/control/transport/transport.go
@@ -6,6 +6,8 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -87,3 +89,44 @@
 		DisableCompression:  true,
 	}
 }
+
+// LimitConnections returns a listener that closes each connection beyond a number of open ones
+// at once, and calls closed then.
+func LimitConnections(l net.Listener, limit int, closed func()) net.Listener {
+	return &limitedListener{Listener: l, limit: int64(limit), closed: closed}
+}
+
+type limitedListener struct {
+	net.Listener
+	limit  int64
+	closed func()
+	open   atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &limitedConn{Conn: c, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.closed()
+		_ = c.Close() // It fails on closed connections only.
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -81,6 +81,12 @@
 	JobUnknown
 	// HistoryLost means that the store no longer has the requested changes.
 	HistoryLost
+	// BodyTooLarge means that the body of a request exceeds its limit.
+	BodyTooLarge
+	// BodyStalled means that the body of a request did not arrive in time.
+	BodyStalled
+	// BodiesExhausted means that the process has no memory left for request bodies.
+	BodiesExhausted
 
 	kindCount
 )
@@ -157,6 +163,9 @@
 	Corrupt:           {"corrupt", http.StatusInternalServerError, codes.DataLoss, false, NotRun},
 	JobUnknown:        {"job_unknown", http.StatusGone, codes.NotFound, false, NotRun},
 	HistoryLost:       {"history_lost", http.StatusServiceUnavailable, codes.OutOfRange, true, NotRun},
+	BodyTooLarge:      {"body_too_large", http.StatusRequestEntityTooLarge, codes.InvalidArgument, false, NotRun},
+	BodyStalled:       {"body_stalled", http.StatusRequestTimeout, codes.DeadlineExceeded, true, NotRun},
+	BodiesExhausted:   {"bodies_exhausted", http.StatusServiceUnavailable, codes.ResourceExhausted, true, NotRun},
 }
 
 // Kinds returns every kind in order.
