Tests of the bounds of connections, heads and bodies

Cause: the bounds had only the tests with real processes. Change: tests of the HTTP server's bounds, each for one failure; a connection is on the list of waiting ones also if the server has no limit of connections, which a test of heads found; gRPC connections keep the user timeout that gRPC sets only on plain TCP connections. Result: go test -race -count 5 ./control/internal/httpserver passes.

--- a/control/internal/httpserver/bounds.go
+++ b/control/internal/httpserver/bounds.go
@@ -125,13 +125,10 @@
 
 // admit makes room for a new connection. It returns false if there is none.
 func (s *Server) admit(c *conn) bool {
-	if s.opts.MaxConnections == 0 {
-		return true
-	}
 	s.awaitClosing()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.waiting.open-s.waiting.closing >= s.opts.MaxConnections {
+	if limit := s.opts.MaxConnections; limit > 0 && s.waiting.open-s.waiting.closing >= limit {
 		s.count(EventConnectionShed)
 		if !s.evict(func(*conn) bool { return true }) {
 			return false
@@ -173,9 +170,6 @@
 
 // closed ends the accounts of a connection. The caller holds s.mu.
 func (s *Server) closed(c *conn) {
-	if s.opts.MaxConnections == 0 {
-		return
-	}
 	s.waiting.open--
 	if c.hold.evicted {
 		s.waiting.closing--
--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -41,6 +41,15 @@
 		_, _ = io.Copy(w, r.Body)
 	})
 	mux.HandleFunc("/empty", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/slow", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(200 * time.Millisecond):
+			w.WriteHeader(http.StatusOK)
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
 	mux.HandleFunc("/wait", func(w http.ResponseWriter, r *http.Request) {
 		s.entered <- struct{}{}
 		select {
--- a/control/transport/transport.go
+++ b/control/transport/transport.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -111,6 +112,8 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
+			// gRPC sets it itself on connections of the operating system only.
+			setUserTimeout(c)
 			return &limitedConn{Conn: c, open: &l.open}, nil
 		}
 		l.open.Add(-1)
@@ -119,6 +122,22 @@
 	}
 }
 
+// setUserTimeout ends a connection whose peer does not confirm data within keepaliveTimeout.
+func setUserTimeout(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return // The connection has just been closed.
+	}
+	// Without the option, keepalive pings find the same, somewhat later.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(keepaliveTimeout.Milliseconds()))
+	})
+}
+
 type limitedConn struct {
 	net.Conn
 	open *atomic.Int64
