--- a/control/internal/httpserver/bounds.go
+++ b/control/internal/httpserver/bounds.go
@@ -164,7 +164,7 @@
 	s.releaseHead(c)
 	c.hold.evicted = true
 	s.waiting.closing++
-	_ = c.Conn.Close() // It fails on closed connections only.
+	_ = c.Close() // It fails on closed connections only.
 	return true
 }
 
--- a/control/internal/httpserver/bounds_test.go
+++ b/control/internal/httpserver/bounds_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lacewingpier/lacewingpier/core/budget"
@@ -25,14 +27,7 @@
 // closedByServer reports whether the connection ends, with or without a reset.
 func (c *client) closedByServer() bool {
 	_, err := io.Copy(io.Discard, c.reader)
-	var timeout net.Error
-	return err == nil || !(asNetError(err, &timeout) && timeout.Timeout())
-}
-
-func asNetError(err error, target *net.Error) bool {
-	e, ok := err.(net.Error) //nolint:errorlint // Reads return it unwrapped.
-	*target = e
-	return ok
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Guards against heads whose lines take a multiple of their size in memory, and against a bound
--- a/control/internal/httpserver/conn.go
+++ b/control/internal/httpserver/conn.go
@@ -178,7 +178,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	begun, arrived := c.received(p[:n])
+	arrived, begun := c.received(p[:n])
 	if !c.server.acceptHead(c, arrived) {
 		return 0, io.EOF // net/http sends no response to it.
 	}
@@ -187,15 +187,15 @@
 
 // received notes that data has arrived. It returns what has arrived of the head that is being
 // read, or nothing if it belongs to a request that is served.
-func (c *conn) received(p []byte) (begun error, arrived head) {
+func (c *conn) received(p []byte) (arrived head, begun error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	begun = c.requestBegun()
 	if c.serving || !c.server.boundsHeads() {
-		return begun, head{}
+		return head{}, begun
 	}
 	c.head.add(p)
-	return begun, c.head
+	return c.head, begun
 }
 
 // Write implements net.Conn. A client that does not read its responses does not hold its
