Any limits of memory and descriptors are valid settings

Cause: a process whose machine has less than the smallest bound would not start. Change: the budget has a least size for each part instead; only negative limits are refused. Result: go test ./core/budget ./control/process passes.

--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/settings"
@@ -41,10 +40,6 @@
 	defaultMemoryMB = 184
 	// defaultMaxFDs is the usual limit of the platform.
 	defaultMaxFDs = 4100
-	// minMemoryMB and minFDs are the smallest limits with which a process serves one request of
-	// each kind at each of its addresses.
-	minMemoryMB = 64
-	minFDs      = 400
 )
 
 func (p CommonSettings) memoryMB() float64 { return cmp.Or(p.MemoryMB, defaultMemoryMB) }
@@ -71,11 +66,11 @@
 	if p.AdvertiseAddr != "" {
 		problems.RequireAddr("advertise_addr", p.AdvertiseAddr)
 	}
-	if p.memoryMB() < minMemoryMB {
-		problems.Add("memory_mb", fmt.Sprintf("must be at least %d", minMemoryMB))
+	if p.MemoryMB < 0 {
+		problems.Add("memory_mb", "must not be negative")
 	}
-	if p.maxFDs() < minFDs {
-		problems.Add("max_fds", fmt.Sprintf("must be at least %d", minFDs))
+	if p.MaxFDs < 0 {
+		problems.Add("max_fds", "must not be negative")
 	}
 }
 
--- a/core/budget/plan.go
+++ b/core/budget/plan.go
@@ -34,21 +34,32 @@
 	codeBytes = 16_000_000
 )
 
+// The least that a plan has, so that a process with any limits serves requests of the largest
+// size, one at a time.
+const (
+	minConnections = 16
+	minHeads       = 256 << 10
+	minSmallBodies = 64 << 10
+	minLargeBodies = 512 << 10
+	minDecoding    = 2 << 20
+)
+
 // NewPlan returns the plan for a process that may use a number of bytes of memory and of open
 // descriptors. A quarter of the memory is for clients, because the garbage collector lets the
 // heap grow to twice what is in use.
 func NewPlan(memory int64, fds int) Plan {
 	clients := memory / 4
-	usable := fds - reservedFDs
+	usable := max(fds-reservedFDs, 0)
 	return Plan{
 		// Half of the descriptors remain for connections to agents, the store and other entries.
-		Connections:      min(usable/2, int(clients*35/100/connectionBytes)),
-		OtherConnections: min(usable/16, int(clients/4/otherConnectionBytes), maxOtherConnections),
-		PeerConnections:  min(usable/8, int(clients/2/peerConnectionBytes)),
-		Heads:            clients * 20 / 100,
-		SmallBodies:      clients * 10 / 100,
-		LargeBodies:      clients * 20 / 100,
-		Decoding:         clients * 15 / 100,
-		GoMemory:         memory - memory/20 - codeBytes,
+		Connections:      max(min(usable/2, int(clients*35/100/connectionBytes)), minConnections),
+		OtherConnections: max(min(usable/16, int(clients/4/otherConnectionBytes), maxOtherConnections), minConnections),
+		PeerConnections:  max(min(usable/8, int(clients/2/peerConnectionBytes)), minConnections),
+		Heads:            max(clients*20/100, minHeads),
+		SmallBodies:      max(clients*10/100, minSmallBodies),
+		LargeBodies:      max(clients*20/100, minLargeBodies),
+		Decoding:         max(clients*15/100, minDecoding),
+		// A limit near what an idle process uses would only occupy the garbage collector.
+		GoMemory: max(memory-memory/20-codeBytes, memory/2),
 	}
 }
