Test of stalled bodies reads the status line only

Cause: the linter asks to close the body of a response that has none. Change: the test reads the first line.

--- a/control/internal/httpserver/bounds_test.go
+++ b/control/internal/httpserver/bounds_test.go
@@ -172,8 +172,8 @@
 		for end := time.Now().Add(testTimeout); !served && time.Now().Before(end); time.Sleep(bodyAge / 10) {
 			next := s.dial()
 			_, _ = io.WriteString(next, get("/empty"))
-			response, err := http.ReadResponse(next.reader, nil)
-			served = err == nil && response.StatusCode == http.StatusOK
+			line, err := next.reader.ReadString('\n')
+			served = err == nil && strings.Contains(line, " 200 ")
 		}
 		So(served, ShouldBeTrue)
 		So(stalled.closedByServer(), ShouldBeTrue)
