--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -41,6 +41,15 @@
 		_, _ = io.Copy(w, r.Body)
 	})
 	mux.HandleFunc("/empty", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/slow", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(200 * time.Millisecond):
+			w.WriteHeader(http.StatusOK)
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
 	mux.HandleFunc("/wait", func(w http.ResponseWriter, r *http.Request) {
 		s.entered <- struct{}{}
 		select {
@@ -212,7 +221,7 @@
 		defer l.Close()
 		peer, err := net.Dial("tcp", l.Addr().String())
 		So(err, ShouldBeNil)
-		c, err := (&listener{Listener: l}).Accept()
+		c, err := (&listener{Listener: l, server: New(Options{})}).Accept()
 		So(err, ShouldBeNil)
 		return c.(*conn), peer
 	}
@@ -349,7 +358,7 @@
 			clients[i] = s.dial()
 			clients[i].send(get("/"))
 		}
-		tracked := &listener{Listener: l}
+		tracked := &listener{Listener: l, server: s.Server}
 		tracked.close()
 		So(s.addListener(tracked), ShouldBeTrue)
 		Convey("all are answered, and then the listener is closed", func() {
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -4,6 +4,7 @@
 package process
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/settings"
@@ -26,8 +27,27 @@
 	// MetricsAddr is where the metrics are served.
 	MetricsAddr string `json:"metrics_addr"`
 	LogLevel    string `json:"log_level"`
+	// MemoryMB is the memory that the process may use, in millions of bytes. Zero stands for
+	// defaultMemoryMB.
+	MemoryMB float64 `json:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may have open. Zero stands for
+	// defaultMaxFDs.
+	MaxFDs int `json:"max_fds"`
 }
 
+const (
+	// defaultMemoryMB is the memory of the smallest machine of an entry.
+	defaultMemoryMB = 184
+	// defaultMaxFDs is the usual limit of the platform.
+	defaultMaxFDs = 4100
+)
+
+func (p CommonSettings) memoryMB() float64 { return cmp.Or(p.MemoryMB, defaultMemoryMB) }
+
+func (p CommonSettings) memoryBytes() int64 { return int64(p.memoryMB() * 1e6) }
+
+func (p CommonSettings) maxFDs() int { return cmp.Or(p.MaxFDs, defaultMaxFDs) }
+
 // advertisedAddr returns the address that is published to the project's other
 // processes.
 func (p CommonSettings) advertisedAddr() string {
@@ -46,6 +66,12 @@
 	if p.AdvertiseAddr != "" {
 		problems.RequireAddr("advertise_addr", p.AdvertiseAddr)
 	}
+	if p.MemoryMB < 0 {
+		problems.Add("memory_mb", "must not be negative")
+	}
+	if p.MaxFDs < 0 {
+		problems.Add("max_fds", "must not be negative")
+	}
 }
 
 // EntrySettings configures an entry.
