Retry submissions for the whole time of their callers

Cause: an entry made four attempts within 0.4 s and then refused, so a store that refuses most calls for seconds refused nearly all submissions; repetitions with little time left were answered after their deadline. Change: a refused write is retried, directly and through other entries, until 150 ms before the answer is due; pauses have jitter and grow with the number of callers that wait; at most 128 wait. A write of unknown outcome is looked for in the background, and until then neither a repetition nor a question about its state gets a definite "no" from that entry. Retry-After follows the length of the outage. A relayed submission is tried at two entries.

--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -51,12 +51,9 @@
 
 // Limits of a call.
 const (
-	// retryAfter is when a caller should retry a refused call. Most outages of the
-	// store last a few seconds.
+	// retryAfter is when a caller should retry a call that was refused for another reason
+	// than the store's refusal of a write.
 	retryAfter = time.Second
-	// writeTimeout bounds the attempts to write a row for a caller, so that the caller
-	// gets the error while another entry can still accept the job in time.
-	writeTimeout = 2200 * time.Millisecond
 	// maxStateAge is the age of the replica up to which it answers for the state of a job
 	// that has not ended. On a busy day changes arrive more often than that.
 	maxStateAge = 500 * time.Millisecond
@@ -147,17 +144,6 @@
 	return nil
 }
 
-// createRow writes a row unless it already exists.
-func (g *Gateway) createRow(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	_, err := g.opts.Writer.Create(ctx, key, value)
-	if errkind.Is(err, errkind.StoreUnavailable) {
-		return errkind.WithRetryAfter(errkind.StoreUnavailable, retryAfter, "%v", err)
-	}
-	return err
-}
-
 func checkJobID(id ident.Job) error {
 	if len(id) != jobIDLength {
 		return errkind.New(errkind.InvalidArgument, "a job id has %d hexadecimal digits", jobIDLength)
@@ -215,6 +201,9 @@
 		if err != nil {
 			return jobstore.Job{}, errkind.WithRetryAfter(errkind.StoreUnavailable, retryAfter, "%v", err)
 		}
+		if !found && g.opts.Writer.MayBeWritten(jobstore.JobKey(t.job)) {
+			return jobstore.Job{}, errkind.New(errkind.OutcomeUnknown, "a submission of job %s may still be executed", t.job)
+		}
 		job, ok = g.opts.Replica.Job(t.job)
 		ok = ok && found
 	}
--- a/control/jobstore/arrival.go
+++ b/control/jobstore/arrival.go
@@ -41,3 +41,10 @@
 		close(a.arrived)
 	}
 }
+
+// has reports whether the replica has a row with the key.
+func (r *Replica) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versions[key] != 0
+}
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lacewingpier/lacewingpier/core/errkind"
@@ -23,65 +24,87 @@
 	Store   rows.Store
 	Relay   Relay
 	Replica *Replica
+	// Logger and CountEvent, which is called with the name of each counted event, may be nil.
+	Logger     *log.Logger
+	CountEvent func(event string)
+
+	outage outage
+	open   openWrites
 }
 
 // Bounds of reads and writes on behalf of callers.
 const (
-	// maxWriteAttempts bounds the attempts to write one row.
-	maxWriteAttempts = 4
-	// writeRetryDelay is the time between a failed attempt and the next one.
-	writeRetryDelay = 100 * time.Millisecond
-	// responseMargin is the part of the caller's timeout that is reserved for the
-	// response: a round trip between regions and the work of two processes.
-	responseMargin = 60 * time.Millisecond
+	// maxCreateTime bounds a Create call. Callers usually wait for 3 s; a longer one can still
+	// come back to another entry.
+	maxCreateTime = 4 * time.Second
+	// defaultCreateTime replaces it for callers that do not state how long they wait.
+	defaultCreateTime = 2200 * time.Millisecond
+	// responseMargin and maxResponseMargin bound the part of the caller's time that is reserved for the
+	// response: a round trip between regions and the work of two processes, and a twelfth of the
+	// time for entries with little CPU.
+	responseMargin    = 60 * time.Millisecond
+	maxResponseMargin = 300 * time.Millisecond
+	// lastRetryTime is how long before its end a call makes its last retry: a round trip between
+	// regions and the work of three processes. A retry that is cut off would turn a refusal into
+	// an unknown outcome.
+	lastRetryTime = 150 * time.Millisecond
 	// hedgeDelay is when a hedged attempt is added to one without a response. Slow
 	// responses of the store take half a second.
 	hedgeDelay = 600 * time.Millisecond
+	// maxInFlight bounds the attempts of a call that have no response yet.
+	maxInFlight = 4
+	// maxOpenTime bounds a call whose outcome is unknown, and minOpenTime is how long its first
+	// attempt without a response gets at least. Its caller needs time for a repetition, which
+	// may get a definite answer.
+	maxOpenTime = 2200 * time.Millisecond
+	minOpenTime = 800 * time.Millisecond
 )
 
 // Create writes a row that must not exist yet, and returns false if it did. An error
 // of kind StoreUnavailable or InvalidArgument means that the row has not been written and will
-// not be; the store will never take the latter.
-// OutcomeUnknown means that it may have been or may still be written. The writes are
-// hedged: an attempt without a response continues while the next one takes the other
-// path. The condition that the row is absent lets only one of them succeed. The result
-// also counts as known as soon as the replica has the row, because its watch often
-// delivers what a lost or slow response did not. It comes responseMargin before the
-// deadline of ctx, while the caller still waits.
+// not be, neither by this call nor by another one of this writer; the store will never take the
+// latter. OutcomeUnknown means that it may have been or may still be written; the writer then
+// looks for its outcome (SettleOpenWrites).
+// A refused attempt is repeated as long as the caller's time allows. An attempt without a response
+// is hedged: it continues while the next one takes the other path. The condition that the row is
+// absent lets only one of them succeed. The result also counts as known as soon as the replica has
+// the row, because its watch often delivers what a lost or slow response did not. It comes
+// before the deadline of ctx, while the caller still waits.
 func (w *Writer) Create(ctx context.Context, key string, value []byte) (bool, error) {
-	c := rowCreation{writer: w, key: key, value: value, results: make(chan error, maxWriteAttempts)}
-	ctx, cancel := beforeDeadline(ctx)
+	now := time.Now()
+	end, openEnd := createTimes(ctx, now)
+	c := rowCreation{writer: w, key: key, value: value, results: make(chan error, maxInFlight), end: end, openEnd: openEnd, nextTry: now}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer w.open.begin(key)()
 	defer c.group.Wait()
 	defer cancel()
 	arrived, release := w.Replica.Arrival(key)
 	defer release()
+	defer c.leaveWait()
 	c.arrived = arrived
 	if c.hasArrived() {
 		return false, nil
 	}
-	for c.mayTryAgain() || c.inFlight > 0 {
-		if c.mayTryAgain() {
+	for !c.givenUp(ctx) {
+		if c.tryIsDue() {
 			c.startAttempt(ctx)
 		}
-		created, done := c.awaitResult(ctx)
-		if done {
+		if created, done := c.awaitResult(ctx); done {
 			return created, nil
 		}
-		if ctx.Err() != nil || c.inFlight == 0 && !timeForRetry(ctx) {
-			break
-		}
 	}
 	return false, c.failure()
 }
 
-// beforeDeadline returns a context that ends responseMargin before the deadline of ctx,
-// or after three quarters of a time that is too short for that.
-func beforeDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
+// createTimes returns when a call has to end, and when it has to end if its outcome is unknown.
+func createTimes(ctx context.Context, now time.Time) (end, openEnd time.Time) {
+	total := defaultCreateTime
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := max(0, deadline.Sub(now))
+		margin := min(responseMargin+remaining/12, maxResponseMargin, remaining/2)
+		total = min(remaining-margin, maxCreateTime)
 	}
-	return context.WithDeadline(ctx, deadline.Add(-min(responseMargin, time.Until(deadline)/4)))
+	return now.Add(total), now.Add(min(total*5/6, maxOpenTime))
 }
 
 // rowCreation is the state of one Create call.
@@ -91,25 +114,78 @@
 	value   []byte
 	results chan error
 	// arrived is closed when the replica has the row.
-	arrived  <-chan struct{}
-	group    conc.WaitGroup
+	arrived <-chan struct{}
+	group   conc.WaitGroup
+	// end is when the call ends, openEnd when it does if its outcome is unknown.
+	end, openEnd time.Time
+	// nextTry is when the next attempt is due.
+	nextTry  time.Time
 	started  int
+	refusals int
 	inFlight int
+	// openSince is when the first attempt was sent that has no definite result.
+	openSince time.Time
+	// waits is set while the call counts as waiting for a retry.
+	waits bool
 	// ambiguous is set if an attempt ended with an unknown outcome.
 	ambiguous bool
-	// invalid is set if the store refused the row as invalid.
-	invalid bool
-	lastErr error
+	// hopeless is set if no further attempt is to be made: the store refused the row as invalid, or
+	// too many callers wait.
+	hopeless bool
+	invalid  bool
+	lastErr  error
+}
+
+// isOpen reports whether an attempt may have written the row.
+func (c *rowCreation) isOpen() bool { return c.ambiguous || c.inFlight > 0 }
+
+// currentEnd is when the call ends as things stand.
+func (c *rowCreation) currentEnd() time.Time {
+	if !c.isOpen() {
+		return c.end
+	}
+	end := c.openEnd
+	if atLeast := c.openSince.Add(minOpenTime); atLeast.After(end) {
+		end = atLeast
+	}
+	if end.After(c.end) {
+		return c.end
+	}
+	return end
+}
+
+// givenUp reports whether the call ends without success. It ends as soon as no further attempt is
+// possible, so that its caller gets the answer at once.
+func (c *rowCreation) givenUp(ctx context.Context) bool {
+	if ctx.Err() != nil || !time.Now().Before(c.currentEnd()) {
+		return true
+	}
+	return c.inFlight == 0 && !c.mayTryAgain()
+}
+
+func (c *rowCreation) mayTryAgain() bool {
+	if c.hopeless || c.inFlight >= maxInFlight {
+		return false
+	}
+	return c.started == 0 || !c.nextTry.After(c.currentEnd().Add(-lastRetryTime))
 }
 
-func (c *rowCreation) mayTryAgain() bool { return !c.invalid && c.started < maxWriteAttempts }
+func (c *rowCreation) tryIsDue() bool { return c.mayTryAgain() && !time.Now().Before(c.nextTry) }
 
 // startAttempt starts an attempt. The first one goes to the store directly if the last
 // call to it succeeded, and through another entry if not. Later ones alternate.
 func (c *rowCreation) startAttempt(ctx context.Context) {
 	direct := c.writer.Relay == nil || c.writer.Replica.Connected() == (c.started%2 == 0)
+	now := time.Now()
+	if !c.isOpen() {
+		c.openSince = now
+	}
+	if c.started > 0 {
+		c.writer.count("write_retried")
+	}
 	c.started++
 	c.inFlight++
+	c.nextTry = now.Add(min(hedgeDelay, c.openEnd.Sub(now)/3))
 	c.group.Go(func() { c.results <- c.attempt(ctx, direct) })
 }
 
@@ -126,47 +202,77 @@
 	return err
 }
 
-// awaitResult waits for a result, at most until the next attempt is due. done reports
-// whether the row certainly exists, created whether this call wrote it.
+// awaitResult waits for a result, at most until the next attempt is due or the call ends. done
+// reports whether the row certainly exists, created whether this call wrote it.
 func (c *rowCreation) awaitResult(ctx context.Context) (created, done bool) {
+	until := c.currentEnd()
+	if c.mayTryAgain() && c.nextTry.Before(until) {
+		until = c.nextTry
+	}
 	select {
 	case err := <-c.results:
 		c.inFlight--
-		return c.handleResult(ctx, err)
+		return c.handleResult(err)
 	case <-c.arrived:
-		return true, true
-	case <-time.After(hedgeDelay):
-		return false, false
+		return c.started > 0, true
+	case <-time.After(time.Until(until)):
 	case <-ctx.Done():
-		return false, false
 	}
+	return false, false
 }
 
-func (c *rowCreation) handleResult(ctx context.Context, err error) (created, done bool) {
+func (c *rowCreation) handleResult(err error) (created, done bool) {
 	var conflict *rows.ConflictError
 	switch {
 	case err == nil:
+		c.writer.noteServed()
 		return true, true
 	case errors.As(err, &conflict):
+		c.writer.noteServed()
 		c.writer.Replica.Apply(conflict.Current)
-		return c.ambiguous || c.inFlight > 0, true
+		return c.isOpen(), true
 	}
 	c.lastErr = err
-	if errkind.Is(err, errkind.InvalidArgument) {
-		c.invalid = true
+	switch errkind.Of(err) {
+	case errkind.InvalidArgument:
+		c.invalid, c.hopeless = true, true
 		return false, false
+	case errkind.StoreUnavailable:
+		c.refusals++
+		c.writer.noteRefused(err)
+	default:
+		c.ambiguous = true
 	}
-	c.ambiguous = c.ambiguous || !errkind.Is(err, errkind.StoreUnavailable)
-	if c.inFlight == 0 && !timeForRetry(ctx) {
-		return false, false
+	c.enterWait()
+	c.scheduleRetry()
+	return false, false
+}
+
+// scheduleRetry sets the time of the next attempt after one that failed. The last one is early
+// enough to end before the call does.
+func (c *rowCreation) scheduleRetry() {
+	now := time.Now()
+	c.nextTry = now.Add(c.writer.outage.pause(max(c.refusals, 1)))
+	if last := c.currentEnd().Add(-lastRetryTime); c.nextTry.After(last) && now.Before(last) {
+		c.nextTry = last
 	}
-	select {
-	case <-c.arrived:
-		return true, true
-	case <-time.After(writeRetryDelay):
-	case <-ctx.Done():
+}
+
+// enterWait counts the call as waiting for a retry. If too many callers wait, no retry is made.
+func (c *rowCreation) enterWait() {
+	if c.waits || c.hopeless {
+		return
+	}
+	if c.waits = c.writer.outage.enter(len(c.value)); !c.waits {
+		c.hopeless = true
+		c.writer.count("write_waiting_full")
+	}
+}
+
+func (c *rowCreation) leaveWait() {
+	if c.waits {
+		c.writer.outage.leave(len(c.value))
 	}
-	return false, false
 }
 
 func (c *rowCreation) hasArrived() bool {
@@ -178,21 +284,50 @@
 	}
 }
 
-// timeForRetry reports whether the caller's deadline leaves time for another attempt.
-// If not, the caller gets the error at once, while it is still waiting.
-func timeForRetry(ctx context.Context) bool {
-	deadline, ok := ctx.Deadline()
-	return !ok || time.Until(deadline) > writeRetryDelay
-}
-
 // failure returns OutcomeUnknown if an attempt may have written the row, and otherwise
 // InvalidArgument or StoreUnavailable.
 func (c *rowCreation) failure() error {
-	if c.ambiguous || c.inFlight > 0 {
-		return errkind.New(errkind.OutcomeUnknown, "write row %s: %v", c.key, c.lastErr)
-	}
-	if c.invalid {
+	switch {
+	case c.isOpen():
+		c.writer.count("write_open")
+		if dropped := c.writer.open.add(c.key, time.Now()); dropped != "" {
+			c.writer.count("write_open_dropped")
+		}
+		return errkind.New(errkind.OutcomeUnknown, "write row %s, attempt %d: %v", c.key, c.started, c.lastErr)
+	case c.writer.open.mayBeWritten(c.key, 1):
+		return errkind.New(errkind.OutcomeUnknown, "write row %s: another write of it has no result yet: %v", c.key, c.lastErr)
+	case c.invalid:
 		return errkind.Wrap(errkind.InvalidArgument, c.lastErr, "write row "+c.key)
 	}
-	return errkind.Wrap(errkind.StoreUnavailable, c.lastErr, "write row "+c.key)
+	// Not by Wrap, which returns nil without a cause: there is none if no attempt was made.
+	return errkind.New(errkind.StoreUnavailable, "write row %s, attempt %d: %v", c.key, c.started, c.lastErr)
+}
+
+// Waiting returns the number of callers whose write the store has refused and who wait for a retry.
+func (w *Writer) Waiting() int { return w.outage.waitingCallers() }
+
+// RetryAfter returns when a refused caller, who still waits for the given time, should come
+// back. A time that is not known is zero.
+func (w *Writer) RetryAfter(left time.Duration) time.Duration {
+	return w.outage.retryAfter(time.Now(), left)
+}
+
+func (w *Writer) count(event string) {
+	if w.CountEvent != nil {
+		w.CountEvent(event)
+	}
+}
+
+func (w *Writer) noteRefused(err error) {
+	begins := w.outage.refused(time.Now())
+	if begins && w.Logger != nil && w.outage.mayLog(time.Now()) {
+		w.Logger.Warn().Err(err).Msg("store refuses writes; retrying while their callers wait")
+	}
+}
+
+func (w *Writer) noteServed() {
+	lasted := w.outage.served(time.Now())
+	if lasted > 0 && w.Logger != nil && w.outage.mayLog(time.Now()) {
+		w.Logger.Info().Int64("outage_ms", lasted.Milliseconds()).Int("waiting", w.Waiting()).Msg("store executes writes again")
+	}
 }
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -26,6 +26,11 @@
 // between regions, with some margin for a busy host.
 const connectTimeout = 150 * time.Millisecond
 
+// minRelayTime is the shortest time in which a call is sent to an entry: a round trip between two
+// regions and the work of two processes. A call that is cut off has an unknown outcome although
+// the store may have refused it.
+const minRelayTime = 100 * time.Millisecond
+
 // Server serves the other entries.
 type Server struct {
 	rpc.UnimplementedEntryPeerServer
@@ -148,11 +153,16 @@
 }
 
 // callAny calls the other entries in turn until one succeeds, those that were of no use
-// lately last. If a failed call may have taken effect, the error has kind OutcomeUnknown.
-func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
+// lately last, or until a number of them have refused the call (zero for all). It begins no call
+// that the deadline of ctx would cut off. If a failed call may have taken effect, the error has
+// kind OutcomeUnknown.
+func (c *Client) callAny(ctx context.Context, maxRefusals int, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
-	ambiguous := false
+	ambiguous, refusals := false, 0
 	for _, address := range c.relays.searchOrder(c.Self, c.Addresses()) {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minRelayTime {
+			break
+		}
 		err := c.callOne(ctx, address, relayTimeout, call)
 		if err == nil {
 			c.relays.record(address, true, time.Now())
@@ -164,6 +174,9 @@
 			break
 		}
 		c.relays.record(address, false, time.Now())
+		if refusals++; refusals == maxRefusals {
+			break
+		}
 	}
 	if ambiguous {
 		return errkind.Wrap(errkind.OutcomeUnknown, lastErr, "relayed call")
@@ -187,6 +200,10 @@
 
 // Commit commits a transaction through another entry. It does not tell the store's clock.
 func (c *Client) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
+	return c.commit(ctx, txn, 0)
+}
+
+func (c *Client) commit(ctx context.Context, txn rows.Txn, maxRefusals int) (rows.Applied, error) {
 	m := &rpc.CommitRequest{}
 	for _, e := range txn.Expect {
 		m.Expect = append(m.Expect, &rpc.ExpectedRow{Key: e.Key, Version: uint64(e.Version)})
@@ -195,7 +212,7 @@
 		m.Put = append(m.Put, &rpc.WrittenRow{Key: p.Key, Value: p.Value})
 	}
 	var reply *rpc.CommitReply
-	err := c.callAny(ctx, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, maxRefusals, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		reply, err = peer.Commit(ctx, m)
 		return err
 	})
@@ -215,7 +232,7 @@
 // ReadRow reads a row through another entry.
 func (c *Client) ReadRow(ctx context.Context, key string) (rows.Row, bool, error) {
 	var reply *rpc.ReadReply
-	err := c.callAny(ctx, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, 0, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		reply, err = peer.Read(ctx, &rpc.ReadRequest{Key: key})
 		return err
 	})
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -31,6 +31,7 @@
 	replica  *jobstore.Replica
 	config   *configsync.Follower
 	peers    *peer.Client
+	writer   *jobstore.Writer
 	draining atomic.Bool
 	// callers is the server for callers.
 	callers *httpserver.Server
@@ -52,6 +53,9 @@
 			logger.Warn().Str("entry", address).Err(err).Msg("request to another entry failed")
 		},
 	}
+	e.writer = &jobstore.Writer{
+		Store: e.store, Relay: peer.Submissions{Client: e.peers}, Replica: e.replica, Logger: logger, CountEvent: e.count,
+	}
 	e.config = configsync.NewFollower(configsync.Options{
 		Self: s.advertisedAddr(), Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Clock: boottime.Now, Logger: logger, Count: e.count,
 	})
@@ -92,6 +96,7 @@
 	e.runBackground(background, "replica of the store", func(ctx context.Context) {
 		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
 	})
+	e.runBackground(background, "search for writes without an answer", e.writer.SettleOpenWrites)
 	e.runBackground(background, "watch for pauses", e.config.WatchPauses)
 	e.runBackground(background, "configuration from the store", e.config.WatchStore)
 	e.runBackground(background, "configuration from entries", e.config.WatchPeers)
@@ -120,7 +125,7 @@
 	gw := gateway.New(gateway.Options{
 		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
 		RowBytes: e.settings.StoreRowBytes,
-		Writer:   &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
+		Writer:   e.writer,
 	})
 	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
@@ -139,12 +144,20 @@
 }
 
 // publishGauges publishes which configuration the entry serves and how long ago it was
-// known to be the newest one.
+// known to be the newest one, and the calls that wait for the store or whose outcome is not known.
 func (e *Entry) publishGauges() error {
 	version := func() float64 { return float64(e.config.Version()) }
 	if err := e.metrics.GaugeFunc("config_version", "Version of the active configuration.", version); err != nil {
 		return err
 	}
+	waiting := func() float64 { return float64(e.writer.Waiting()) }
+	if err := e.metrics.GaugeFunc("writes_waiting", "Calls whose write the store has refused and that wait for a retry.", waiting); err != nil {
+		return err
+	}
+	open := func() float64 { return float64(e.writer.OpenWrites()) }
+	if err := e.metrics.GaugeFunc("writes_open", "Writes whose outcome is not known and is looked for.", open); err != nil {
+		return err
+	}
 	age := func() float64 { return e.config.Age().Seconds() }
 	return e.metrics.GaugeFunc("config_age_seconds", "Time since the active configuration was known to be the newest one.", age)
 }
