Submissions: bounded retry rate, tests of open writes and of little time

Cause: hedges of a write that began after 2.2 s followed one another without a pause, so that the retries of 200 callers exceeded the rate of their entry; an attempt that was cut off before it sent anything made the outcome unknown. Change: hedges are at least 100 ms apart; the pause is 100 ms, or the number of waiting callers divided by 50 per second; the results of canceled attempts are used. Tests of the retries, Retry-After, open writes, relayed submissions and submissions with little time.

--- a/control/batche2e/submissions_test.go
+++ b/control/batche2e/submissions_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
@@ -105,11 +106,27 @@
 	rpc.RegisterEntryPeerServer(server, &peer.Server{Store: store})
 	go func() { _ = server.Serve(listener) }()
 	s.stores[id] = store
-	e := s.startEntryOn(id, 1, store.storeClient, store, peer.Submissions{Client: relay})
+	e := s.startEntryOn(id, 1, store.storeClient, store, probedRelay{peer.Submissions{Client: relay}, store})
 	stop := e.stop
 	e.stop = func() { stop(); server.Stop() }
 }
 
+// probedRelay notes the transactions whose outcome the relay does not know: a connection may break
+// before a transaction was sent on it.
+type probedRelay struct {
+	peer.Submissions
+	store *faultyStore
+}
+
+// Commit implements jobstore.Relay.
+func (r probedRelay) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
+	applied, err := r.Submissions.Commit(ctx, txn)
+	if err != nil && !errkind.Is(err, errkind.StoreUnavailable) && !errkind.Is(err, errkind.Conflict) {
+		r.store.noteOpen(txn.Put[0].Key)
+	}
+	return applied, err
+}
+
 // kill ends an entry. Its callers get no answer, and neither does what it had sent.
 func (s *submissions) kill(id string) {
 	s.mu.Lock()
@@ -207,6 +224,7 @@
 // finish waits until nothing is under way, and closes everything.
 func (s *submissions) finish() {
 	s.wait(20 * time.Second)
+	synctest.Wait()
 	for _, conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -337,7 +355,7 @@
 		// slowest is the longest time that an acceptance may take.
 		slowest time.Duration
 	}{
-		{0, 20, 100, 300 * time.Millisecond}, {0.9, 20, 97, callerTime}, {1, 20, 70, callerTime}, {0.9, 200, 945, callerTime},
+		{0, 20, 100, 300 * time.Millisecond}, {0.9, 20, 97, callerTime}, {1, 20, 70, callerTime}, {0.9, 200, 950, callerTime},
 	} {
 		t.Run(fmt.Sprintf("refused_%v_callers_%d", c.share, c.callers), func(t *testing.T) {
 			var sum outcomeOfPlay
--- a/control/jobstore/outage.go
+++ b/control/jobstore/outage.go
@@ -9,17 +9,13 @@
 
 // Bounds of the retries while the store refuses writes.
 const (
-	// writeRetryDelay and maxRetryPause are the mean pauses before the first retry of a refused
-	// write and before later ones. With 150 ms a caller that waits for 3 s gets some 17 tries, of
-	// which one is enough if the store serves a tenth of its calls.
+	// writeRetryDelay is the mean pause before a retry while few callers wait. A caller that waits
+	// for 3 s gets some 25 tries, of which one is enough if the store serves a tenth of its calls.
 	writeRetryDelay = 100 * time.Millisecond
-	maxRetryPause   = 150 * time.Millisecond
-	// retryPauseGrowth is the factor from one pause to the next.
-	retryPauseGrowth = 1.2
 	// maxRetryRate is how many retries an entry makes per second, all callers together. The
 	// pauses grow with the number of callers that wait. Each try is at most two calls to the
 	// store, and the owner needs some 25 to 100 transactions per second of it.
-	maxRetryRate = 30
+	maxRetryRate = 50
 	// maxWaiting and maxWaitingBytes bound the callers that wait for a retry, and the values of
 	// their rows. With more of them each would get less than one retry in its time.
 	maxWaiting      = 128
@@ -110,11 +106,10 @@
 	return o.waiting
 }
 
-// pause returns the time until a caller whose write was refused a number of times tries again.
-func (o *outage) pause(refusals int) time.Duration {
-	own := min(float64(writeRetryDelay)*math.Pow(retryPauseGrowth, float64(refusals-1)), float64(maxRetryPause))
-	shared := float64(o.waitingCallers()) / maxRetryRate * float64(time.Second)
-	return time.Duration(max(own, shared) * (0.75 + 0.5*rand.Float64())) //nolint:gosec // spreads retries only
+// pause returns the time until a caller whose write failed tries again.
+func (o *outage) pause() time.Duration {
+	mean := max(writeRetryDelay, time.Duration(o.waitingCallers())*time.Second/maxRetryRate)
+	return time.Duration(float64(mean) * (0.75 + 0.5*rand.Float64())) //nolint:gosec // spreads retries only
 }
 
 // retryAfter returns when a refused caller should come back, in whole seconds: half of the time
--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -49,7 +49,8 @@
 	// an unknown outcome.
 	lastRetryTime = 150 * time.Millisecond
 	// hedgeDelay is when a hedged attempt is added to one without a response. Slow
-	// responses of the store take half a second.
+	// responses of the store take half a second. A caller with little time gets it after a third
+	// of that.
 	hedgeDelay = 600 * time.Millisecond
 	// maxInFlight bounds the attempts of a call that have no response yet.
 	maxInFlight = 4
@@ -93,6 +94,10 @@
 			return created, nil
 		}
 	}
+	cancel()
+	if created, done := c.collectResults(); done {
+		return created, nil
+	}
 	return false, c.failure()
 }
 
@@ -121,7 +126,6 @@
 	// nextTry is when the next attempt is due.
 	nextTry  time.Time
 	started  int
-	refusals int
 	inFlight int
 	// openSince is when the first attempt was sent that has no definite result.
 	openSince time.Time
@@ -185,7 +189,7 @@
 	}
 	c.started++
 	c.inFlight++
-	c.nextTry = now.Add(min(hedgeDelay, c.openEnd.Sub(now)/3))
+	c.nextTry = now.Add(max(min(hedgeDelay, c.currentEnd().Sub(now)/3), writeRetryDelay))
 	c.group.Go(func() { c.results <- c.attempt(ctx, direct) })
 }
 
@@ -221,7 +225,29 @@
 	return false, false
 }
 
+// handleResult notes a result, and when the next attempt is due after a failed one.
 func (c *rowCreation) handleResult(err error) (created, done bool) {
+	if created, done = c.noteResult(err); !done && !c.invalid {
+		c.enterWait()
+		c.scheduleRetry()
+	}
+	return created, done
+}
+
+// collectResults waits for the attempts that were canceled. Some may have sent nothing, or have
+// got their response at the last moment.
+func (c *rowCreation) collectResults() (created, done bool) {
+	c.group.Wait()
+	for c.inFlight > 0 {
+		c.inFlight--
+		if created, done = c.noteResult(<-c.results); done {
+			return created, true
+		}
+	}
+	return c.started > 0, c.hasArrived()
+}
+
+func (c *rowCreation) noteResult(err error) (created, done bool) {
 	var conflict *rows.ConflictError
 	switch {
 	case err == nil:
@@ -236,15 +262,11 @@
 	switch errkind.Of(err) {
 	case errkind.InvalidArgument:
 		c.invalid, c.hopeless = true, true
-		return false, false
 	case errkind.StoreUnavailable:
-		c.refusals++
 		c.writer.noteRefused(err)
 	default:
 		c.ambiguous = true
 	}
-	c.enterWait()
-	c.scheduleRetry()
 	return false, false
 }
 
@@ -252,7 +274,7 @@
 // enough to end before the call does.
 func (c *rowCreation) scheduleRetry() {
 	now := time.Now()
-	c.nextTry = now.Add(c.writer.outage.pause(max(c.refusals, 1)))
+	c.nextTry = now.Add(c.writer.outage.pause())
 	if last := c.currentEnd().Add(-lastRetryTime); c.nextTry.After(last) && now.Before(last) {
 		c.nextTry = last
 	}
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -153,17 +153,20 @@
 }
 
 // callAny calls the other entries in turn until one succeeds, those that were of no use
-// lately last, or until a number of them have refused the call (zero for all). It begins no call
+// lately last, or until it was sent to a number of them (zero for all). It begins no call
 // that the deadline of ctx would cut off. If a failed call may have taken effect, the error has
 // kind OutcomeUnknown.
-func (c *Client) callAny(ctx context.Context, maxRefusals int, call func(context.Context, rpc.EntryPeerClient) error) error {
-	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
-	ambiguous, refusals := false, 0
+func (c *Client) callAny(ctx context.Context, maxCalls int, call func(context.Context, rpc.EntryPeerClient) error) error {
+	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known, or there is no time for a call")
+	ambiguous, calls := false, 0
 	for _, address := range c.relays.searchOrder(c.Self, c.Addresses()) {
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minRelayTime {
 			break
 		}
-		err := c.callOne(ctx, address, relayTimeout, call)
+		err := c.callOne(ctx, address, relayTimeout, func(ctx context.Context, peer rpc.EntryPeerClient) error {
+			calls++
+			return call(ctx, peer)
+		})
 		if err == nil {
 			c.relays.record(address, true, time.Now())
 			return nil
@@ -174,7 +177,7 @@
 			break
 		}
 		c.relays.record(address, false, time.Now())
-		if refusals++; refusals == maxRefusals {
+		if maxCalls > 0 && calls >= maxCalls {
 			break
 		}
 	}
@@ -203,7 +206,7 @@
 	return c.commit(ctx, txn, 0)
 }
 
-func (c *Client) commit(ctx context.Context, txn rows.Txn, maxRefusals int) (rows.Applied, error) {
+func (c *Client) commit(ctx context.Context, txn rows.Txn, maxCalls int) (rows.Applied, error) {
 	m := &rpc.CommitRequest{}
 	for _, e := range txn.Expect {
 		m.Expect = append(m.Expect, &rpc.ExpectedRow{Key: e.Key, Version: uint64(e.Version)})
@@ -212,7 +215,7 @@
 		m.Put = append(m.Put, &rpc.WrittenRow{Key: p.Key, Value: p.Value})
 	}
 	var reply *rpc.CommitReply
-	err := c.callAny(ctx, maxRefusals, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, maxCalls, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		reply, err = peer.Commit(ctx, m)
 		return err
 	})
