Relayed submissions do not wait for an entry that is gone

Cause: while the store refuses the other entries, each relayed attempt waited 0.15 s for a connection to an owner that had just died.

--- a/control/jobstore/write.go
+++ b/control/jobstore/write.go
@@ -133,11 +133,11 @@
 	waits bool
 	// ambiguous is set if an attempt ended with an unknown outcome.
 	ambiguous bool
-	// hopeless is set if no further attempt is to be made: the store refused the row as invalid, or
+	// noRetry is set if no further attempt is to be made: the store refused the row as invalid, or
 	// too many callers wait.
-	hopeless bool
-	invalid  bool
-	lastErr  error
+	noRetry bool
+	invalid bool
+	lastErr error
 }
 
 // isOpen reports whether an attempt may have written the row.
@@ -168,7 +168,7 @@
 }
 
 func (c *rowCreation) mayTryAgain() bool {
-	if c.hopeless || c.inFlight >= maxInFlight {
+	if c.noRetry || c.inFlight >= maxInFlight {
 		return false
 	}
 	return c.started == 0 || !c.nextTry.After(c.currentEnd().Add(-lastRetryTime))
@@ -261,7 +261,7 @@
 	c.lastErr = err
 	switch errkind.Of(err) {
 	case errkind.InvalidArgument:
-		c.invalid, c.hopeless = true, true
+		c.invalid, c.noRetry = true, true
 	case errkind.StoreUnavailable:
 		c.writer.noteRefused(err)
 	default:
@@ -282,11 +282,11 @@
 
 // enterWait counts the call as waiting for a retry. If too many callers wait, no retry is made.
 func (c *rowCreation) enterWait() {
-	if c.waits || c.hopeless {
+	if c.waits || c.noRetry {
 		return
 	}
 	if c.waits = c.writer.outage.enter(len(c.value)); !c.waits {
-		c.hopeless = true
+		c.noRetry = true
 		c.writer.count("write_waiting_full")
 	}
 }
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -99,6 +99,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// unreachable holds when a connection to an entry last failed, until one succeeds.
+	unreachable map[string]time.Time
 }
 
 // Useful returns the addresses of the other entries as all entries rank them for a
@@ -159,10 +161,13 @@
 func (c *Client) callAny(ctx context.Context, maxCalls int, call func(context.Context, rpc.EntryPeerClient) error) error {
 	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known, or there is no time for a call")
 	ambiguous, calls := false, 0
-	for _, address := range c.relays.searchOrder(c.Self, c.Addresses()) {
+	for _, address := range c.relayOrder() {
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minRelayTime {
 			break
 		}
+		if calls > 0 && c.isUnreachable(address) {
+			continue
+		}
 		err := c.callOne(ctx, address, relayTimeout, func(ctx context.Context, peer rpc.EntryPeerClient) error {
 			calls++
 			return call(ctx, peer)
@@ -190,6 +195,9 @@
 // callOne calls one entry. The timeout does not include connecting.
 func (c *Client) callOne(ctx context.Context, address string, timeout time.Duration, call func(context.Context, rpc.EntryPeerClient) error) error {
 	client, err := c.readyClient(ctx, address)
+	if ctx.Err() == nil {
+		c.noteConnection(address, err)
+	}
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
--- a/control/peer/submissions_test.go
+++ b/control/peer/submissions_test.go
@@ -55,6 +55,29 @@
 	})
 }
 
+// Guards against relayed submissions that each wait for a connection to an entry that is gone, such
+// as an owner that has just died, while the store refuses the others.
+func TestRelayedSubmissionDoesNotWaitForLostEntry(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	Convey("The lost entry is waited for once", t, func() {
+		lost, store := closedAddress(t), &countingStore{}
+		client := newClient(lost, serve(t, &Server{Store: store}))
+		failures := 0
+		client.OnError = func(address string, _ error) {
+			if address == lost {
+				failures++
+			}
+		}
+		for range 4 {
+			_, err := Submissions{Client: client}.Commit(ctx, create)
+			So(errkind.Of(err), ShouldEqual, errkind.StoreUnavailable)
+		}
+		So(store.commits.Load(), ShouldEqual, 4)
+		So(failures, ShouldBeLessThanOrEqualTo, 1)
+	})
+}
+
 // Guards against an unknown outcome of a call that there was no time for.
 func TestRelayedCallNeedsTime(t *testing.T) {
 	Convey("Nothing is sent shortly before the deadline", t, func() {
