--- a/control/gateway/admission.go
+++ b/control/gateway/admission.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
@@ -81,7 +79,7 @@
 // known reports whether the job is accepted already, or may be by a call of this entry.
 func (g *Gateway) known(id ident.Job) bool {
 	_, accepted := g.opts.Replica.Job(id)
-	return accepted || g.writes.mayLand(id, time.Now())
+	return accepted || g.opts.Writer.MayBeWritten(jobstore.JobKey(id))
 }
 
 // guaranteed returns how many accelerators are guaranteed to a workspace.
@@ -102,44 +100,3 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return wait + retry.Backoff{Base: wait / 2, Max: wait / 2}.Wait(1, random)
 }
-
-// lateWriteTime is how long after its end a write without an answer may still be applied.
-const lateWriteTime = 15 * time.Second
-
-// writesInProgress holds the jobs whose rows this entry may have written, or may still write,
-// although no row is known.
-type writesInProgress struct {
-	mu sync.Mutex
-	// open counts the writes in progress, unknownUntil is until when those without an answer
-	// may be applied.
-	open         map[ident.Job]int
-	unknownUntil map[ident.Job]time.Time
-}
-
-func (w *writesInProgress) begin(id ident.Job) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.open == nil {
-		w.open, w.unknownUntil = make(map[ident.Job]int), make(map[ident.Job]time.Time)
-	}
-	w.open[id]++
-}
-
-func (w *writesInProgress) end(id ident.Job, err error, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.open[id]--; w.open[id] == 0 {
-		delete(w.open, id)
-	}
-	if !errkind.Is(err, errkind.OutcomeUnknown) {
-		return
-	}
-	maps.DeleteFunc(w.unknownUntil, func(_ ident.Job, until time.Time) bool { return now.After(until) })
-	w.unknownUntil[id] = now.Add(lateWriteTime)
-}
-
-func (w *writesInProgress) mayLand(id ident.Job, now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.open[id] > 0 || now.Before(w.unknownUntil[id])
-}
--- a/control/peer/evacuations.go
+++ b/control/peer/evacuations.go
@@ -28,7 +28,7 @@
 // before each attempt, so that the age of the result does not include failed ones.
 func (c *Client) ReadEvacuations(ctx context.Context, onSend func()) ([]ident.Zone, error) {
 	var reply *rpc.ReadEvacuationsReply
-	err := c.callAny(ctx, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, 0, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		onSend()
 		reply, err = peer.ReadEvacuations(ctx, &rpc.ReadEvacuationsRequest{})
 		return err
