Write the owner's row once its open starts are answered

The owner's row lists workers with open starts, so that the next owner keeps the runs there until a start without an answer can't be carried out any more: 26.55 s from its takeover with leases of 10 s. The list was written again with the next transaction only, which without changes is up to 1 s away. An owner that had all answers left a row behind that said it had none.

The owner now writes a transaction as soon as no listed start is open any more, and while others are, 0.1 s after the latest one began. It doesn't if the latest one took 0.25 s or more, because the next starts would wait for it. What is listed, and for how long the next owner waits, is unchanged.

--- a/control/batche2e/lostworker_test.go
+++ b/control/batche2e/lostworker_test.go
@@ -94,6 +94,42 @@
 	}
 }
 
+// Guards against tasks of a lost worker that stand still for as long as a start without an answer
+// may be carried out, though the owner had the answer before everything was lost: the row that the
+// next owner finds was written before the answer, and nothing had to be written since.
+func TestAnsweredStartsDoNotHoldTasksOfLostWorkers(t *testing.T) {
+	for _, age := range []time.Duration{20, 60, 150, 300, 900} {
+		age *= time.Millisecond
+		t.Run(fmt.Sprintf("lost_%v_after_the_start", age), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCluster(t)
+				s.lease = 10 * time.Second
+				e := s.startEntry("1")
+				s.startWorker("1")
+				s.wait(2 * time.Second)
+				s.submit(e, "bulk", job1, "60s", 1)
+				for !s.runsOn("1") {
+					s.wait(time.Millisecond)
+				}
+				s.wait(age)
+				s.loseForGood("1")
+				s.crash(e)
+				lost := time.Now()
+				s.wait(700 * time.Millisecond)
+				s.startEntry("1")
+				s.startWorker("2")
+				for !s.runsOn("2") && time.Since(lost) < time.Minute {
+					s.wait(50 * time.Millisecond)
+				}
+				if took := time.Since(lost); took > maxStandstill {
+					t.Errorf("the task stands still for %v, more than %v", took, maxStandstill)
+				}
+				s.close()
+			})
+		})
+	}
+}
+
 // Guards against tasks that run twice, or are cut short, because a worker that is back from a
 // silence counts as silent for the next owner, which it may not reach.
 func TestWorkerThatIsBackKeepsItsTasksAcrossOwners(t *testing.T) {
--- a/control/batchowner/limits.go
+++ b/control/batchowner/limits.go
@@ -102,6 +102,30 @@
 	l.noteOmitted(&l.openStartsOmitted, len(open.Workers), omitted, "open_starts_omitted", "owner's row has no room for the workers with open starts")
 }
 
+const (
+	// openStartsInterval is how long after the start of a transaction the next one may be written
+	// only because some of the starts that it lists are not open any more, while others are. It
+	// bounds the transactions that answers cause.
+	openStartsInterval = tickInterval
+	// maxAnswersCommit is how long the latest transaction may have taken if one is written only
+	// because of answers: the next starts wait for as long.
+	maxAnswersCommit = renewInterval / 4
+)
+
+// commitIsDue reports whether a transaction is to be written now.
+func (l *ownerLoop) commitIsDue(c *batch.Commit, now time.Time) bool {
+	return !c.Empty() || l.needsVersion() || l.scheduler.AwaitsLease() ||
+		now.Sub(l.lastCommitStart) >= renewInterval || l.listsEndedStarts(now)
+}
+
+// listsEndedStarts reports whether a transaction is to be written because the owner's row lists
+// starts that are not open any more. If the owner is lost before that, the next one keeps the runs
+// on their workers for 16 s longer than it has to.
+func (l *ownerLoop) listsEndedStarts(now time.Time) bool {
+	open, ended := l.scheduler.ListedStarts(now)
+	return ended > 0 && l.lastCommitTook < maxAnswersCommit && (open == 0 || now.Sub(l.lastCommitStart) >= openStartsInterval)
+}
+
 // noteOmitted counts transactions for which the owner's row has no room for some workers, and logs
 // the first one in a row.
 func (l *ownerLoop) noteOmitted(before *bool, recorded, omitted int, event, message string) {
--- a/control/batchowner/openstarts_test.go
+++ b/control/batchowner/openstarts_test.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// answer lets the worker answer a start, and runs a cycle.
+func (b *loopbed) answer(order batch.Order) {
+	order.Worker = "w1"
+	b.scheduler.Answered(order, batch.AnswerOK, 1, time.Now())
+	b.commitUnseen(func() {})
+}
+
 // renew runs cycles for longer than the owner takes to renew its ownership.
 func (b *loopbed) renew() {
 	for range int(renewInterval/tickInterval) + 2 {
@@ -70,6 +77,63 @@
 		b.renew()
 		So(listedIn(b.store), ShouldBeEmpty)
 	})
+	inBubble("Not after its answer, though nothing else is to be written", func(b *loopbed) {
+		b.commitAll(func() {})
+		orders := b.sentOrders()
+		So(orders, ShouldHaveLength, 1)
+		time.Sleep(tickInterval)
+		b.commitUnseen(func() {})
+		So(listedIn(b.store), ShouldContainKey, ident.Worker("w1"))
+		before := ownerIn(b.store).Sequence
+		b.answer(orders[0])
+		So(listedIn(b.store), ShouldBeEmpty)
+		for range renewInterval / tickInterval / 2 {
+			time.Sleep(tickInterval)
+			b.commitUnseen(func() {})
+		}
+		So(ownerIn(b.store).Sequence, ShouldEqual, before+1)
+	})
+	inBubble("With few transactions if the answers to several starts come one after the other", func(b *loopbed) {
+		for _, id := range []ident.Job{"j2", "j3", "j4", "j5", "j6"} {
+			b.submit(id)
+		}
+		b.commitAll(func() {})
+		orders := b.sentOrders()
+		So(len(orders), ShouldBeGreaterThan, 2)
+		before := ownerIn(b.store).Sequence
+		for i, order := range orders {
+			So(ownerIn(b.store).Sequence, ShouldEqual, before)
+			if i == len(orders)-1 {
+				time.Sleep(tickInterval / 2)
+			}
+			b.answer(order)
+		}
+		So(listedIn(b.store), ShouldBeEmpty)
+		So(ownerIn(b.store).Sequence, ShouldEqual, before+1)
+	})
+	inBubble("Not for long after its answer while another start has none", func(b *loopbed) {
+		b.submit("j2")
+		b.commitAll(func() {})
+		orders := b.sentOrders()
+		So(orders, ShouldHaveLength, 2)
+		before := ownerIn(b.store).Sequence
+		b.answer(orders[0])
+		So(ownerIn(b.store).Sequence, ShouldEqual, before)
+		time.Sleep(openStartsInterval)
+		b.commitUnseen(func() {})
+		So(ownerIn(b.store).Sequence, ShouldEqual, before+1)
+		So(listedIn(b.store), ShouldResemble, map[ident.Worker]int64{"w1": 0})
+	})
+	inBubble("Until the next transaction if the store is slow, which others wait for", func(b *loopbed) {
+		b.commitAll(func() { time.Sleep(maxAnswersCommit) })
+		orders := b.sentOrders()
+		So(orders, ShouldHaveLength, 1)
+		before := ownerIn(b.store).Sequence
+		b.answer(orders[0])
+		So(ownerIn(b.store).Sequence, ShouldEqual, before)
+		b.renew()
+		So(listedIn(b.store), ShouldBeEmpty)
+	})
 	inBubble("While the start is held", func(b *loopbed) {
 		b.commitUnseen(func() {})
 		b.renew()
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -44,6 +44,8 @@
 	shortened map[ident.Job]bool
 	// lastCommitStart is when the newest transaction was started.
 	lastCommitStart time.Time
+	// lastCommitTook is how long the latest transaction took until its result was handled.
+	lastCommitTook time.Duration
 	// catalog is the configuration that the scheduler uses.
 	catalog       *catalog.Catalog
 	ownershipLost bool
@@ -291,13 +293,13 @@
 }
 
 // commit writes the changed records in a transaction. Without changes it writes
-// one after renewInterval to renew the ownership.
+// one after renewInterval to renew the ownership, and earlier if commitIsDue says so.
 func (l *ownerLoop) commit(now time.Time) {
 	if l.inFlight != nil {
 		return
 	}
 	c, puts, ok := l.prepare()
-	if !ok || c.Empty() && !l.needsVersion() && !l.scheduler.AwaitsLease() && now.Sub(l.lastCommitStart) < renewInterval {
+	if !ok || !l.commitIsDue(c, now) {
 		return
 	}
 	var removeKeys []string
@@ -355,7 +357,8 @@
 func (l *ownerLoop) handleCommitted(c *batch.Commit, err error, started time.Time) {
 	l.inFlight = nil
 	now := time.Now()
-	l.candidate.opts.Observe("commit", now.Sub(started))
+	l.lastCommitTook = now.Sub(started)
+	l.candidate.opts.Observe("commit", l.lastCommitTook)
 	switch {
 	case errkind.Is(err, errkind.InvalidArgument) && len(c.Records) > 0:
 		l.handleRefused(c, err)
--- a/sched/batch/openstarts.go
+++ b/sched/batch/openstarts.go
@@ -155,6 +155,19 @@
 	return open, open.fit(maxOpenStartBytes)
 }
 
+// ListedStarts returns how many of this owner's starts that the latest RecordOpenStarts may have
+// listed are still open, and how many are not any more: the next owner would wait for those in vain.
+func (s *Scheduler) ListedStarts(now time.Time) (open, ended int) {
+	for t := range s.open.own {
+		if s.startIsOpen(t, now) {
+			open++
+		} else {
+			ended++
+		}
+	}
+	return open, ended
+}
+
 // add lists a worker with the time of one of its open starts, if that is not earlier than another.
 func (o *OpenStarts) add(id ident.Worker, atMs int64) {
 	if listed, ok := o.Workers[id]; ok {
--- a/sched/batch/openstarts_test.go
+++ b/sched/batch/openstarts_test.go
@@ -26,6 +26,12 @@
 	return open
 }
 
+// listedStarts returns how many of the listed starts are open, and how many are not any more.
+func listedStarts(b *testbed) [2]int {
+	open, ended := b.scheduler.ListedStarts(b.now)
+	return [2]int{open, ended}
+}
+
 // givesUpAfter returns how long the owner, which hears nothing of the worker, keeps a run.
 func (b *testbed) givesUpAfter(run Run) time.Duration {
 	from := b.now
@@ -77,8 +83,11 @@
 		Convey("and not any more after that", func() {
 			b.starts = b.commit(c)
 			So(b.recordOpen().Workers, ShouldContainKey, ident.Worker("w1"))
+			So(listedStarts(b), ShouldResemble, [2]int{1, 0})
 			b.acceptStarts()
+			So(listedStarts(b), ShouldResemble, [2]int{0, 1})
 			So(b.recordOpen().Workers, ShouldBeEmpty)
+			So(listedStarts(b), ShouldResemble, [2]int{})
 		})
 	})
 	Convey("Starts whose records are split over transactions are listed by the one that permits them", t, func() {
@@ -112,7 +121,9 @@
 		Convey("or until a renewal that was granted before can't be carried out either", func() {
 			b.advance(renewal - attempt)
 			So(b.recordOpen().Workers, ShouldContainKey, ident.Worker("w1"))
+			So(listedStarts(b), ShouldResemble, [2]int{1, 0})
 			b.advance(time.Millisecond)
+			So(listedStarts(b), ShouldResemble, [2]int{0, 1})
 			So(b.recordOpen().Workers, ShouldBeEmpty)
 		})
 	})
