--- a/control/batche2e/harness_test.go
+++ b/control/batche2e/harness_test.go
@@ -27,6 +27,7 @@
 	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
+	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/infra/standin"
 	"github.com/lacewingpier/lacewingpier/sched/batch"
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
@@ -60,11 +61,17 @@
 	workers map[string]*worker
 	// lease is the longest lease of a worker.
 	lease time.Duration
+	// evacuationBound is the bound of evacuations, or zero if there are none.
+	evacuationBound time.Duration
+	peers           storeClients
+	// jobs is the number of jobs that work has submitted.
+	jobs int
 }
 
 type entry struct {
 	id             string
 	store          *storeClient
+	writer         *jobstore.Writer
 	gateway        *gateway.Gateway
 	replica        *jobstore.Replica
 	stop           context.CancelFunc
@@ -75,6 +82,7 @@
 type worker struct {
 	upstream *upstream
 	runner   *runner.Runner
+	zone     ident.Zone
 	store    *storeClient
 	host     *standin.Host
 	sequence int64
@@ -125,26 +133,36 @@
 
 // startEntryWithCPU starts an entry that may use the given share of a core.
 func (s *cluster) startEntryWithCPU(id string, cpuShare float64) *entry {
-	e := &entry{id: id, store: &storeClient{memoryStore: s.store}}
+	store := &storeClient{memoryStore: s.store}
+	return s.startEntryOn(id, cpuShare, store, store, nil)
+}
+
+// startEntryOn starts an entry that reaches the store by client, which may disturb its calls, and
+// through relay, unless that is nil.
+func (s *cluster) startEntryOn(id string, cpuShare float64, store *storeClient, client rows.Store, relay jobstore.Relay) *entry {
+	e := &entry{id: id, store: store}
 	e.replica = jobstore.NewReplica(func(key string, err error) { s.t.Errorf("row %s: %v", key, err) })
+	e.writer = &jobstore.Writer{Store: client, Relay: relay, Replica: e.replica}
 	e.gateway = gateway.New(gateway.Options{
 		Catalog: s.catalog.Load, Replica: e.replica, Logger: discardLogger(), RefuseHopeless: true,
-		Writer: &jobstore.Writer{Store: e.store, Replica: e.replica},
+		Writer: e.writer,
 		Count:  func(string, string) {}, Observe: func(string, time.Duration) {},
 	})
 	host := s.net.Host("10.0.0." + id)
 	d := batchowner.New(batchowner.Options{
-		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: e.store, Replica: e.replica, CPUShare: cpuShare,
-		Timing:  batch.Timing{MaxLease: s.lease, Restore: time.Second, Retention: time.Minute},
-		Catalog: s.catalog.Load,
-		Connect: func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
-		Clock:   func() time.Duration { return time.Since(s.log.start) + time.Hour },
-		Logger:  discardLogger(), Count: ignoreEvent, Observe: func(string, time.Duration) {},
+		Entry: ident.Entry(id), Incarnation: ident.Incarnation(ident.NewID("")), Store: client, Replica: e.replica, CPUShare: cpuShare,
+		Evacuations: s.evacuations(e),
+		Timing:      batch.Timing{MaxLease: s.lease, Restore: time.Second, Retention: time.Minute},
+		Catalog:     s.catalog.Load,
+		Connect:     func(address string) (*grpc.ClientConn, error) { return transport.NewGRPCClient(host, address) },
+		Clock:       func() time.Duration { return time.Since(s.log.start) + time.Hour },
+		Logger:      discardLogger(), Count: ignoreEvent, Observe: func(string, time.Duration) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	background, stopBackground := context.WithCancel(context.Background())
 	e.stop, e.stopBackground = stop, stopBackground
-	e.done.Go(func() { jobstore.Follow(background, e.store, e.replica, func(error) {}) })
+	e.done.Go(func() { jobstore.Follow(background, client, e.replica, func(error) {}) })
+	e.done.Go(func() { e.writer.SettleOpenWrites(background) })
 	e.done.Go(func() { d.Run(ctx) })
 	s.entries[id] = e
 	return e
@@ -172,8 +190,11 @@
 }
 
 // startWorker starts a worker with its agent.
-func (s *cluster) startWorker(id string) *worker {
-	w := &worker{upstream: newUpstream("up"+id, s.log), store: &storeClient{memoryStore: s.store}}
+func (s *cluster) startWorker(id string) *worker { return s.startWorkerIn(id, "") }
+
+// startWorkerIn starts a worker with its agent in a zone.
+func (s *cluster) startWorkerIn(id string, zone ident.Zone) *worker {
+	w := &worker{zone: zone, upstream: newUpstream("up"+id, s.log), store: &storeClient{memoryStore: s.store}}
 	w.host = s.net.Host("10.0.1." + id)
 	s.workers[id] = w
 	s.startAgent(id)
@@ -208,7 +229,7 @@
 	w.runner.Announce(batchapi.Announcement{
 		Incarnation: w.upstream.incarnation(), Address: "app", Sequence: w.sequence,
 		Info: batch.WorkerInfo{
-			Service: "svc", Incarnation: w.upstream.incarnation(), Labels: []string{"a", "r1"}, Rack: "r1", Draining: draining,
+			Service: "svc", Zone: w.zone, Incarnation: w.upstream.incarnation(), Labels: []string{"a", "r1"}, Rack: "r1", Draining: draining,
 			Capacity: batch.Resources{MilliCores: 64000, MemoryMB: 100000, Accelerators: 8},
 		},
 	})
--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -39,11 +39,14 @@
 	unsent []*unsentStarts
 	// overflowing counts the changes that did not fit into events and may be out of order.
 	overflowing atomic.Int32
+	zones       zoneGate
 	limits      commitLimits
 	// shortened holds the jobs whose records had no room for all checkpoints.
 	shortened map[ident.Job]bool
 	// lastCommitStart is when the newest transaction was started.
 	lastCommitStart time.Time
+	// lastCommitTook is how long the latest transaction took until its result was handled.
+	lastCommitTook time.Duration
 	// catalog is the configuration that the scheduler uses.
 	catalog       *catalog.Catalog
 	ownershipLost bool
@@ -102,6 +105,7 @@
 	defer l.group.Wait()
 	defer l.cancel()
 	l.load()
+	l.watchZones()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for !l.ownershipLost {
@@ -237,7 +241,7 @@
 	now := time.Now()
 	l.configure()
 	l.scheduler.Tick(now)
-	if l.writer.valid() && !l.draining {
+	if l.writer.valid() && !l.draining && l.zonesKnown() {
 		l.scheduler.Schedule(now)
 	}
 	l.scheduler.Tick(now)
@@ -292,13 +296,13 @@
 }
 
 // commit writes the changed records in a transaction. Without changes it writes
-// one after renewInterval to renew the ownership.
+// one after renewInterval to renew the ownership, and earlier if commitIsDue says so.
 func (l *ownerLoop) commit(now time.Time) {
 	if l.inFlight != nil {
 		return
 	}
 	c, puts, ok := l.prepare()
-	if !ok || c.Empty() && !l.needsVersion() && !l.scheduler.AwaitsLease() && now.Sub(l.lastCommitStart) < renewInterval {
+	if !ok || !l.commitIsDue(c, now) {
 		return
 	}
 	var removeKeys []string
@@ -357,7 +361,8 @@
 func (l *ownerLoop) handleCommitted(c *batch.Commit, err error, started time.Time) {
 	l.inFlight = nil
 	now := time.Now()
-	l.candidate.opts.Observe("commit", now.Sub(started))
+	l.lastCommitTook = now.Sub(started)
+	l.candidate.opts.Observe("commit", l.lastCommitTook)
 	switch {
 	case errkind.Is(err, errkind.InvalidArgument) && len(c.Records) > 0:
 		l.handleRefused(c, err)
@@ -428,37 +433,6 @@
 	}
 }
 
-// logEvents writes one log line per scheduler event.
-func (l *ownerLoop) logEvents() {
-	for _, event := range l.scheduler.TakeLogEvents() {
-		l.candidate.opts.Count("decision")
-		switch {
-		case event.Event == batch.EventContradicted:
-			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
-		case event.Event == batch.EventStandsStill:
-			l.candidate.opts.Count("job_stands_still_" + event.Reason)
-		case event.Event == batch.EventSlow:
-			l.candidate.opts.Count("worker_slow")
-		case event.WaitedMs > 0:
-			l.candidate.opts.Count("wait_" + event.Reason)
-		}
-		line := l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
-			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
-			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
-			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch))
-		if event.StartUncertain {
-			line = line.Bool("start_uncertain", true)
-		}
-		if event.For != "" {
-			line = line.Str("for", string(event.For)).Float64("cost_core_seconds", event.CostCoreSeconds)
-		}
-		if event.Event == batch.EventSlow || event.Event == batch.EventNotSlow {
-			line = line.Int("speed_percent", event.SpeedPercent)
-		}
-		line.Msg(event.Event)
-	}
-}
-
 // release writes the changed records and marks the ownership as released, so that
 // another entry takes over without waiting for ownerTTL.
 func (l *ownerLoop) release() {
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingpier/lacewingpier/control/jobstore"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
+	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 )
 
@@ -26,11 +27,18 @@
 // between regions, with some margin for a busy host.
 const connectTimeout = 150 * time.Millisecond
 
+// minRelayTime is the shortest time in which a call is sent to an entry: a round trip between two
+// regions and the work of two processes. A call that is cut off has an unknown outcome although
+// the store may have refused it.
+const minRelayTime = 100 * time.Millisecond
+
 // Server serves the other entries.
 type Server struct {
 	rpc.UnimplementedEntryPeerServer
 	// Store is this entry's direct connection to the store, so relays do not chain.
 	Store rows.Store
+	// Evacuations reads the zones that the operator has asked to evacuate from the store itself.
+	Evacuations func(ctx context.Context) ([]ident.Zone, error)
 	// Configuration answers a request for this entry's configuration.
 	Configuration func(ctx context.Context, req exchange.FetchRequest) exchange.Versioned
 
@@ -94,6 +102,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// unreachable holds when a connection to an entry last failed, until one succeeds.
+	unreachable map[string]time.Time
 }
 
 // Useful returns the addresses of the other entries as all entries rank them for a
@@ -148,12 +158,23 @@
 }
 
 // callAny calls the other entries in turn until one succeeds, those that were of no use
-// lately last. If a failed call may have taken effect, the error has kind OutcomeUnknown.
-func (c *Client) callAny(ctx context.Context, call func(context.Context, rpc.EntryPeerClient) error) error {
-	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known")
-	ambiguous := false
-	for _, address := range c.relays.searchOrder(c.Self, c.Addresses()) {
-		err := c.callOne(ctx, address, relayTimeout, call)
+// lately last, or until it was sent to a number of them (zero for all). It begins no call
+// that the deadline of ctx would cut off. If a failed call may have taken effect, the error has
+// kind OutcomeUnknown.
+func (c *Client) callAny(ctx context.Context, maxCalls int, call func(context.Context, rpc.EntryPeerClient) error) error {
+	lastErr := errkind.New(errkind.StoreUnavailable, "no other entry is known, or there is no time for a call")
+	ambiguous, calls := false, 0
+	for _, address := range c.relayOrder() {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minRelayTime {
+			break
+		}
+		if calls > 0 && c.isUnreachable(address) {
+			continue
+		}
+		err := c.callOne(ctx, address, relayTimeout, func(ctx context.Context, peer rpc.EntryPeerClient) error {
+			calls++
+			return call(ctx, peer)
+		})
 		if err == nil {
 			c.relays.record(address, true, time.Now())
 			return nil
@@ -164,6 +185,9 @@
 			break
 		}
 		c.relays.record(address, false, time.Now())
+		if maxCalls > 0 && calls >= maxCalls {
+			break
+		}
 	}
 	if ambiguous {
 		return errkind.Wrap(errkind.OutcomeUnknown, lastErr, "relayed call")
@@ -174,6 +198,9 @@
 // callOne calls one entry. The timeout does not include connecting.
 func (c *Client) callOne(ctx context.Context, address string, timeout time.Duration, call func(context.Context, rpc.EntryPeerClient) error) error {
 	client, err := c.readyClient(ctx, address)
+	if ctx.Err() == nil {
+		c.noteConnection(address, err)
+	}
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -187,6 +214,10 @@
 
 // Commit commits a transaction through another entry. It does not tell the store's clock.
 func (c *Client) Commit(ctx context.Context, txn rows.Txn) (rows.Applied, error) {
+	return c.commit(ctx, txn, 0)
+}
+
+func (c *Client) commit(ctx context.Context, txn rows.Txn, maxCalls int) (rows.Applied, error) {
 	m := &rpc.CommitRequest{}
 	for _, e := range txn.Expect {
 		m.Expect = append(m.Expect, &rpc.ExpectedRow{Key: e.Key, Version: uint64(e.Version)})
@@ -195,7 +226,7 @@
 		m.Put = append(m.Put, &rpc.WrittenRow{Key: p.Key, Value: p.Value})
 	}
 	var reply *rpc.CommitReply
-	err := c.callAny(ctx, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, maxCalls, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		reply, err = peer.Commit(ctx, m)
 		return err
 	})
@@ -215,7 +246,7 @@
 // ReadRow reads a row through another entry.
 func (c *Client) ReadRow(ctx context.Context, key string) (rows.Row, bool, error) {
 	var reply *rpc.ReadReply
-	err := c.callAny(ctx, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
+	err := c.callAny(ctx, 0, func(ctx context.Context, peer rpc.EntryPeerClient) (err error) {
 		reply, err = peer.Read(ctx, &rpc.ReadRequest{Key: key})
 		return err
 	})
--- a/control/process/entry.go
+++ b/control/process/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/lacewingpier/lacewingpier/control/peer"
 	"github.com/lacewingpier/lacewingpier/control/rpc"
 	"github.com/lacewingpier/lacewingpier/control/transport"
+	"github.com/lacewingpier/lacewingpier/control/zonewatch"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
 	"github.com/lacewingpier/lacewingpier/platform/adapter"
@@ -31,6 +33,7 @@
 	replica  *jobstore.Replica
 	config   *configsync.Follower
 	peers    *peer.Client
+	writer   *jobstore.Writer
 	draining atomic.Bool
 	// callers is the server for callers.
 	callers *httpserver.Server
@@ -52,6 +55,9 @@
 			logger.Warn().Str("entry", address).Err(err).Msg("request to another entry failed")
 		},
 	}
+	e.writer = &jobstore.Writer{
+		Store: e.store, Relay: peer.Submissions{Client: e.peers}, Replica: e.replica, Logger: logger, CountEvent: e.count,
+	}
 	e.config = configsync.NewFollower(configsync.Options{
 		Self: s.advertisedAddr(), Source: e.store, Peers: e.peers, Decode: adapter.DecodeConfiguration, Clock: boottime.Now, Logger: logger, Count: e.count,
 	})
@@ -81,6 +87,7 @@
 // Run serves until ctx ends, then hands over the ownership and drains.
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info().Str("node", e.settings.Node).Str("zone", e.settings.Zone).Msg("entry is starting")
+	debug.SetMemoryLimit(e.plan.GoMemory)
 	if err := e.listen(); err != nil {
 		return err
 	}
@@ -88,10 +95,14 @@
 	if err := e.publishSummary(candidate.Summary); err != nil {
 		return err
 	}
+	if err := e.publishEvacuations(candidate.EvacuatedZones); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.Background())
 	e.runBackground(background, "replica of the store", func(ctx context.Context) {
 		jobstore.Follow(ctx, e.store, e.replica, e.storeAvailabilityChanged)
 	})
+	e.runBackground(background, "search for writes without an answer", e.writer.SettleOpenWrites)
 	e.runBackground(background, "watch for pauses", e.config.WatchPauses)
 	e.runBackground(background, "configuration from the store", e.config.WatchStore)
 	e.runBackground(background, "configuration from entries", e.config.WatchPeers)
@@ -120,13 +131,13 @@
 	gw := gateway.New(gateway.Options{
 		Catalog: e.config.Trusted, Replica: e.replica, Logger: e.logger, Count: e.countAnswer, Observe: e.observe,
 		RowBytes: e.settings.StoreRowBytes, RefuseHopeless: e.settings.Admission.refuseHopeless(),
-		Writer: &jobstore.Writer{Store: e.store, Relay: e.peers, Replica: e.replica},
+		Writer: e.writer,
 	})
-	server := &peer.Server{Store: e.store, Configuration: e.config.Answer}
+	server := &peer.Server{Store: e.store, Evacuations: e.store.ReadEvacuations, Configuration: e.config.Answer}
 	if err := e.serveGRPC(func(s *grpc.Server) { rpc.RegisterEntryPeerServer(s, server) }); err != nil {
 		return err
 	}
-	if e.callers, err = e.serveHTTP(e.settings.CallerAddr, adapter.JobHandler(gw)); err != nil {
+	if e.callers, err = e.serve(e.settings.CallerAddr, adapter.JobHandler(gw, e.bodies), e.callerBounds()); err != nil {
 		return err
 	}
 	if _, err := e.serveHTTP(e.settings.ReadyAddr, adapter.ReadyHandler(e.ready)); err != nil {
@@ -138,16 +149,27 @@
 	if err := e.publishBacklog(e.replica.Backlog); err != nil {
 		return err
 	}
+	if err := e.publishBounds(); err != nil {
+		return err
+	}
 	return e.serveMetrics()
 }
 
 // publishGauges publishes which configuration the entry serves and how long ago it was
-// known to be the newest one.
+// known to be the newest one, and the calls that wait for the store or whose outcome is not known.
 func (e *Entry) publishGauges() error {
 	version := func() float64 { return float64(e.config.Version()) }
 	if err := e.metrics.GaugeFunc("config_version", "Version of the active configuration.", version); err != nil {
 		return err
 	}
+	waiting := func() float64 { return float64(e.writer.Waiting()) }
+	if err := e.metrics.GaugeFunc("writes_waiting", "Calls whose write the store has refused and that wait for a retry.", waiting); err != nil {
+		return err
+	}
+	open := func() float64 { return float64(e.writer.OpenWrites()) }
+	if err := e.metrics.GaugeFunc("writes_open", "Writes whose outcome is not known and is looked for.", open); err != nil {
+		return err
+	}
 	age := func() float64 { return e.config.Age().Seconds() }
 	return e.metrics.GaugeFunc("config_age_seconds", "Time since the active configuration was known to be the newest one.", age)
 }
@@ -190,6 +212,14 @@
 	}
 }
 
+// evacuations says how the owner reads which zones are evacuated.
+func (e *Entry) evacuations() zonewatch.Options {
+	return zonewatch.Options{
+		Bound: e.settings.evacuationBound(), Read: e.store.ReadEvacuations, Relay: e.peers.ReadEvacuations,
+		Clock: boottime.Now, Logger: e.logger, Count: e.count,
+	}
+}
+
 func (e *Entry) newCandidate() *batchowner.Candidate {
 	var advise func(context.Context, batch.AdviceRequest) ([]batch.Ticket, time.Duration, error)
 	if e.settings.AdvisorAddr != "" {
@@ -206,6 +236,7 @@
 		RowBytes:    e.settings.StoreRowBytes,
 		Timing:      e.settings.Tasks.Timing(),
 		Catalog:     e.config.Current,
+		Evacuations: e.evacuations(),
 		Connect:     connect,
 		Clock:       boottime.Now,
 		Logger:      e.logger,
--- a/control/process/settings.go
+++ b/control/process/settings.go
@@ -4,6 +4,7 @@
 package process
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lacewingpier/lacewingpier/core/settings"
@@ -26,8 +27,27 @@
 	// MetricsAddr is where the metrics are served.
 	MetricsAddr string `json:"metrics_addr"`
 	LogLevel    string `json:"log_level"`
+	// MemoryMB is the memory that the process may use, in millions of bytes. Zero stands for
+	// defaultMemoryMB.
+	MemoryMB float64 `json:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may have open. Zero stands for
+	// defaultMaxFDs.
+	MaxFDs int `json:"max_fds"`
 }
 
+const (
+	// defaultMemoryMB is the memory of the smallest machine of an entry.
+	defaultMemoryMB = 184
+	// defaultMaxFDs is the usual limit of the platform.
+	defaultMaxFDs = 4100
+)
+
+func (p CommonSettings) memoryMB() float64 { return cmp.Or(p.MemoryMB, defaultMemoryMB) }
+
+func (p CommonSettings) memoryBytes() int64 { return int64(p.memoryMB() * 1e6) }
+
+func (p CommonSettings) maxFDs() int { return cmp.Or(p.MaxFDs, defaultMaxFDs) }
+
 // advertisedAddr returns the address that is published to the project's other
 // processes.
 func (p CommonSettings) advertisedAddr() string {
@@ -46,6 +66,12 @@
 	if p.AdvertiseAddr != "" {
 		problems.RequireAddr("advertise_addr", p.AdvertiseAddr)
 	}
+	if p.MemoryMB < 0 {
+		problems.Add("memory_mb", "must not be negative")
+	}
+	if p.MaxFDs < 0 {
+		problems.Add("max_fds", "must not be negative")
+	}
 }
 
 // EntrySettings configures an entry.
@@ -63,7 +89,11 @@
 	TerminationGraceSeconds float64 `json:"termination_grace_s"`
 	// CPU is the CPU time that the process may use. Entries with a larger CPU
 	// share take the ownership first.
-	CPU       CPUSettings       `json:"processor"`
+	CPU CPUSettings `json:"processor"`
+	// EvacuationBoundMs is the time after the acknowledgement of an evacuation from which on no
+	// task may start in the zone. Zero, or no value, switches evacuations off.
+	EvacuationBoundMs int64 `json:"evacuation_bound_ms"`
+
 	Tasks     TaskSettings      `json:"tasks"`
 	Admission AdmissionSettings `json:"admission"`
 }
@@ -83,6 +113,9 @@
 	if s.TerminationGraceSeconds < 0 {
 		problems.Add("termination_grace_s", "must not be negative")
 	}
+	if s.EvacuationBoundMs != 0 && s.EvacuationBoundMs < minEvacuationBound.Milliseconds() {
+		problems.Add("evacuation_bound_ms", "must be zero or at least 1000")
+	}
 	if s.CPU.cpuShare() <= 0 {
 		problems.Add("processor", "share and speed must be above zero")
 	}
@@ -112,6 +145,14 @@
 
 func (a AdmissionSettings) refuseHopeless() bool { return a.RefuseHopeless == nil || *a.RefuseHopeless }
 
+// minEvacuationBound is the shortest bound of an evacuation. A shorter one leaves starts no time
+// after the margin for messages in flight.
+const minEvacuationBound = time.Second
+
+func (s *EntrySettings) evacuationBound() time.Duration {
+	return time.Duration(s.EvacuationBoundMs) * time.Millisecond
+}
+
 // CPUSettings describes the CPU time that a process may use.
 type CPUSettings struct {
 	// Share is the share of one core that the process may use.
--- a/control/transport/transport.go
+++ b/control/transport/transport.go
@@ -6,8 +6,11 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -87,3 +90,62 @@
 		DisableCompression:  true,
 	}
 }
+
+// LimitConnections returns a listener that closes each connection beyond a number of open ones
+// at once, and calls closed then.
+func LimitConnections(l net.Listener, limit int, closed func()) net.Listener {
+	return &limitedListener{Listener: l, limit: int64(limit), closed: closed}
+}
+
+type limitedListener struct {
+	net.Listener
+	limit  int64
+	closed func()
+	open   atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			// gRPC sets it itself on connections of the operating system only.
+			setUserTimeout(c)
+			return &limitedConn{Conn: c, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.closed()
+		_ = c.Close() // It fails on closed connections only.
+	}
+}
+
+// setUserTimeout ends a connection whose peer does not confirm data within keepaliveTimeout.
+func setUserTimeout(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return // The connection has just been closed.
+	}
+	// Without the option, keepalive pings find the same, somewhat later.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(keepaliveTimeout.Milliseconds()))
+	})
+}
+
+type limitedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -84,6 +84,12 @@
 	// NoValueLeft means that the job would end too late to be of value, behind the work that
 	// waits before it.
 	NoValueLeft
+	// BodyTooLarge means that the body of a request exceeds its limit.
+	BodyTooLarge
+	// BodyStalled means that the body of a request did not arrive in time.
+	BodyStalled
+	// BodiesExhausted means that the process has no memory left for request bodies.
+	BodiesExhausted
 
 	kindCount
 )
@@ -161,6 +167,9 @@
 	JobUnknown:        {"job_unknown", http.StatusGone, codes.NotFound, false, NotRun},
 	HistoryLost:       {"history_lost", http.StatusServiceUnavailable, codes.OutOfRange, true, NotRun},
 	NoValueLeft:       {"no_value_left", http.StatusTooManyRequests, codes.ResourceExhausted, true, NotRun},
+	BodyTooLarge:      {"body_too_large", http.StatusRequestEntityTooLarge, codes.InvalidArgument, false, NotRun},
+	BodyStalled:       {"body_stalled", http.StatusRequestTimeout, codes.DeadlineExceeded, true, NotRun},
+	BodiesExhausted:   {"bodies_exhausted", http.StatusServiceUnavailable, codes.ResourceExhausted, true, NotRun},
 }
 
 // Kinds returns every kind in order.
--- a/sched/batch/progress.go
+++ b/sched/batch/progress.go
@@ -60,6 +60,9 @@
 
 // observeSpeed updates the estimate of a worker's speed after a report.
 func (s *Scheduler) observeSpeed(w *worker, now time.Time) {
+	if w.isCold(now) {
+		return // It is slow for a known time.
+	}
 	total, n := 0.0, 0
 	span := time.Duration(0)
 	for _, t := range w.active {
@@ -180,6 +183,9 @@
 	if t.resumed && t.percent == t.firstPercent {
 		since = since.Add(s.timing.Restore)
 	}
+	if w := s.workers[t.Worker]; w != nil {
+		since = w.slowUntil(since)
+	}
 	return max(t.observed.at.Sub(since), 0)
 }
 
