--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -433,34 +433,6 @@
 	}
 }
 
-// logEvents writes one log line per scheduler event.
-func (l *ownerLoop) logEvents() {
-	for _, event := range l.scheduler.TakeLogEvents() {
-		l.candidate.opts.Count("decision")
-		switch {
-		case event.Event == batch.EventContradicted:
-			l.candidate.opts.Count("run_end_contradicted_" + event.Reason)
-		case event.Event == batch.EventStandsStill:
-			l.candidate.opts.Count("job_stands_still_" + event.Reason)
-		case event.Event == batch.EventWithdrawnZone:
-			l.candidate.opts.Count("start_withdrawn_zone")
-		case event.WaitedMs > 0:
-			l.candidate.opts.Count("wait_" + event.Reason)
-		}
-		line := l.candidate.opts.Logger.Info().Str("job", string(event.Run.Task.Job)).Int("occurrence", event.Run.Task.Occurrence).
-			Int("step", event.Run.Task.Step).Int("task", event.Run.Task.Index).Int("run", event.Run.Number).
-			Str("worker", string(event.Worker)).Str("reason", event.Reason).Int64("report_age_ms", event.AgeMs).
-			Int64("waited_ms", event.WaitedMs).Uint64("epoch", uint64(l.epoch))
-		if event.StartUncertain {
-			line = line.Bool("start_uncertain", true)
-		}
-		if event.For != "" {
-			line = line.Str("for", string(event.For)).Float64("cost_core_seconds", event.CostCoreSeconds)
-		}
-		line.Msg(event.Event)
-	}
-}
-
 // release writes the changed records and marks the ownership as released, so that
 // another entry takes over without waiting for ownerTTL.
 func (l *ownerLoop) release() {
