Remember until when a worker was cold

Cause: an agent announces the end of the cold time with a remaining time of zero. The scheduler then forgot that the worker had been cold at all. A run that had made no progress during the cold time counted as stalled at once, its worker as faulty, and the duration of a run that had been slowed down was recorded as one of its queue. Change: the end of the cold time is kept until the process is replaced, or is moved to now if the worker is called warm early. Measured: of the four cases of the new TestEndOfColdTimeIsRemembered three failed before (2 faults, a recorded duration of the cold run, no end of the cold time); all pass now, as does go test ./sched/batch (82 s).

--- a/sched/batch/cold.go
+++ b/sched/batch/cold.go
@@ -8,11 +8,14 @@
 // A cold worker is slow for a known time after the start of its process. That is no fault of it:
 // its runs end late, but they end.
 
-// noteCold records until when the worker is cold, as an announcement says.
+// noteCold records until when the worker is cold, as an announcement says. The end of a cold time
+// is kept: the runs that were in progress until then have lost time to it.
 func (w *worker) noteCold(now time.Time) {
-	w.coldUntil = time.Time{}
-	if w.info.ColdForMs > 0 {
+	switch {
+	case w.info.ColdForMs > 0:
 		w.coldUntil = now.Add(time.Duration(w.info.ColdForMs) * time.Millisecond)
+	case w.isCold(now):
+		w.coldUntil = now
 	}
 }
 
--- a/sched/batch/cold_test.go
+++ b/sched/batch/cold_test.go
@@ -146,3 +146,51 @@
 func (b standstillBed) sentTask() *task { return &b.scheduler.jobs["j2"].tasks[0] }
 
 func (b standstillBed) sentRun() Run { return Run{Task: b.sentTask().id, Number: 1} }
+
+// Guards against a run that counts as stalled, and a duration that counts as usual, as soon as the
+// agent announces that its worker is no longer cold.
+func TestEndOfColdTimeIsRemembered(t *testing.T) {
+	const cold = 20 * time.Second
+	newBed := func() standstillBed {
+		b := newZonedBed("z1")
+		b.coldFor("w0", cold)
+		b.submit(testJob("j2", 1, testStep(1, 1)))
+		So(b.runCycle(), ShouldHaveLength, 1)
+		b.acceptStarts()
+		for end := b.now.Add(cold); b.now.Before(end); b.advance(500 * time.Millisecond) {
+			b.report("w0", []RunningTask{{Run: b.sentRun(), Percent: 7}}, nil)
+			b.runCycle()
+		}
+		return b
+	}
+	Convey("A run without progress while the worker was cold is not stalled", t, func() {
+		b := newBed()
+		b.coldFor("w0", 0)
+		b.report("w0", []RunningTask{{Run: b.sentRun(), Percent: 7}}, nil)
+		b.runCycle()
+		So(b.scheduler.workers["w0"].faults, ShouldEqual, 0)
+		So(b.sentTask().stop.requested, ShouldBeFalse)
+	})
+	Convey("A duration that includes cold time is not one of its queue", t, func() {
+		b := newBed()
+		b.coldFor("w0", 0)
+		b.report("w0", nil, endedRow(1, Order{Run: b.sentRun()}, EndSucceeded))
+		So(b.jobState("j2"), ShouldEqual, JobCompleted)
+		So(b.scheduler.durations["q"], ShouldBeNil)
+	})
+	Convey("A worker that is called warm early is cold until then", t, func() {
+		b := newZonedBed("z1")
+		b.coldFor("w0", cold)
+		b.advance(time.Second)
+		b.coldFor("w0", 0)
+		So(b.scheduler.workers["w0"].coldUntil, ShouldEqual, b.now)
+	})
+	Convey("The cold time of another process does not count", t, func() {
+		b := newZonedBed("z1")
+		b.coldFor("w0", cold)
+		info := b.scheduler.workers["w0"].info
+		info.Incarnation, info.ColdForMs = testIncarnation(2), 0
+		b.scheduler.Announced(info, b.now)
+		So(b.scheduler.workers["w0"].coldUntil.IsZero(), ShouldBeTrue)
+	})
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -56,6 +56,7 @@
 	w.info.Incarnation = incarnation
 	w.fenced = false
 	w.processed, w.acked, w.clockMs = 0, 0, 0
+	w.coldUntil = time.Time{}
 	clear(w.orphans)
 	for _, t := range w.active {
 		if t.Incarnation == incarnation {
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -114,8 +114,8 @@
 	// suspectUntil is until when the worker gets no new work after faults such as
 	// stalled or failed runs.
 	suspectUntil time.Time
-	// coldUntil is until when the worker is slow because its process has started only lately, or
-	// zero.
+	// coldUntil is until when the worker is, or was, slow because its process had started only
+	// lately. It is zero if the process was never cold.
 	coldUntil time.Time
 	// noBestEffortUntil is until when the worker gets no best-effort tasks,
 	// because they slowed down serving ones.
