--- a/control/runner/progress_test.go
+++ b/control/runner/progress_test.go
@@ -37,6 +37,17 @@
 		later := start.Add(4*pollWait + stallReportTime)
 		So(notes(&watch, later, 2, 2, 2, 2, 2, 2, 2), ShouldEqual, 3)
 	})
+	Convey("A run that advances by less than a percent with each call is reported once in renewWait", t, func() {
+		for _, seconds := range []int{60, 100, 200, 600} {
+			var percents []int
+			for at := time.Duration(0); at < time.Minute; at += pollWait {
+				percents = append(percents, int(100*at/(time.Duration(seconds)*time.Second)))
+			}
+			var watch progressWatch
+			notes(&watch, start, percents[:24]...) // Its pace is known after 12 s.
+			So(notes(&watch, start.Add(24*pollWait), percents[24:]...), ShouldBeBetween, 31, 45)
+		}
+	})
 	Convey("A member of a gang that has done its work and waits is not", t, func() {
 		So(notes(&progressWatch{}, start, 98, 100, 100, 100, 100, 100), ShouldEqual, 2)
 	})
