Do not take rounded progress for slowness, and end every stall

A run that advances by less than one from one report to the next seemed to stand still, and its worker counted as slow. - A run that had done its work and did not end was never stopped. - A task that takes longer for a percent than a stall may last by its declared duration was stopped between any two percents, without an end. - The median rate of a step was computed for each run in each report, and the members of a gang were looked at for each member in each tick. Change: a span is observed until a run at the usual rate has advanced by 3 percent. A run with all its work done is stalled after the former limit, unless it waits for members of its gang. The limit of a task doubles with each stalled run, up to 5 s. The median is computed once for each step in a report, and the gang is looked at only if the run itself has made no progress for the limit.

--- a/sched/batch/progress.go
+++ b/sched/batch/progress.go
@@ -21,10 +21,17 @@
 	// maxStalledStay before a stalled run is moved in any case.
 	stallTimeout   = 5 * time.Second
 	maxStalledStay = 10 * time.Second
+	// maxStallDoublings is how often a task doubles the limit at most: minStallTime is above
+	// stallTimeout then.
+	maxStallDoublings = 3
 	// relocationTime is what a stop and a new start take, beside the work.
 	relocationTime = 800 * time.Millisecond
 	// minObservedSpan is the least time between two reports whose difference tells a rate.
 	minObservedSpan = 300 * time.Millisecond
+	// minObservedAdvance is by how many percent a run at the usual rate advances at least in an
+	// observed span. Reports have whole percents, so that a run seems to advance by up to one
+	// percent too little: of three, that leaves more than health.SlowSpeed.
+	minObservedAdvance = 3
 	// certainSlowness is the share of the expected rate below which a run without siblings
 	// counts as slowed by its worker: declared durations are off by a factor of up to four.
 	certainSlowness = 0.15
@@ -36,43 +43,60 @@
 	EventNotSlow = "worker is no longer slow"
 )
 
-// observation is what the latest report of a run told.
+// observation is what the reports of a run have told since the latest one that updated the
+// estimated speed of its worker.
 type observation struct {
-	// at is when the report arrived, clockMs the worker's clock when it was made.
-	at      time.Time
+	// at is when the latest report arrived.
+	at time.Time
+	// from is when the report arrived with which span begins, percent and clockMs are its progress
+	// and the worker's clock.
+	from    time.Time
+	percent int
 	clockMs int64
-	// advanced is by how many percent the run had advanced since the report before, over span.
-	// The span is zero if that is not known.
+	// advanced is by how many percent the run has advanced over span. The span is zero if that
+	// is not known.
 	advanced int
 	span     time.Duration
 }
 
 // observe records the progress in a report.
 func (t *task) observe(percent int, clockMs int64, now time.Time) {
-	last := t.observed
-	t.observed = observation{at: now, clockMs: clockMs}
-	if last.at.IsZero() || t.percent >= 100 {
+	if t.observed.at.IsZero() || t.percent >= 100 {
+		t.observed = observation{at: now, from: now, percent: percent, clockMs: clockMs}
 		return
 	}
-	t.observed.advanced = percent - t.percent
-	t.observed.span = time.Duration(clockMs-last.clockMs) * time.Millisecond
+	t.observed.at = now
+	t.observed.advanced = percent - t.observed.percent
+	t.observed.span = time.Duration(clockMs-t.observed.clockMs) * time.Millisecond
+}
+
+// restartSpan lets the next observed span begin with the report that arrived now.
+func (t *task) restartSpan(w *worker) {
+	t.observed = observation{at: t.observed.at, from: t.observed.at, percent: t.percent, clockMs: w.clockMs}
 }
 
 // observeSpeed updates the estimate of a worker's speed after a report.
 func (s *Scheduler) observeSpeed(w *worker, now time.Time) {
-	if w.isCold(now) {
-		return // It is slow for a known time.
-	}
 	total, n := 0.0, 0
 	span := time.Duration(0)
+	rates := make(siblingRates)
 	for _, t := range w.active {
-		share, ok := s.observedShare(t, now)
-		if !ok {
+		if !t.observed.at.Equal(now) || t.observed.span < minObservedSpan {
 			continue
 		}
-		total += share
-		span = max(span, t.observed.span)
-		n++
+		share, result := 0.0, observationUnusable
+		if !w.isCold(now) { // Otherwise it is slow for a known time.
+			share, result = s.observedShare(t, rates)
+		}
+		if result == observationTooShort {
+			continue
+		}
+		if result == observationUsable {
+			total += share
+			span = max(span, t.observed.span)
+			n++
+		}
+		t.restartSpan(w)
 	}
 	if n == 0 {
 		return
@@ -84,33 +108,44 @@
 	}
 }
 
-// observedShare returns at which share of the usual rate the run advanced between the two latest
-// reports. It returns false if they tell nothing about the worker's speed.
-func (s *Scheduler) observedShare(t *task, now time.Time) (float64, bool) {
-	if !t.observed.at.Equal(now) || t.observed.span < minObservedSpan || t.observed.advanced < 0 ||
-		t.step().LongRunning || t.step().BestEffort || t.stop.requested || s.isRestoring(t) {
-		return 0, false
+// observationResult tells whether an observed span says something about the worker's speed.
+type observationResult uint8
+
+const (
+	observationUnusable observationResult = iota
+	// observationTooShort means that the span has to last longer.
+	observationTooShort
+	observationUsable
+)
+
+// observedShare returns at which share of the usual rate the run advanced over the observed span.
+func (s *Scheduler) observedShare(t *task, rates siblingRates) (float64, observationResult) {
+	if t.observed.advanced < 0 || t.step().LongRunning || t.step().BestEffort || t.stop.requested || s.isRestoring(t) {
+		return 0, observationUnusable
 	}
 	assembled := t.assembledAt()
-	if assembled.IsZero() || now.Sub(assembled) < t.observed.span {
-		return 0, false
+	if assembled.IsZero() || assembled.After(t.observed.from) {
+		return 0, observationUnusable
 	}
-	rate := float64(t.observed.advanced) / t.observed.span.Seconds()
-	if usual, ok := t.siblingRate(); ok {
-		if t.percent >= 100 && rate < usual {
-			return 0, false // The run ended within the span.
+	span := t.observed.span.Seconds()
+	usual, hasSiblings := rates.of(t)
+	if !hasSiblings {
+		expected := s.expectedDuration(t.job, t.step()).Seconds()
+		if expected <= 0 {
+			return 0, observationUnusable
 		}
-		return rate / usual, true
+		usual = 100 / expected
 	}
-	expected := s.expectedDuration(t.job, t.step()).Seconds()
-	share := rate * expected / 100
+	share := float64(t.observed.advanced) / (usual * span)
 	switch {
-	case expected <= 0 || t.percent >= 100:
-		return 0, false
-	case share < certainSlowness:
-		return share, true
+	case t.percent >= 100 && (!hasSiblings || share < 1):
+		return 0, observationUnusable // The run ended within the span.
+	case max(usual*span, float64(t.observed.advanced)) < minObservedAdvance:
+		return 0, observationTooShort
+	case !hasSiblings && share >= certainSlowness:
+		return 1, observationUsable
 	default:
-		return 1, true
+		return share, observationUsable
 	}
 }
 
@@ -144,6 +179,20 @@
 	return t.job.tasks[first : first+t.step().Tasks]
 }
 
+// siblingRates holds the result of siblingRate for the steps of one worker's runs, by the first
+// task of the step, and zero if there is none: it looks at all tasks of the step.
+type siblingRates map[*task]float64
+
+func (r siblingRates) of(t *task) (float64, bool) {
+	first := &t.siblings()[0]
+	rate, known := r[first]
+	if !known {
+		rate, _ = t.siblingRate()
+		r[first] = rate
+	}
+	return rate, rate > 0
+}
+
 // siblingRate returns the median rate, in percent a second, of the runs of the same step on
 // other workers.
 func (t *task) siblingRate() (float64, bool) {
@@ -164,10 +213,19 @@
 	return rates[len(rates)/2], true
 }
 
+// waitsForMembers reports whether the run has done its work and other members of its gang have
+// not: it ends with them.
+func (t *task) waitsForMembers() bool {
+	if t.percent < 100 || !t.step().Gang {
+		return false
+	}
+	return slices.ContainsFunc(t.siblings(), func(m task) bool { return m.percent < 100 })
+}
+
 // stalledFor returns for how long reports have shown no progress of the run. A member of a gang
 // that has done its work waits for the others and is not stalled.
 func (s *Scheduler) stalledFor(t *task) time.Duration {
-	if t.percent >= 100 {
+	if t.waitsForMembers() {
 		return 0
 	}
 	since := t.assembledAt()
@@ -189,10 +247,17 @@
 	return max(t.observed.at.Sub(since), 0)
 }
 
-// stallLimit returns after which time without progress a run counts as stalled.
+// stallLimit returns after which time without progress a run counts as stalled. It doubles with
+// each run of the task that was stopped: a task that takes far longer than expected would
+// otherwise be stopped between any two percents and never end. A run that has done its work may
+// take a while to end.
 func (s *Scheduler) stallLimit(t *task) time.Duration {
+	if t.percent >= 100 {
+		return stallTimeout + s.timing.Restore
+	}
 	expected := s.expectedDuration(t.job, t.step())
-	return min(max(time.Duration(stallShare*float64(expected)), minStallTime), stallTimeout)
+	limit := max(time.Duration(stallShare*float64(expected)), minStallTime)
+	return min(limit<<min(t.stalls, maxStallDoublings), stallTimeout)
 }
 
 // checkProgress keeps new work away from a worker on which a run is stalled, and stops the run if
@@ -201,8 +266,13 @@
 	if t.step().LongRunning || !t.confirmed || t.stop.requested || now.Sub(w.reportedAt) > reportTimeout {
 		return
 	}
+	limit := s.stallLimit(t)
+	if t.observed.at.Sub(t.progressedAt) < limit { // The same as below, without a look at the gang.
+		t.stallLogged = false
+		return
+	}
 	stalled := s.stalledFor(t)
-	if stalled < s.stallLimit(t) {
+	if stalled < limit {
 		t.stallLogged = false
 		return
 	}
@@ -213,6 +283,7 @@
 	}
 	if stalled >= maxStalledStay || s.endsSoonerElsewhere(t, now.Sub(t.observed.at)+stalled) {
 		for _, m := range s.members(t) {
+			m.stalls++
 			s.requestStop(m, ReasonStalled)
 		}
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -52,6 +52,9 @@
 	// observed is what the latest report told, and stallLogged that a stall has been logged.
 	observed    observation
 	stallLogged bool
+	// stalls is how many runs of the task were stopped because they, or another member of their
+	// gang, were stalled.
+	stalls int
 	// resumed reports that the run started from a checkpoint.
 	resumed    bool
 	repetition repetition
