Measure stalls on the worker's clock as well

Cause: reports that a link or a busy machine holds up arrive further apart than they were made; two reports made within a moment counted as a stall of seconds. Change: a stall lasts at most as long as the worker's clock has advanced since the report with the last progress. The tolerance of the cold time is below the least stall. Measured: TestReportsThatWereHeldUpShowNoStall fails without the change; sched/batch passes.

--- a/control/runner/cold.go
+++ b/control/runner/cold.go
@@ -8,8 +8,9 @@
 
 // coldTolerance is by how much the end of the time for which a worker is cold may differ between
 // two announcements without the owner being told: they count in steps of their own and are
-// delayed differently.
-const coldTolerance = time.Second
+// delayed differently. It is below the least time without progress after which the owner takes a
+// run on a warm worker as stalled.
+const coldTolerance = 250 * time.Millisecond
 
 // noteCold records until when the latest announcement calls the worker cold, and returns whether
 // the owner has to be told: it counts the time itself that remains. The caller holds r.mu.
--- a/sched/batch/cold_test.go
+++ b/sched/batch/cold_test.go
@@ -93,6 +93,7 @@
 	// stallFor lets the run report the same progress for a while.
 	stallFor := func(b standstillBed, d time.Duration) {
 		for end := b.now.Add(d); b.now.Before(end); b.advance(500 * time.Millisecond) {
+			b.clockMs += 500
 			b.report("w0", []RunningTask{{Run: b.sentRun(), Percent: 7}}, nil)
 			b.runCycle()
 		}
--- a/sched/batch/progress.go
+++ b/sched/batch/progress.go
@@ -241,10 +241,13 @@
 	if t.resumed && t.percent == t.firstPercent {
 		since = since.Add(s.timing.Restore)
 	}
-	if w := s.workers[t.Worker]; w != nil {
-		since = w.slowUntil(since)
+	w := s.workers[t.Worker]
+	if w == nil {
+		return 0
 	}
-	return max(t.observed.at.Sub(since), 0)
+	// Reports that were held up on their way arrive further apart than they were made.
+	made := time.Duration(w.clockMs-t.progressedMs) * time.Millisecond
+	return max(min(t.observed.at.Sub(w.slowUntil(since)), made), 0)
 }
 
 // stallLimit returns after which time without progress a run counts as stalled. It doubles with
--- a/sched/batch/progress_test.go
+++ b/sched/batch/progress_test.go
@@ -204,3 +204,22 @@
 		So(b.scheduler.workers[ident.Worker(slow)].slow(b.now), ShouldBeFalse)
 	})
 }
+
+// Guards against a run that is taken as stalled because its reports were held up on their way, by
+// a link or a busy machine.
+func TestReportsThatWereHeldUpShowNoStall(t *testing.T) {
+	Convey("Two reports that were made within a moment arrive 3 s apart", t, func() {
+		b := newProgressTestbed(1)
+		b.submit(testJob("j1", 0, testStep(1, 8)))
+		So(b.cycle(), ShouldHaveLength, 1)
+		b.advanceRuns(reportInterval, slowOn("", 1))
+		for range 30 {
+			b.advance(100 * time.Millisecond)
+			b.cycle()
+		}
+		b.report("w0", b.rows("w0"), nil)
+		b.cycle()
+		So(b.scheduler.workers["w0"].faults, ShouldEqual, 0)
+		So(b.runs[TaskID{Job: "j1"}].Run.Number, ShouldEqual, 1)
+	})
+}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -221,13 +221,13 @@
 	t.updateLoad(row.Load, now)
 	t.listed = true
 	if t.firstPercentAt.IsZero() {
-		t.firstPercent, t.firstPercentAt = row.Percent, now
+		t.firstPercent, t.firstPercentAt, t.progressedMs = row.Percent, now, clockMs
 	}
 	t.takeCheckpoint(row.Checkpoint, row.Percent)
 	t.observe(row.Percent, clockMs, now)
 	if row.Percent != t.percent {
 		t.percent = row.Percent
-		t.progressedAt = now
+		t.progressedAt, t.progressedMs = now, clockMs
 	}
 }
 
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -45,6 +45,9 @@
 	// changed.
 	percent      int
 	progressedAt time.Time
+	// progressedMs is the worker's clock in the report with which percent last changed, or in
+	// the first one that listed the run.
+	progressedMs int64
 	// firstPercent is the first progress that the run reported, at
 	// firstPercentAt.
 	firstPercent   int
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -428,6 +428,7 @@
 		t0, task := b.now, &b.scheduler.jobs["j1"].tasks[0]
 		for n := 1; !task.stop.requested; n++ {
 			b.runFor(100 * time.Millisecond)
+			b.clockMs += 100
 			if n%15 == 0 {
 				b.report("w1", []RunningTask{runningRow(o, 0)}, nil)
 			}
