Count header lines after continuations and leading empty lines

Cause: a line of one byte counted as the end of a head. A continuation line of one blank, or empty lines before a request, hid the other lines of the same read from the bound and from the reserved memory. Change: only an empty line after a line that is not empty ends a head.

--- a/control/internal/httpserver/bounds.go
+++ b/control/internal/httpserver/bounds.go
@@ -37,8 +37,11 @@
 // head counts what has arrived of a request's head.
 type head struct {
 	bytes, lines int
-	// lineLength is the length of the line that has not ended.
+	// lineLength is the length of the line that has not ended, and last its last byte.
 	lineLength int
+	last       byte
+	// begun is set once a line was not empty. Empty lines before it do not end the head.
+	begun bool
 }
 
 // add counts data that was read while the head was not complete. Lines after an empty one
@@ -49,14 +52,20 @@
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
 			h.lineLength += len(p)
+			h.last = p[len(p)-1]
 			return
 		}
-		blank := h.lines > 0 && h.lineLength+end <= 1 // a carriage return at most
+		if end > 0 {
+			h.last = p[end-1]
+		}
+		length := h.lineLength + end
+		empty := length == 0 || length == 1 && h.last == '\r'
 		h.lines++
 		h.lineLength = 0
-		if blank {
+		if empty && h.begun {
 			return
 		}
+		h.begun = h.begun || !empty
 		p = p[end+1:]
 	}
 }
--- a/control/internal/httpserver/bounds_test.go
+++ b/control/internal/httpserver/bounds_test.go
@@ -70,6 +70,16 @@
 			So(c.receive().status, ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
 			So(count(EventHeadRefused), ShouldEqual, 1)
 		})
+		Convey("so are lines after a continuation of one blank, or after empty lines before the request", func() {
+			for _, begin := range []string{"GET /echo HTTP/1.1\r\nHost: h\r\na: b\n \n", "\r\n\r\nGET /echo HTTP/1.1\r\nHost: h\r\n"} {
+				c := s.dial()
+				c.send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+				So(c.receive().body, ShouldEqual, "x")
+				c.send(begin + lines(51) + "\r\n")
+				So(c.receive().status, ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
+			}
+			So(count(EventHeadRefused), ShouldEqual, 2)
+		})
 		Convey("so is one long line, also as the request line", func() {
 			for _, begin := range []string{"GET /", "GET / HTTP/1.1\r\na: "} {
 				c := s.dial()
