--- a/core/budget/bodies.go
+++ b/core/budget/bodies.go
@@ -167,8 +167,10 @@
 // not refused: only the end of ctx ends the wait, with an error of kind DeadlineTooShort.
 func (r *Reservation) Decode(ctx context.Context, n int64) error {
 	n = min(n, r.bodies.decoding.size)
-	if err := r.bodies.decoding.Reserve(ctx, n); err != nil {
-		return errkind.Wrap(errkind.DeadlineTooShort, err, "wait to decode the request body")
+	if !r.bodies.decoding.TryReserve(n) {
+		if err := r.bodies.decoding.Reserve(ctx, n); err != nil {
+			return errkind.WithRetryAfter(errkind.DeadlineTooShort, retryAfter, "wait to decode the request body: %v", err)
+		}
 	}
 	r.decoding += n
 	return nil
