Do not refuse known jobs for want of room, or verify past the deadline

Cause: a repeated submission whose body was refused for want of room or time was answered as not run although the job was stored or might be. The read that verifies a refusal took all the time of a caller with less than 400 ms. The replica was looked at before the open writes, so that a write which ended between the two looks was not seen. Change: such refusals look at what is known of the job, the verification takes at most a quarter of the caller's time, and the replica is looked at last. The order of the two looks has no test of its own.

--- a/control/gateway/admission.go
+++ b/control/gateway/admission.go
@@ -64,7 +64,11 @@
 	if batch.WithinGuarantee(g.guaranteed(job.Workspace), unfinished, job) {
 		return accepted(admittedGuaranteed)
 	}
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	timeout := verifyTimeout
+	if left := timeLeft(ctx); left != 0 {
+		timeout = min(timeout, left/4) // The rest is for the write.
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, found, err := g.opts.Writer.Read(ctx, jobstore.JobKey(job.ID))
 	switch {
@@ -78,8 +82,10 @@
 
 // known reports whether the job is accepted already, or may be by a call of this entry.
 func (g *Gateway) known(id ident.Job) bool {
+	// In this order, because a write that ends meanwhile applies its row before.
+	open := g.opts.Writer.MayBeWritten(jobstore.JobKey(id))
 	_, accepted := g.opts.Replica.Job(id)
-	return accepted || g.opts.Writer.MayBeWritten(jobstore.JobKey(id))
+	return accepted || open
 }
 
 // guaranteed returns how many accelerators are guaranteed to a workspace.
--- a/control/gateway/admission_test.go
+++ b/control/gateway/admission_test.go
@@ -148,7 +148,12 @@
 }
 
 func (e *busyEntry) submitAs(key, id string, priority, accelerators int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	return e.submitFor(3*time.Second, key, id, priority, accelerators)
+}
+
+// submitFor submits a job for a caller that waits for the given time.
+func (e *busyEntry) submitFor(wait time.Duration, key, id string, priority, accelerators int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	return e.gateway.Submit(ctx, batchapi.Call{Host: "h", Path: fmt.Sprintf("/q%d/%s", priority, id), Key: key}, func() (batchapi.Submission, error) {
 		return batchapi.Submission{Steps: []batch.Step{{Tasks: 1, EstimateMs: 2000, PerTask: batch.Resources{MilliCores: 1000, Accelerators: accelerators}}}}, nil
@@ -233,6 +238,14 @@
 			accepted(e)
 			So(e.counts["admission unverified"], ShouldEqual, 1)
 		})
+		Convey("For a caller with little time it leaves the time for the write", t, func() {
+			e := newBusyEntry(true)
+			e.store.readDelay = verifyTimeout
+			start := time.Now()
+			So(e.submitFor(300*time.Millisecond, "key", testJob, 2, 1), ShouldBeNil)
+			So(time.Since(start), ShouldBeLessThan, 300*time.Millisecond)
+			So(e.counts["admission unverified"], ShouldEqual, 1)
+		})
 		Convey("A write of this entry that may still be applied counts as accepted", t, func() {
 			e := newBusyEntry(true)
 			e.publish(0)
--- a/control/gateway/create_test.go
+++ b/control/gateway/create_test.go
@@ -102,6 +102,35 @@
 	})
 }
 
+// Guards against a false "not run": a repetition whose body is refused for want of room or time,
+// although the job is stored or may be.
+func TestRefusedBodyOfKnownJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, kind := range []errkind.Kind{errkind.BodiesExhausted, errkind.BodyStalled, errkind.DeadlineTooShort} {
+			repeat := func(g *Gateway) error {
+				return g.Submit(context.Background(), batchapi.Call{Host: "h", Path: "/q/" + newJobID, Key: "key"}, func() (batchapi.Submission, error) {
+					return batchapi.Submission{}, errkind.WithRetryAfter(kind, time.Second, "no room")
+				})
+			}
+			Convey("A job that is not known is refused as "+kind.String(), t, func() {
+				err := repeat(newScriptedEntry(&scriptedStore{}))
+				So(errkind.Of(err), ShouldEqual, kind)
+				So(errkind.RetryAfter(err), ShouldEqual, time.Second)
+			})
+			Convey("A stored one is accepted instead of "+kind.String(), t, func() {
+				g := newScriptedEntry(&scriptedStore{})
+				So(submitFor(g, time.Second), ShouldBeNil)
+				So(repeat(g), ShouldBeNil)
+			})
+			Convey("One that may be stored has an unknown outcome instead of "+kind.String(), t, func() {
+				g := newScriptedEntry(&scriptedStore{commitErr: errLost})
+				So(errkind.Of(submitFor(g, time.Second)), ShouldEqual, errkind.OutcomeUnknown)
+				So(errkind.Of(repeat(g)), ShouldEqual, errkind.OutcomeUnknown)
+			})
+		}
+	})
+}
+
 // Guards against a refusal that comes too late for its caller, or without a time to come back that
 // the caller can use.
 func TestRefusedSubmissionIsAnsweredInTime(t *testing.T) {
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -113,7 +113,7 @@
 	}
 	submission, err := decode()
 	if err != nil {
-		return err
+		return g.resultWithoutBody(t.job, err)
 	}
 	job := newJob(t, submission, time.Now())
 	if err := job.Validate(); err != nil {
