--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand"
 	"net/http"
 	"strings"
 	"sync"
@@ -129,7 +130,8 @@
 		w.log.line("the task is not at work")
 		return failed
 	}
-	time.Sleep(15 * time.Second) // finish_s after the end of the traffic, and more
+	// finish_s after the end of the traffic, and more, at any time between two reports.
+	time.Sleep(15*time.Second + time.Duration(rand.Intn(1500))*time.Millisecond)
 	if w.trouble {
 		w.atWork(task).crash()
 	}
