Review case from an entry: a late start is carried out by a restarted process

TestStoppedStartIsNotCarriedOutBeforeFirstCall/restarted_while_the_agent_is_frozen, with the real processes.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -14,6 +14,7 @@
 	"lasting":   lasting,
 	"filler":    filler,
 	"twice":     twice,
+	"restarted": restarted,
 }
 
 const (
@@ -365,3 +366,83 @@
 	defer w.fleet.mu.Unlock()
 	return m.token != 0
 }
+
+// restarted: the starts of two tasks get no answer, are stopped, and the tasks run elsewhere. Then
+// their minion crashes and starts again under its id, and a late start reaches it while its agent
+// stands still.
+func restarted(w *world) int {
+	ok := w.begin(deployment{
+		entries: 3, config: configuration(7, route("r-study", "/study/", "svc", 1)),
+		minions: []minionSpec{{"svc", "r1-1", demand{32000, 131072, 8}}, {"svc", "r1-2", demand{32000, 131072, 8}}},
+	})
+	if !ok {
+		return failed
+	}
+	long, victim, orders := newID(), (*minion)(nil), 0
+	if w.trouble {
+		w.fleet.mu.Lock()
+		w.fleet.lateStarts = func(m *minion, o *order) bool {
+			orders++
+			if !strings.HasPrefix(o.Task, long) || o.Run > 1 {
+				return false
+			}
+			if victim == nil {
+				victim = m
+			}
+			return m == victim
+		}
+		w.fleet.mu.Unlock()
+	}
+	small := []*step{{Count: 12, CPU: 500, MemMB: 1000, EstimatedMs: 4000, work: 4 * time.Second}}
+	done := make(chan bool, 2)
+	go func() { done <- w.client.submit(w.system.entries[1], "/study/", newID(), small) }()
+	go func() { done <- w.client.submit(w.system.entries[2], "/study/", newID(), small) }()
+	if !w.client.submit(w.system.entries[0], "/study/", long, []*step{{Count: 2, CPU: 2800, MemMB: 8192, GPU: 1, EstimatedMs: 30000, work: 30 * time.Second}}) {
+		return failed
+	}
+	sent := time.Now()
+	task := long + ".0.0.0"
+	if !await(8*time.Second, func() bool { return len(w.fleet.runsOf(task)) == 1 }) {
+		w.log.line("the task does not run")
+		return failed
+	}
+	w.fleet.mu.Lock()
+	w.fleet.lateStarts = nil
+	w.log.line("orders are answered again; %d of %d starts were not", len(w.fleet.late), orders)
+	w.fleet.mu.Unlock()
+	if w.trouble {
+		if w.fleet.runsOf(task)[0].minion == victim {
+			w.log.line("the task runs on the same minion again")
+			return failed
+		}
+		time.Sleep(time.Second)
+		victim.crash()
+		time.Sleep(time.Until(sent.Add(7 * time.Second)))
+		w.system.freeze(victim.agent, freezeTime)
+		time.Sleep(time.Second)
+		if err := victim.startAgain(); err != nil {
+			w.log.line("start again: %v", err)
+			return failed
+		}
+		time.Sleep(lateAfter)
+		victim.carryOutLate(task)
+	}
+	result := held
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if runs := w.fleet.runsOf(task); len(runs) > 1 && result == held {
+			result = broken
+			w.log.line("%s runs on minion %s (run %d) and on minion %s (run %d) at the same time", task,
+				runs[0].minion.name, runs[0].number, runs[1].minion.name, runs[1].number)
+		}
+	}
+	<-done
+	<-done
+	return result
+}
+
+const (
+	// freezeTime is how long the machine of the minion's agent stands still.
+	freezeTime = 4 * time.Second
+	// lateAfter is how long after the new start of the minion the late call reaches it.
+	lateAfter = time.Second
+)
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,10 @@
 	runs    []*run
 	jobs    map[string][]*step
 	maxHold time.Duration
+	// lateStarts says of a start whether it gets no answer. It may be nil. Such starts are carried
+	// out by carryOutLate.
+	lateStarts func(m *minion, o *order) bool
+	late       []order
 	// disturbs is set while tasks that fill disturb those that serve.
 	disturbs bool
 }
@@ -81,7 +86,6 @@
 	ends     []*run
 	endCount int
 	changed  chan struct{}
-	listener net.Listener
 	server   *http.Server
 }
 
@@ -96,26 +100,60 @@
 	m := &minion{fleet: f, name: name, backend: backend, zone: zone, labels: labels, capacity: capacity, agent: agent,
 		id: fmt.Sprintf("i-%010x", rand.Int63n(1<<40)), born: time.Now().UnixMilli(), began: time.Now(), up: true,
 		running: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{})}
+	f.mu.Lock()
+	f.minions = append(f.minions, m)
+	f.mu.Unlock()
+	return m, m.boot("127.0.0.1:0")
+}
+
+// boot lets the process listen and send heartbeats.
+func (m *minion) boot(addr string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+names.Start, m.serveStart)
 	mux.HandleFunc("POST "+names.Stop, m.serveStop)
 	mux.HandleFunc("POST "+names.Hold, m.serveHold)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	m.listener, m.addr, m.server = l, l.Addr().String(), &http.Server{Handler: mux}
-	f.mu.Lock()
-	f.minions = append(f.minions, m)
-	f.mu.Unlock()
-	f.log.line("minion %s starts as %s at %s", name, m.id, m.addr)
-	go func() { _ = m.server.Serve(l) }()
-	go m.beat()
-	go m.keepTime()
-	return m, nil
+	server := &http.Server{Handler: mux}
+	m.fleet.mu.Lock()
+	m.addr, m.server = l.Addr().String(), server
+	born := m.born
+	m.fleet.mu.Unlock()
+	m.fleet.log.line("minion %s starts as %s at %s, born %d", m.name, m.id, m.addr, born)
+	go func() { _ = server.Serve(l) }()
+	go m.beat(born)
+	go m.keepTime(born)
+	return nil
+}
+
+// startAgain starts the process again under its id, at its address. It knows nothing of before.
+func (m *minion) startAgain() error {
+	m.fleet.mu.Lock()
+	m.born, m.began, m.up = time.Now().UnixMilli(), time.Now(), true
+	m.sequence, m.token, m.deadline, m.endCount = 0, 0, 0, 0
+	m.running, m.barred, m.ends = map[string]*run{}, map[string]int{}, nil
+	m.fleet.mu.Unlock()
+	return m.boot(m.addr)
 }
 
-// crash ends the process for good, with everything that it runs. Its port refuses connections.
+// carryOutLate carries out the late starts of a task.
+func (m *minion) carryOutLate(task string) {
+	m.fleet.mu.Lock()
+	late := m.fleet.late
+	m.fleet.mu.Unlock()
+	for _, o := range late {
+		if o.Task != task {
+			continue
+		}
+		m.fleet.log.line("minion %s gets the late start of %s run %d, token %d", m.name, o.Task, o.Run, o.Token)
+		m.carryOut(httptest.NewRecorder(), &http.Request{Header: http.Header{names.Instance: {m.id}}}, o)
+		return
+	}
+}
+
+// crash ends the process with everything that it runs. Its port refuses connections.
 func (m *minion) crash() {
 	f := m.fleet
 	f.mu.Lock()
@@ -126,12 +164,12 @@
 	m.running = map[string]*run{}
 	f.mu.Unlock()
 	_ = m.server.Close()
-	f.log.line("minion %s crashes and is lost for good", m.name)
+	f.log.line("minion %s crashes", m.name)
 }
 
 func (m *minion) clock() int64 { return time.Since(m.began).Milliseconds() + 1 }
 
-func (m *minion) beat() {
+func (m *minion) beat(born int64) {
 	for {
 		m.fleet.mu.Lock()
 		m.sequence++
@@ -142,7 +180,7 @@
 			"machine": "m-" + m.name, "born": m.born, "clock_ms": m.clock(), "sequence": m.sequence,
 		})
 		m.fleet.mu.Unlock()
-		if !up {
+		if !up || m.born != born {
 			return
 		}
 		if resp, err := http.Post("http://"+m.agent+names.Heartbeat+m.id, "application/json", bytes.NewReader(raw)); err == nil {
@@ -153,10 +191,10 @@
 }
 
 // keepTime ends runs whose work is done, and all of them when the lease has run out.
-func (m *minion) keepTime() {
+func (m *minion) keepTime(born int64) {
 	for range time.Tick(10 * time.Millisecond) {
 		m.fleet.mu.Lock()
-		if !m.up {
+		if !m.up || m.born != born {
 			m.fleet.mu.Unlock()
 			return
 		}
@@ -232,6 +270,21 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	m.fleet.mu.Lock()
+	isLate := m.up && m.fleet.lateStarts != nil && m.fleet.lateStarts(m, &o)
+	if isLate {
+		m.fleet.late = append(m.fleet.late, o)
+		m.fleet.log.line("minion %s: start of %s run %d gets no answer", m.name, o.Task, o.Run)
+	}
+	m.fleet.mu.Unlock()
+	if isLate {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	m.carryOut(w, r, o)
+}
+
+func (m *minion) carryOut(w http.ResponseWriter, r *http.Request, o order) {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	if !m.up || !m.admit(w, r, o.Token) {
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -27,6 +27,8 @@
 	machines int
 	procs    []*exec.Cmd
 	entries  []*machine
+	// byControl holds the agents by the address at which their minion registers.
+	byControl map[string]*exec.Cmd
 }
 
 type machine struct {
@@ -35,7 +37,7 @@
 
 func newSystem(log *record, storeAddr string, bounds map[string]any) (*system, error) {
 	dir, err := os.MkdirTemp("", "review2-")
-	s := &system{log: log, dir: dir, storeAddr: storeAddr, bounds: bounds}
+	s := &system{log: log, dir: dir, storeAddr: storeAddr, bounds: bounds, byControl: map[string]*exec.Cmd{}}
 	s.net = fmt.Sprintf("127.%d.%d.", 2+rand.Intn(250), rand.Intn(256))
 	return s, err
 }
@@ -101,6 +103,7 @@
 		return err
 	}
 	s.procs = append(s.procs, cmd)
+	s.byControl[m.control] = cmd
 	s.log.line("%s starts on %s (%s)", role, m.node, m.ip)
 	if class == "edge" {
 		s.entries = append(s.entries, m)
@@ -128,6 +131,17 @@
 	}
 }
 
+// freeze lets an agent stand still for a time.
+func (s *system) freeze(control string, d time.Duration) {
+	agent := s.byControl[control].Process
+	s.log.line("the agent at %s freezes for %v", control, d)
+	_ = agent.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() {
+		s.log.line("the agent at %s goes on", control)
+		_ = agent.Signal(syscall.SIGCONT)
+	})
+}
+
 // awaitReady waits until all entries serve.
 func (s *system) awaitReady(limit time.Duration) bool {
 	deadline := time.Now().Add(limit)
