--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"filler":    filler,
 	"twice":     twice,
 	"restarted": restarted,
+	"repeated":  repeated,
 }
 
 const (
@@ -446,3 +448,78 @@
 	// lateAfter is how long after the new start of the minion the late call reaches it.
 	lateAfter = time.Second
 )
+
+// repeated: the first attempt of a start gets no answer, the second one does, and the task ends done.
+// Then its minion crashes and starts again under its id, and the first attempt reaches it while its
+// agent stands still.
+func repeated(w *world) int {
+	ok := w.begin(deployment{
+		entries: 3, config: configuration(7, route("r-study", "/study/", "svc", 1)),
+		minions: []minionSpec{{"svc", "r1-1", demand{32000, 131072, 8}}, {"svc", "r1-2", demand{32000, 131072, 8}}},
+	})
+	if !ok {
+		return failed
+	}
+	id := newID()
+	task := id + ".0.0.0"
+	if w.trouble {
+		lost := false
+		w.fleet.mu.Lock()
+		w.fleet.lateStarts = func(_ *minion, o *order) bool {
+			first := o.Task == task && !lost
+			lost = lost || first
+			return first
+		}
+		w.fleet.mu.Unlock()
+	}
+	if !w.client.submit(w.system.entries[0], "/study/", id, []*step{{Count: 4, CPU: 2800, MemMB: 8192, GPU: 1, EstimatedMs: 1000, work: time.Second}}) {
+		return failed
+	}
+	sent := time.Now()
+	var first *run
+	ended := func() bool {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		for _, r := range w.fleet.runs {
+			if r.task == task && r.how == "done" {
+				first = r
+			}
+		}
+		return first != nil
+	}
+	if !await(8*time.Second, ended) {
+		return failed
+	}
+	noted := func() bool {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		return !slices.Contains(first.minion.ends, first)
+	}
+	if !await(3*time.Second, noted) {
+		w.log.line("the end is not taken note of")
+		return failed
+	}
+	w.log.line("the end of %s is taken note of", task)
+	time.Sleep(time.Second)
+	if w.trouble {
+		first.minion.crash()
+		time.Sleep(time.Until(sent.Add(6 * time.Second)))
+		w.system.freeze(first.minion.agent, freezeTime)
+		time.Sleep(time.Second)
+		if err := first.minion.startAgain(); err != nil {
+			return failed
+		}
+		time.Sleep(lateAfter)
+		first.minion.carryOutLate(task)
+	}
+	time.Sleep(8 * time.Second)
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	for _, r := range w.fleet.runs {
+		if r.task == task && r.started.After(first.ended) {
+			w.log.line("%s starts on minion %s (run %d) after it has ended done", task, r.minion.name, r.number)
+			return broken
+		}
+	}
+	return held
+}
