End all runs of a process that has left as announced

Cause: the owner treated the departure like a crash, and waited until a process restarted under the same id could not carry the start out any more, and for a lease after that. The next owner waited as well, and knew of no departure if the agent had ended by then.

Change: a departure ends all runs on that incarnation. The agent confirms it with or without an owner, writes it to the worker's row, and waits up to 2 s for that when it is told to stop; the next owner reads it there. A crash, also of a process that drains, keeps its wait.

--- a/control/batche2e/former_calls_test.go
+++ b/control/batche2e/former_calls_test.go
@@ -212,6 +212,7 @@
 	go func() { _ = server.Serve(listener) }()
 	go r.Publish(ctx)
 	go r.Verify(ctx)
+	go r.WatchDepartures(ctx)
 }
 
 // lines returns how many lines of the transcript contain a text.
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -38,10 +38,12 @@
 	shutdownTimeout = 2 * time.Second
 	// closeTimeout bounds the time that they need to answer once they are canceled.
 	closeTimeout = 500 * time.Millisecond
+	// departureTimeout bounds the wait for the record of a departure when an agent stops.
+	departureTimeout = 2 * time.Second
 )
 
-// Run serves until ctx ends. It then stops at once, without draining, because
-// tasks continue without the agent until their lease expires.
+// Run serves until ctx ends. It then stops without draining, because tasks continue without the
+// agent until their lease expires. It only waits until an announced departure is recorded.
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info().Str("node", a.settings.Node).Str("zone", a.settings.Zone).Msg("agent is starting")
 	debug.SetMemoryLimit(a.plan.GoMemory)
@@ -57,8 +59,16 @@
 	background, cancel := context.WithCancel(context.Background())
 	a.runBackground(background, "publication of the worker", a.runner.Publish)
 	a.runBackground(background, "verification of announcements", a.runner.Verify)
+	a.runBackground(background, "departures of the upstream process", a.runner.WatchDepartures)
 	<-ctx.Done()
+	a.finishDeparture(background)
 	cancel()
 	a.stop(shutdownEnd{answerBy: time.Now().Add(shutdownTimeout), closeBy: time.Now().Add(shutdownTimeout + closeTimeout)})
 	return nil
 }
+
+func (a *Agent) finishDeparture(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	a.runner.FinishDeparture(ctx)
+}
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -49,6 +49,8 @@
 	// draining reports that the current process has announced that it drains, and leaving that
 	// it has deregistered since and has not announced itself again.
 	draining, leaving bool
+	// recordedDeparture is the incarnation whose departure is durable.
+	recordedDeparture batch.Incarnation
 	// sequence is the number of the latest announcement.
 	sequence int64
 	// coldUntil is until when the worker is cold, on the boot-time clock, as the announcement
@@ -69,8 +71,9 @@
 	// failure is the latest failed call, until the process that it was for has responded to a
 	// later one.
 	failure callFailure
-	// publishWakeup wakes Publish, and verifyWakeup wakes Verify.
-	publishWakeup, verifyWakeup chan struct{}
+	// publishWakeup wakes Publish, verifyWakeup wakes Verify, leaveWakeup wakes WatchDepartures,
+	// and recordedWakeup wakes FinishDeparture.
+	publishWakeup, verifyWakeup, leaveWakeup, recordedWakeup chan struct{}
 	// replacing is held while the current incarnation is compared with its successor.
 	replacing sync.Mutex
 	guard     panicguard.Guard
@@ -80,6 +83,7 @@
 func New(opts Options) *Runner {
 	return &Runner{
 		opts: opts, publishWakeup: make(chan struct{}, 1), verifyWakeup: make(chan struct{}, 1),
+		leaveWakeup: make(chan struct{}, 1), recordedWakeup: make(chan struct{}, 1),
 		candidates: make(map[batch.Incarnation]*candidate),
 		guard:      panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
 	}
@@ -117,6 +121,7 @@
 	if a.Incarnation.StartedMs < r.announcement.Incarnation.StartedMs {
 		r.opts.Count("announcement_clock_back")
 	}
+	r.noteReturn(a.Incarnation)
 	r.announcement, r.sequence = a, a.Sequence
 	r.draining, r.leaving = a.Info.Draining, false
 	r.noteCold()
@@ -138,26 +143,6 @@
 	}
 }
 
-// Leave records that the upstream process is about to end.
-func (r *Runner) Leave(upstream ident.Upstream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for incarnation, c := range r.candidates {
-		c.announcement.Info.Draining = c.announcement.Info.Draining || incarnation.Upstream == upstream
-	}
-	if r.announcement.Incarnation.Upstream != upstream {
-		return
-	}
-	r.opts.Logger.Info().Str("upstream", string(upstream)).Msg("upstream is leaving")
-	// Only a process that has announced that it drains is known to mean itself: one that was
-	// restarted under the same id may get its predecessor's deregistration.
-	r.leaving = r.draining
-	r.announcement.Info.Draining = true
-	if r.session != nil {
-		r.session.sendWorker(r.currentInfo())
-	}
-}
-
 // noteRefusals records that an incarnation of the upstream process has refused connections
 // several times in a row. It may run on, unless it is leaving and has refused them for long
 // enough. It returns false if further refusals may tell more.
@@ -174,6 +159,7 @@
 	}
 	if r.leaving && !info.Left && refusals >= refusalsUntilLeft {
 		info.Left = true
+		notify(r.publishWakeup)
 		r.publishUnreachable("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
 	}
 	return !r.leaving || info.Left
@@ -207,16 +193,6 @@
 	}
 }
 
-// noteContradiction reports that the current process, which seemed to have left, still runs.
-// The caller holds r.mu.
-func (r *Runner) noteContradiction(former batch.WorkerInfo) {
-	if !former.Left {
-		return
-	}
-	r.opts.Count("upstream_left_contradicted")
-	r.opts.Logger.Warn().Str("upstream", string(r.announcement.Incarnation.Upstream)).Msg("upstream process that seemed to have left still runs")
-}
-
 // notify signals a channel with a buffer of one without blocking.
 func notify(c chan struct{}) {
 	select {
@@ -229,7 +205,7 @@
 const publishRetryDelay = 500 * time.Millisecond
 
 // Publish writes the worker's row, by which owners find this agent, whenever a new incarnation
-// of the upstream process is adopted, or waits for an owner. It returns when ctx ends.
+// of the upstream process is adopted, waits for an owner, or has left. It returns when ctx ends.
 func (r *Runner) Publish(ctx context.Context) {
 	for {
 		select {
@@ -253,13 +229,17 @@
 	r.mu.Lock()
 	row := jobstore.Worker{Address: r.opts.Address, Info: r.announcement.Info}
 	r.mu.Unlock()
-	row.Info.ID, row.Info.Unreachable, row.Info.Left, row.Info.ColdForMs = r.opts.ID, false, false, 0
+	row.Info.ID, row.Info.Unreachable, row.Info.ColdForMs = r.opts.ID, false, 0
 	value, err := jobstore.Encode(row)
 	if err != nil {
 		return err
 	}
 	_, err = r.opts.Store.Commit(ctx, rows.Txn{Put: []rows.Put{{Key: jobstore.WorkerKey(r.opts.ID), Value: value}}})
-	return err
+	if err != nil {
+		return err
+	}
+	r.noteRecorded(row.Info)
+	return nil
 }
 
 // Attach serves the stream of one owner until it ends or a newer owner attaches.
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -28,21 +28,20 @@
 	}
 	w.info = info
 	w.noteCold(now)
+	w.noteDeparture(info)
 	s.needsPlan = true
-	if info.Left {
-		s.endRunsOfLeftProcess(w, now)
-	}
 }
 
 // Registered applies a worker's durable row. Until the agent has spoken to this owner it tells
 // what the worker is like. It does not tell which incarnation is the current one, because it
-// may be delayed or written late.
+// may be delayed or written late, but that the one it names has left stays true.
 func (s *Scheduler) Registered(info WorkerInfo) {
 	w := s.ensureWorker(info.ID)
+	w.noteRecordedDeparture(info)
 	if w.info.Incarnation != (Incarnation{}) {
 		return
 	}
-	info.Incarnation = Incarnation{}
+	info.Incarnation, info.Left = Incarnation{}, false
 	w.info = info
 }
 
@@ -85,17 +84,6 @@
 	}
 }
 
-// endRunsOfLeftProcess ends the runs of a worker whose upstream process has left. A start that
-// may still be carried out by its successor keeps its lease.
-func (s *Scheduler) endRunsOfLeftProcess(w *worker, now time.Time) {
-	for _, t := range w.active {
-		if !t.startConcluded() && (!t.recovered || s.mayHoldLateLease(w, t, now)) {
-			continue
-		}
-		s.conclude(t, EvidenceLeft, now)
-	}
-}
-
 // Reported applies a worker's report, which was made under this owner's epoch.
 func (s *Scheduler) Reported(id ident.Worker, r Report, now time.Time) {
 	w := s.workers[id]
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -26,13 +26,14 @@
 	s.tickedAt = now
 }
 
-// Tick ends runs whose leases have expired, stops best-effort tasks that interfere
+// Tick ends runs whose processes have left or whose leases have expired, stops best-effort tasks that interfere
 // with serving ones, detects runs without progress, and queues stop orders, repeating
 // those without an answer.
 func (s *Scheduler) Tick(now time.Time) {
 	s.noteTick(now)
 	s.silent = s.silent[:0]
 	for _, w := range s.workers {
+		s.endRunsOfLeftProcess(w, now)
 		s.noteSilence(w, now)
 		s.expireLeases(w, now)
 		s.checkInterference(w, now)
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -91,6 +91,8 @@
 	// info is what the agent has said last. Before it has spoken to this owner, info is from
 	// the worker's row and names no incarnation.
 	info WorkerInfo
+	// left is the latest incarnation that is known to have left.
+	left Incarnation
 	// attached reports that a stream to the agent is open.
 	attached bool
 	// fenced reports that this incarnation has answered a call with the owner's
