Place nothing on workers that may be granted no lease

Callers saw: tasks waited while the owner placed them again and again, some 15 ms apart, on a worker whose reports were late, with a transaction each time and no word of what became of the run before.

Cause: 2 s after the latest report the owner's row records when the leases of a worker with runs end, and nothing is granted there until it reports. A durable start on it is withdrawn, without a log line. The planner took such a worker for another 2.5 s; one without runs was recorded by the transaction with the start itself.

Change: a worker that may be granted no lease, or none with the next transaction, gets no placements until it reports, which makes the owner plan at once. Of the others one whose report is overdue comes last. Each withdrawn start is logged and counted with its reason.

A case of TestNoRenewalBeforeRowIsWithoutWorker had relied on such a placement to have something to write; it cancels the job instead, and checks the same.

--- a/control/batchowner/events.go
+++ b/control/batchowner/events.go
@@ -22,6 +22,8 @@
 		return "job_stands_still_" + event.Reason
 	case event.Event == batch.EventSlow:
 		return "worker_slow"
+	case event.Event == batch.EventWithdrawn:
+		return "start_withdrawn_" + event.Reason
 	case event.Event == batch.EventWithdrawnZone:
 		return "start_withdrawn_zone"
 	case event.WaitedMs > 0:
--- a/control/batchowner/leaseends_test.go
+++ b/control/batchowner/leaseends_test.go
@@ -127,6 +127,7 @@
 		b.writer.relay = b.store
 		b.writer.store = &unavailableStore{Store: b.store, until: time.Now().Add(time.Hour)}
 		b.submit("j2")
+		b.scheduler.Cancel("j2", time.Now()) // The silent worker gets no placement that would be written.
 		b.commitAll(func() {})
 		So(ownerIn(b.store).Released, ShouldBeTrue)
 		So(ownerIn(b.store).LeaseEnds, ShouldResemble, ends)
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -155,8 +155,9 @@
 	if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation {
 		return o, false
 	}
-	if t.stop.requested || !w.attached || !s.mayGrantLease(w) || !t.renewTicket(&o, w, now) {
+	if reason := s.withdrawalReason(t, w, &o, now); reason != "" {
 		// The start was never sent, so no stop is needed either.
+		s.logWithdrawal(t, reason, now)
 		s.requeue(t, now)
 		return o, false
 	}
@@ -170,6 +171,45 @@
 	return o, true
 }
 
+// EventWithdrawn is the event of a start that is not sent although its record is durable. Its
+// reason is that of the stop of the run, or a withdrawal reason.
+const EventWithdrawn = "start is withdrawn before it was sent"
+
+// The withdrawal reasons.
+const (
+	// WithdrawnNotAttached means that no stream to the worker's agent is open.
+	WithdrawnNotAttached Reason = "not_attached"
+	// WithdrawnNoLease means that a durable record says when the worker's leases end.
+	WithdrawnNoLease Reason = "no_lease"
+	// WithdrawnNoTicket means that the placement advisor's ticket has expired.
+	WithdrawnNoTicket Reason = "no_ticket"
+)
+
+// withdrawalReason returns why a start must not be sent any more, or nothing. It renews the ticket
+// of the order.
+func (s *Scheduler) withdrawalReason(t *task, w *worker, o *Order, now time.Time) Reason {
+	switch {
+	case t.stop.requested:
+		return t.stop.reason
+	case !w.attached:
+		return WithdrawnNotAttached
+	case !s.mayGrantLease(w):
+		return WithdrawnNoLease
+	case !t.renewTicket(o, w, now):
+		return WithdrawnNoTicket
+	default:
+		return ""
+	}
+}
+
+func (s *Scheduler) logWithdrawal(t *task, reason Reason, now time.Time) {
+	event := LogEvent{Event: EventWithdrawn, Run: t.run(), Worker: t.Worker, Reason: string(reason)}
+	if w := s.workers[t.Worker]; !w.reportedAt.IsZero() {
+		event.AgeMs = now.Sub(w.reportedAt).Milliseconds()
+	}
+	s.logEvent(event)
+}
+
 // renewTicket replaces the ticket of a start by the newest one. It returns false if the
 // placement advisor has to be asked again.
 func (t *task) renewTicket(o *Order, w *worker, now time.Time) bool {
--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -142,19 +142,22 @@
 
 // newLeaseEnd returns the record of a worker that has become silent.
 func (s *Scheduler) newLeaseEnd(w *worker, now time.Time) (leaseEnd, bool) {
-	if s.keepsLeaseEnd(w) || len(w.active) == 0 || s.startedAt.IsZero() || w.hasOpenStart() {
+	if s.keepsLeaseEnd(w) || len(w.active) == 0 || !s.canRecordLeaseEnd(w, now) {
 		return leaseEnd{}, false
 	}
+	left := w.leaseBound.Sub(s.storeClock.Sent).Milliseconds()
+	return leaseEnd{atMs: s.storeClock.AtMs + left + 2, reportedAt: w.reportedAt}, true
+}
+
+// canRecordLeaseEnd reports whether the worker has been silent for so long that the next commit
+// records it if it has runs then.
+func (s *Scheduler) canRecordLeaseEnd(w *worker, now time.Time) bool {
 	since := latest(w.reportedAt, s.startedAt)
-	if now.Sub(latest(since, s.resumedAt)) < silentAfter {
-		return leaseEnd{}, false
+	if s.startedAt.IsZero() || now.Sub(latest(since, s.resumedAt)) < silentAfter || w.hasOpenStart() {
+		return false
 	}
 	// A reading from before the report would not count a suspension of the machine in between.
-	if s.storeClock.AtMs == 0 || s.storeClock.Sent.Before(since) {
-		return leaseEnd{}, false
-	}
-	left := w.leaseBound.Sub(s.storeClock.Sent).Milliseconds()
-	return leaseEnd{atMs: s.storeClock.AtMs + left + 2, reportedAt: w.reportedAt}, true
+	return s.storeClock.AtMs != 0 && !s.storeClock.Sent.Before(since)
 }
 
 // hasOpenStart reports whether an attempt to start a run may still be carried out. A
@@ -238,6 +241,7 @@
 	for id := range s.leaseEnds {
 		if _, listed := c.leaseEnds[id]; !listed {
 			c.unlisted = append(c.unlisted, id)
+			s.needsPlan = true
 		}
 	}
 	s.leaseEnds = maps.Clone(c.leaseEnds)
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -199,7 +199,7 @@
 }
 
 // bestWorker returns the worker for one task, or nil if the task fits on none. It
-// prefers workers that are not cold, if the unit avoids those, then workers close to the task's data, then those without interference, then
+// prefers workers whose report is not overdue, then those that are not cold, if the unit avoids those, then workers close to the task's data, then those without interference, then
 // those with the least free capacity, which keeps whole workers free for large tasks.
 func (p *plan) bestWorker(u *unit, v capacityView) *workerCapacity {
 	var best *workerCapacity
@@ -213,6 +213,9 @@
 
 // prefers reports whether a is a better worker than b for a task of the unit.
 func (p *plan) prefers(u *unit, a, b *workerCapacity, v capacityView) bool {
+	if overdue := a.worker.overdue(p.now); overdue != b.worker.overdue(p.now) {
+		return !overdue
+	}
 	if cold := p.compareCold(u, a, b); cold != 0 {
 		return cold < 0
 	}
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -95,7 +95,7 @@
 	}
 	p := &plan{scheduler: s, now: now, tiers: s.tiers(now)}
 	for _, w := range s.workers {
-		if w.usable(now, s.timing.MaxLease) && w.trusted(now) && !p.isClosed(w) {
+		if s.usable(w, now) && w.trusted(now) && !p.isClosed(w) {
 			free, soon := w.freeCapacity()
 			c := &workerCapacity{worker: w, free: free, freeSoon: soon, idle: free}
 			c.probation, c.probing = w.onProbation(now)
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -90,7 +90,7 @@
 	if w == nil || w.info.Incarnation != r.Incarnation || r.ClockMs < w.clockMs {
 		return
 	}
-	s.needsPlan = s.needsPlan || !w.fenced
+	s.needsPlan = s.needsPlan || !w.fenced || w.overdue(now)
 	w.fenced = true
 	w.reportedAt, w.clockMs = now, r.ClockMs
 	s.processEnds(w, r.Ended, now)
--- a/sched/batch/summary.go
+++ b/sched/batch/summary.go
@@ -151,7 +151,7 @@
 		return WorkerNotAttached
 	case w.info.Draining:
 		return WorkerDraining
-	case !w.usable(now, s.timing.MaxLease):
+	case !s.usable(w, now):
 		return WorkerNotReporting
 	case s.inClosedZone(w):
 		return WorkerZoneEvacuated
--- a/sched/batch/summary_test.go
+++ b/sched/batch/summary_test.go
@@ -111,7 +111,7 @@
 			c.change(b, w)
 			s := b.scheduler.Summarize(b.now)
 			So(s.Workers, ShouldResemble, map[WorkerState]int{c.state: 1})
-			So(w.usable(b.now, testTiming.MaxLease), ShouldEqual, c.usable)
+			So(b.scheduler.usable(w, b.now), ShouldEqual, c.usable)
 			So(len(s.Problems) == 0, ShouldEqual, c.state == WorkerAvailable)
 		})
 	}
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -191,13 +191,17 @@
 // A lease is counted from a report, so that a run started later would have little of it.
 func maxReportAge(lease time.Duration) time.Duration { return min(reportTimeout, lease*3/4) }
 
-// usable reports whether new work may be placed on the worker, apart from faults: see
-// trusted.
-func (w *worker) usable(now time.Time, lease time.Duration) bool {
+// usable reports whether new work may be placed on the worker, apart from faults: see trusted.
+// A start on a worker that may be granted no lease, or none once the start is durable, would not
+// be sent.
+func (s *Scheduler) usable(w *worker, now time.Time) bool {
 	return w.attached && w.fenced && !w.info.Draining && !w.info.Left && !w.info.Unreachable &&
-		now.Sub(w.reportedAt) < maxReportAge(lease)
+		now.Sub(w.reportedAt) < maxReportAge(s.timing.MaxLease) && s.mayGrantLease(w) && !s.canRecordLeaseEnd(w, now)
 }
 
+// overdue reports whether the worker's latest report is so old that the worker may be lost.
+func (w *worker) overdue(now time.Time) bool { return now.Sub(w.reportedAt) >= silentAfter }
+
 // trusted reports that the worker is not suspect because of recent faults.
 func (w *worker) trusted(now time.Time) bool { return !now.Before(w.suspectUntil) }
 
