--- a/control/batchowner/leaseends_test.go
+++ b/control/batchowner/leaseends_test.go
@@ -127,7 +127,7 @@
 		b.writer.relay = b.store
 		b.writer.store = &unavailableStore{Store: b.store, until: time.Now().Add(time.Hour)}
 		b.submit("j2")
-		b.scheduler.Cancel("j2", time.Now()) // The silent worker gets no placement that would be written.
+		b.scheduler.Cancel("j2", time.Now()) // A placement is not written: the worker gets none.
 		b.commitAll(func() {})
 		So(ownerIn(b.store).Released, ShouldBeTrue)
 		So(ownerIn(b.store).LeaseEnds, ShouldResemble, ends)
@@ -143,6 +143,7 @@
 	inBubble("A refused transaction leaves the record as it may be in the store", func(b *loopbed) {
 		b.reportRun()
 		b.submit("j2")
+		b.scheduler.Cancel("j2", time.Now())
 		b.store.maxBytes = 1
 		b.commitUnseen(func() {})
 		b.reportRun()
