Confirm departures in one loop, and report all withdrawn starts as one event

Change, without other behaviour: only the watch decides that a process has left, which also works without an owner; the renewals only tell that it is out of reach. A start that an evacuated zone withdraws has the same event with the reason "zone"; its counter start_withdrawn_zone stays. The record of lease ends and the planner share the age from which on a report is overdue.

Tests: TestProcessHasLeftAfterDeregistrationAndRefusals counts the same five refusals, now from the deregistration. TestRefusedConnectionsProveNoEnd runs with the watch, without which its check for a departure would show nothing.

--- a/control/batche2e/departure_test.go
+++ b/control/batche2e/departure_test.go
@@ -1,7 +1,6 @@
 package batche2e
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -57,16 +56,16 @@
 // Guards against tasks that stand still after their worker has left as announced, because attempts
 // to start them had no answer.
 func TestTasksOfLeftWorkerRunElsewhere(t *testing.T) {
-	for _, c := range []struct {
+	for name, c := range map[string]struct {
 		step  batch.Step
 		start func(time.Duration) func(batch.Order) fate
 	}{
-		{batch.Step{Tasks: 1}, firstAttemptsAreLate},
-		{batch.Step{Tasks: 6}, firstAttemptsAreLate},
-		{batch.Step{Tasks: 3, Gang: true}, firstAttemptIsLate},
-		{batch.Step{Tasks: 3, Gang: true}, firstAttemptsAreLate},
+		"one_task":                 {batch.Step{Tasks: 1}, firstAttemptsAreLate},
+		"many_tasks":               {batch.Step{Tasks: 6}, firstAttemptsAreLate},
+		"gang_with_one_late_start": {batch.Step{Tasks: 3, Gang: true}, firstAttemptIsLate},
+		"gang_with_late_starts":    {batch.Step{Tasks: 3, Gang: true}, firstAttemptsAreLate},
 	} {
-		t.Run(fmt.Sprintf("%d_tasks_gang_%t", c.step.Tasks, c.step.Gang), func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			play(t, func(s *cluster) {
 				a := s.startEntry("1")
 				m := s.startMachine("1")
--- a/control/batchowner/events.go
+++ b/control/batchowner/events.go
@@ -24,8 +24,6 @@
 		return "worker_slow"
 	case event.Event == batch.EventWithdrawn:
 		return "start_withdrawn_" + event.Reason
-	case event.Event == batch.EventWithdrawnZone:
-		return "start_withdrawn_zone"
 	case event.WaitedMs > 0:
 		return "wait_" + event.Reason
 	default:
--- a/control/process/agent.go
+++ b/control/process/agent.go
@@ -67,6 +67,8 @@
 	return nil
 }
 
+// finishDeparture waits until an announced departure of the upstream process is recorded, but no
+// longer than departureTimeout.
 func (a *Agent) finishDeparture(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
--- a/control/runner/departure.go
+++ b/control/runner/departure.go
@@ -9,6 +9,10 @@
 	"github.com/lacewingpier/lacewingpier/sched/batchapi"
 )
 
+// refusalsUntilLeft is the number of consecutive refused connections, renewRetryDelay apart, after
+// which a process that has deregistered counts as ended.
+const refusalsUntilLeft = 5
+
 // Leave records that the upstream process is about to end.
 func (r *Runner) Leave(upstream ident.Upstream) {
 	r.mu.Lock()
@@ -48,22 +52,36 @@
 // confirmDeparture calls a process that has deregistered until it has refused enough connections
 // to count as ended, or counts as running again.
 func (r *Runner) confirmDeparture(ctx context.Context, announced batchapi.Announcement) {
-	for refusals := 0; ctx.Err() == nil; {
+	refusals := 0
+	for ctx.Err() == nil {
 		if current, pending := r.pendingDeparture(); !pending || current.Incarnation != announced.Incarnation {
 			return
 		}
+		refusals++
 		if err := r.probe(ctx, announced); !errkind.Is(err, errkind.Unreachable) {
 			refusals = 0
-			sleep(ctx, unreachableRetryDelay)
-			continue
 		}
-		if refusals++; refusals >= refusalsUntilUnreachable {
-			r.noteRefusals(announced.Incarnation, refusals)
+		if refusals == refusalsUntilLeft {
+			r.noteLeft(announced.Incarnation, refusals)
+			return
 		}
 		sleep(ctx, renewRetryDelay)
 	}
 }
 
+// noteLeft records that an incarnation of the upstream process has left, unless it has announced
+// itself meanwhile.
+func (r *Runner) noteLeft(incarnation batch.Incarnation, refusals int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.announcement.Incarnation != incarnation || !r.leaving {
+		return
+	}
+	r.announcement.Info.Unreachable, r.announcement.Info.Left = true, true
+	notify(r.publishWakeup)
+	r.publishUnreachable("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
+}
+
 // pendingDeparture returns the current announcement, and whether its process has deregistered
 // without having been found to have left.
 func (r *Runner) pendingDeparture() (batchapi.Announcement, bool) {
--- a/control/runner/departure_test.go
+++ b/control/runner/departure_test.go
@@ -190,3 +190,38 @@
 		})
 	})
 }
+
+// Guards against work that waits for its lease although its process has left as announced, and
+// against a departure that is inferred too early or outlives what contradicts it.
+func TestProcessHasLeftAfterDeregistrationAndRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Five refusals after the deregistration of a draining process", t, func() {
+			r, s, tasks, stop := newRefusedSession(nil, true, false)
+			defer stop()
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
+			start := time.Now()
+			r.Leave("u")
+			So(nextWorkerInfo(s), ShouldNotContainSubstring, `"lv"`)
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"lv":true`)
+			So(time.Since(start), ShouldEqual, confirmTime)
+			Convey("mean that it has left, until it announces itself", func() {
+				announce(r, announcement(5, 2, true))
+				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+				time.Sleep(10 * unreachableRetryDelay)
+				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+			})
+			Convey("or sends a report", func() {
+				tasks.open()
+				So(nextWorkerInfo(s), ShouldNotContainSubstring, `"lv"`)
+			})
+		})
+		Convey("A heartbeat after the deregistration revokes it", t, func() {
+			r, s, _, stop := newRefusedSession(nil, true, true)
+			defer stop()
+			announce(r, announcement(5, 2, true))
+			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
+			time.Sleep(10 * unreachableRetryDelay)
+			So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
+		})
+	})
+}
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -144,25 +144,14 @@
 }
 
 // noteRefusals records that an incarnation of the upstream process has refused connections
-// several times in a row. It may run on, unless it is leaving and has refused them for long
-// enough. It returns false if further refusals may tell more.
-func (r *Runner) noteRefusals(incarnation batch.Incarnation, refusals int) bool {
+// several times in a row. It may run on.
+func (r *Runner) noteRefusals(incarnation batch.Incarnation, refusals int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	info := &r.announcement.Info
-	if r.announcement.Incarnation != incarnation {
-		return true
-	}
-	if !info.Unreachable {
+	if info := &r.announcement.Info; r.announcement.Incarnation == incarnation && !info.Unreachable {
 		info.Unreachable = true
 		r.publishUnreachable("upstream_unreachable", "upstream process is out of reach: its address refuses connections", refusals)
 	}
-	if r.leaving && !info.Left && refusals >= refusalsUntilLeft {
-		info.Left = true
-		notify(r.publishWakeup)
-		r.publishUnreachable("upstream_left", "upstream process has left: it deregistered, and its address refuses connections", refusals)
-	}
-	return !r.leaving || info.Left
 }
 
 // publishUnreachable counts and logs why the current process is out of reach, and tells the owner.
--- a/control/runner/runner_test.go
+++ b/control/runner/runner_test.go
@@ -387,40 +387,6 @@
 	}
 }
 
-// Guards against work that waits for its lease although its process has left as announced, and
-// against a departure that is inferred too early or outlives what contradicts it.
-func TestProcessHasLeftAfterDeregistrationAndRefusals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		Convey("Five refusals after the deregistration of a draining process", t, func() {
-			r, s, tasks, stop := newRefusedSession(nil, true, true)
-			defer stop()
-			start := time.Now()
-			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
-			So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
-			So(nextWorkerInfo(s), ShouldContainSubstring, `"lv":true`)
-			So(time.Since(start), ShouldEqual, (refusalsUntilLeft-1)*renewRetryDelay+renewalTimeout)
-			Convey("mean that it has left, until it announces itself", func() {
-				announce(r, announcement(5, 2, true))
-				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
-				time.Sleep(10 * unreachableRetryDelay)
-				So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
-			})
-			Convey("or sends a report", func() {
-				tasks.open()
-				So(nextWorkerInfo(s), ShouldNotContainSubstring, `"lv"`)
-			})
-		})
-		Convey("A heartbeat after the deregistration revokes it", t, func() {
-			r, s, _, stop := newRefusedSession(nil, true, true)
-			defer stop()
-			announce(r, announcement(5, 2, true))
-			So(nextWorkerInfo(s), ShouldContainSubstring, `"un":true`)
-			time.Sleep(10 * unreachableRetryDelay)
-			So(r.currentAnnouncement().Info.Left, ShouldBeFalse)
-		})
-	})
-}
-
 // newRefusedSession returns the session of an agent whose process sends one report and refuses
 // all connections from then on, and a function that ends it.
 func newRefusedSession(secondErr error, draining, deregistered bool) (*Runner, *session, *refusingTasks, func()) {
@@ -436,5 +402,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { s.renewLoop(ctx); close(done) }()
+	go r.WatchDepartures(ctx)
 	return r, s, tasks, func() { cancel(); <-done }
 }
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -166,9 +166,6 @@
 	// refusalsUntilUnreachable is the number of consecutive refused connections,
 	// renewRetryDelay apart, after which the process counts as out of reach.
 	refusalsUntilUnreachable = 3
-	// refusalsUntilLeft is the same for a process that has deregistered, after which it counts
-	// as ended.
-	refusalsUntilLeft = 5
 	// minExtension is the least time by which a call extends a lease, if it acknowledges no end.
 	minExtension = 500 * time.Millisecond
 	// unleasedWait replaces renewWait in calls that carry no lease, so that one that is granted
@@ -336,10 +333,9 @@
 		return 0
 	}
 	if refusals++; refusals >= refusalsUntilUnreachable {
-		if s.runner.noteRefusals(incarnation, refusals) {
-			s.waitForWakeup(ctx, unreachableRetryDelay)
-			return refusals
-		}
+		s.runner.noteRefusals(incarnation, refusals)
+		s.waitForWakeup(ctx, unreachableRetryDelay)
+		return refusals
 	}
 	// This delay must not be cut short by a wakeup: refusals that are closer together say
 	// less about the process.
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -157,7 +157,7 @@
 	}
 	if reason := s.withdrawalReason(t, w, &o, now); reason != "" {
 		// The start was never sent, so no stop is needed either.
-		s.logWithdrawal(t, reason, now)
+		s.logRunBecause(EventWithdrawn, t, reason, now)
 		s.requeue(t, now)
 		return o, false
 	}
@@ -183,6 +183,8 @@
 	WithdrawnNoLease Reason = "no_lease"
 	// WithdrawnNoTicket means that the placement advisor's ticket has expired.
 	WithdrawnNoTicket Reason = "no_ticket"
+	// WithdrawnZone means that the zone of the worker, or of another member's, was evacuated.
+	WithdrawnZone Reason = "zone"
 )
 
 // withdrawalReason returns why a start must not be sent any more, or nothing. It renews the ticket
@@ -202,14 +204,6 @@
 	}
 }
 
-func (s *Scheduler) logWithdrawal(t *task, reason Reason, now time.Time) {
-	event := LogEvent{Event: EventWithdrawn, Run: t.run(), Worker: t.Worker, Reason: string(reason)}
-	if w := s.workers[t.Worker]; !w.reportedAt.IsZero() {
-		event.AgeMs = now.Sub(w.reportedAt).Milliseconds()
-	}
-	s.logEvent(event)
-}
-
 // renewTicket replaces the ticket of a start by the newest one. It returns false if the
 // placement advisor has to be asked again.
 func (t *task) renewTicket(o *Order, w *worker, now time.Time) bool {
--- a/sched/batch/departures_test.go
+++ b/sched/batch/departures_test.go
@@ -15,8 +15,7 @@
 	starts []Order
 }
 
-// newDeparting places a job of one step on w1 and answers its starts, which all have a former
-// attempt without an answer, as given.
+// newDeparting places a job of one step on w1 and answers its starts as given.
 func newDeparting(step Step, answers ...AnswerKind) *departing {
 	b := newTestbed()
 	b.addWorker("w1", "r1")
--- a/sched/batch/leaseends.go
+++ b/sched/batch/leaseends.go
@@ -86,7 +86,7 @@
 
 // noteSilence adds a worker to the silent ones if it has runs and no recent report.
 func (s *Scheduler) noteSilence(w *worker, now time.Time) {
-	if len(w.active) > 0 && now.Sub(w.reportedAt) >= silentAfter {
+	if len(w.active) > 0 && w.overdue(now) {
 		s.silent = append(s.silent, w)
 	}
 }
--- a/sched/batch/logevents.go
+++ b/sched/batch/logevents.go
@@ -37,7 +37,12 @@
 func (s *Scheduler) logEvent(event LogEvent) { s.logEvents = append(s.logEvents, event) }
 
 func (s *Scheduler) logRun(event string, t *task, now time.Time) {
-	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(t.stop.reason), StartUncertain: t.startUncertain}
+	s.logRunBecause(event, t, t.stop.reason, now)
+}
+
+// logRunBecause records an event of a run whose reason is not that of its stop.
+func (s *Scheduler) logRunBecause(event string, t *task, reason Reason, now time.Time) {
+	n := LogEvent{Event: event, Run: t.run(), Worker: t.Worker, Reason: string(reason), StartUncertain: t.startUncertain}
 	if w := s.workers[t.Worker]; w != nil && !w.reportedAt.IsZero() {
 		n.AgeMs = now.Sub(w.reportedAt).Milliseconds()
 	}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -198,9 +198,10 @@
 	return n
 }
 
-// bestWorker returns the worker for one task, or nil if the task fits on none. It
-// prefers workers whose report is not overdue, then those that are not cold, if the unit avoids those, then workers close to the task's data, then those without interference, then
-// those with the least free capacity, which keeps whole workers free for large tasks.
+// bestWorker returns the worker for one task, or nil if the task fits on none. It prefers
+// workers whose report is not overdue, then those that are not cold, if the unit avoids those,
+// then workers close to the task's data, then those without interference, then those with the
+// least free capacity, which keeps whole workers free for large tasks.
 func (p *plan) bestWorker(u *unit, v capacityView) *workerCapacity {
 	var best *workerCapacity
 	for _, c := range p.workers {
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -26,9 +26,9 @@
 	s.tickedAt = now
 }
 
-// Tick ends runs whose processes have left or whose leases have expired, stops best-effort tasks that interfere
-// with serving ones, detects runs without progress, and queues stop orders, repeating
-// those without an answer.
+// Tick ends runs whose processes have left or whose leases have expired, stops best-effort
+// tasks that interfere with serving ones, detects runs without progress, and queues stop
+// orders, repeating those without an answer.
 func (s *Scheduler) Tick(now time.Time) {
 	s.noteTick(now)
 	s.silent = s.silent[:0]
--- a/sched/batch/zones.go
+++ b/sched/batch/zones.go
@@ -7,10 +7,6 @@
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
-// EventWithdrawnZone is the event of a start that is not sent because the zone of its worker was
-// evacuated meanwhile.
-const EventWithdrawnZone = "start is withdrawn: its zone is evacuated"
-
 // CloseZones replaces the set of zones in which nothing may start. Runs that are in progress
 // there go on.
 func (s *Scheduler) CloseZones(closed map[ident.Zone]bool) {
@@ -38,7 +34,7 @@
 		s.handling = o.Run.Task.Job
 		for _, m := range s.members(t) {
 			if m.Phase == TaskActive && m.Run == t.Run && m.sentAt.IsZero() && !m.recovered {
-				s.logRun(EventWithdrawnZone, m, now)
+				s.logRunBecause(EventWithdrawn, m, WithdrawnZone, now)
 				s.requeue(m, now)
 			}
 		}
