--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 	"route-removed":  routeRemoved,
 	"route-replaced": routeReplaced,
 	"advice-burst":   adviceBurst,
+	"reborn":         rebornWithAgent,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -73,7 +73,11 @@
 	mux.HandleFunc("POST /api/run-stop", m.handleStop)
 	mux.HandleFunc("POST /api/hold", m.handleHold)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	server, err := serve(m.address, mux)
+	var handler http.Handler = mux
+	if m.world.late != nil {
+		handler = m.world.late.wrap(m, mux)
+	}
+	server, err := serve(m.address, handler)
 	if err != nil {
 		return err
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -80,6 +80,8 @@
 	// advisor is nil without one.
 	advisor     *advisor
 	advisorAddr string
+	// late is nil without orders that are carried out late.
+	late *lateOrders
 
 	mu   sync.Mutex
 	jobs map[string]*job
@@ -172,7 +174,24 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	gone bool
-	done chan struct{}
+	// downUntil is until when the program is not started again.
+	downUntil time.Time
+	done      chan struct{}
+}
+
+// pause keeps the program from being started again for a time.
+func (p *process) pause(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.downUntil = time.Now().Add(d)
+}
+
+// awaitRestart waits until the program is to be started again.
+func (p *process) awaitRestart() {
+	p.mu.Lock()
+	d := max(300*time.Millisecond, time.Until(p.downUntil))
+	p.mu.Unlock()
+	time.Sleep(d)
 }
 
 // launch starts a program with the command of the deploy file.
@@ -195,7 +214,7 @@
 		defer close(p.done)
 		defer log.Close()
 		for p.runOnce(role, path, log) {
-			time.Sleep(300 * time.Millisecond)
+			p.awaitRestart()
 		}
 	}()
 	return nil
