--- a/review/standin-3/advisor.go
+++ b/review/standin-3/advisor.go
@@ -128,7 +128,7 @@
 // adviceBurst plays a burst of jobs at a queue whose policy is with the placement advisor.
 func adviceBurst(w *world, trouble bool) error {
 	w.advisor = newAdvisor(w, decideTime, periodTime, ticketValidity)
-	addr := freeAddr("127.0.0.1")
+	addr := freeAddr(platformIP())
 	if _, err := serve(addr, w.advisor.handler()); err != nil {
 		return err
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -114,7 +114,7 @@
 		maxHold: maxHold, stopGrace: stopGrace,
 		gangs: gangs{timeout: gangTimeout, byRun: make(map[string]*gang)},
 	}
-	w.storeAddr = freeAddr("127.0.0.1")
+	w.storeAddr = freeAddr(platformIP())
 	if _, err := serve(w.storeAddr, w.store.handler()); err != nil {
 		return nil, err
 	}
@@ -132,6 +132,14 @@
 	fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.began).Seconds()}, args...)...)
 }
 
+// subnet is a part of the loopback network that no other run uses at the same time.
+var subnet = fmt.Sprintf("127.%d.%d.", 10+os.Getpid()%200, os.Getpid()/200%250)
+
+// entryIP, minionIP and platformIP return the addresses of the machines.
+func entryIP(n int) string  { return subnet + strconv.Itoa(n) }
+func minionIP(n int) string { return subnet + strconv.Itoa(100+n) }
+func platformIP() string    { return subnet + "250" }
+
 // nextPort is below the ports that the system gives to outgoing connections.
 var nextPort = 20000 + os.Getpid()%8000
 
@@ -285,7 +293,7 @@
 }
 
 func (w *world) addEntry(name, zone string) error {
-	ip := fmt.Sprintf("127.0.1.%d", len(w.entries)+1)
+	ip := entryIP(len(w.entries) + 1)
 	e := entry{front: freeAddr(ip), ready: freeAddr(ip)}
 	w.entries = append(w.entries, e)
 	return w.launch(name, "entry", map[string]any{
@@ -300,7 +308,7 @@
 // addMinion starts an agent and the minion beside it.
 func (w *world) addMinion(service, zone, rack string) (*minion, error) {
 	n := len(w.minions) + 1
-	ip := fmt.Sprintf("127.0.2.%d", n)
+	ip := minionIP(n)
 	m := &minion{
 		world: w, id: fmt.Sprintf("i-%04d", n), service: service, zone: zone, labels: []string{"a", rack},
 		address: freeAddr(ip), agent: freeAddr(ip), capacity: resources{64000, 131072, 8},
