--- a/review/standin-3/route.go
+++ b/review/standin-3/route.go
@@ -22,7 +22,7 @@
 
 func routeOf(name string, q queue, service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": q.host, "path_prefix": q.prefix, "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 3000,
+		"name": name, "host": q.host, names.Prefix: q.prefix, "type": "unsafe", "timeout_ms": 3000, names.Target: 3000,
 		"priority": 1, "backend": service, "attempts": 2, "slack_factor": 3.0, "public": false,
 	}
 }
@@ -31,7 +31,7 @@
 	return map[string]any{
 		"version": version, "routes": routes,
 		"backends": []map[string]any{{"name": studyService, "admission_check": true}, {"name": payrollService, "admission_check": true}},
-		"tenants":  []map[string]any{{"name": "tenant-1", "api_keys": []string{studies.key}, "guaranteed": map[string]any{"gpu": 8}}},
+		"tenants":  []map[string]any{{"name": "tenant-1", names.Keys: []string{studies.key}, "guaranteed": map[string]any{"gpu": 8}}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	}
 }
