Ask the placement advisor for one step at a time, in the order of placement

Cause: each waiting step had a call of its own. The advisor handles the calls of a host in turn, so that the calls waited for one another; beyond four of them each answer was older than its tickets are valid, was thrown away and asked for again. The records show it: answers after 0.64, 1.37, ... 4.5 s, 27 of 40 of which served nobody, and no error. Counting the validity from the sending is not the cause: ten waiting steps take 6.4 s by any count.

Change: an owner has one call in progress, and no request waits for it. The planning pass after it chooses the step (those with room first, in the order of placement; each second turn goes to the oldest once one has waited for 2 s) and the workers to name: where the step would start, and as many more as the answers so far suggest. Answers about a worker stand, since they don't change. Time-outs and sizes follow the declared figures and the answers.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -276,14 +276,25 @@
 	if l.candidate.opts.Advise == nil {
 		return nil, 0, errkind.New(errkind.InvalidArgument, "no placement advisor is configured")
 	}
-	return l.candidate.opts.Advise(l.ctx, request)
+	ctx, cancel := context.WithTimeout(l.ctx, request.Timeout)
+	defer cancel()
+	return l.candidate.opts.Advise(ctx, request)
 }
 
 func (l *ownerLoop) handleAdvice(request batch.AdviceRequest, tickets []batch.Ticket, valid time.Duration, sent time.Time, err error) {
-	l.candidate.opts.Observe("advice", time.Since(sent))
+	now := time.Now()
+	took := now.Sub(sent)
+	l.candidate.opts.Observe("advice", took)
+	switch {
+	case err != nil:
+		l.candidate.opts.Count("advice_failed")
+	case took >= valid:
+		l.candidate.opts.Count("advice_late")
+	}
 	l.candidate.opts.Logger.Info().Str("job", string(request.Step.Job)).Int("step", request.Step.Step).Int("asked", len(request.Workers)).
-		Int("allowed", len(tickets)).Int64("valid_ms", valid.Milliseconds()).Err(err).Msg("advice received")
-	l.scheduler.Advised(request.Step, tickets, valid, sent)
+		Int("allowed", len(tickets)).Int64("valid_ms", valid.Milliseconds()).Int64("took_ms", took.Milliseconds()).
+		Int64("timeout_ms", request.Timeout.Milliseconds()).Err(err).Msg("advice received")
+	l.scheduler.Advised(request.Step, tickets, valid, sent, now)
 }
 
 func (l *ownerLoop) configure() {
--- a/control/batchowner/summary.go
+++ b/control/batchowner/summary.go
@@ -46,7 +46,7 @@
 		Str("unsent", describeBacklog(s.Unsent)).Str("unanswered", describeBacklog(s.Unanswered)).
 		Str("unseen", describeBacklog(s.Unseen)).Str("stopping", describeBacklog(s.Stopping)).
 		Strs("waiting", describeWaiting(s.Waiting)).Strs("workers", describeWorkers(s.Workers)).
-		Strs("problems", describeProblems(s.Problems)).Msg("scheduler summary")
+		Str("advisor", describeAdvisor(s.Advisor)).Strs("problems", describeProblems(s.Problems)).Msg("scheduler summary")
 }
 
 // describeBacklog returns the number, and the age and name of the oldest.
@@ -74,6 +74,11 @@
 	return out
 }
 
+func describeAdvisor(a batch.AdvisorSummary) string {
+	return fmt.Sprintf("call in progress for %d ms, latest answer after %d ms, %d workers a call, %d late answers, %d timeouts in a row",
+		a.InProgress.Milliseconds(), a.Latest.Milliseconds(), a.MaxWorkers, a.LateAnswers, a.Timeouts)
+}
+
 func describeWorkers(workers map[batch.WorkerState]int) []string {
 	out := make([]string, 0, len(workers))
 	for _, state := range slices.Sorted(maps.Keys(workers)) {
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -167,8 +167,8 @@
 	return &batch.Job{
 		ID: t.job, Workspace: t.workspace, Service: t.queue.Service, Queue: t.queue.Name,
 		Priority: t.queue.Priority, MaxAttempts: t.queue.MaxAttempts, SlackFactor: t.queue.SlackFactor, TargetMs: t.queue.TargetMs,
-		NeedsAdvice: t.queue.NeedsAdvice,
-		Payload:     submission.Payload, Steps: submission.Steps,
+		NeedsAdvice: t.queue.NeedsAdvice, Advice: t.queue.Advice,
+		Payload: submission.Payload, Steps: submission.Steps,
 		Repetitions: submission.Repetitions, StartAtMs: submission.StartAtMs, IntervalMs: submission.IntervalMs, AcceptedMs: now.UnixMilli(),
 	}
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -31,6 +31,18 @@
 	// NeedsAdvice is set if the placement advisor decides which workers may run
 	// a step.
 	NeedsAdvice bool
+	// Advice is what the queue declares about the advisor's answers.
+	Advice AdviceTerms
+}
+
+// AdviceTerms is what a queue declares about the answers of the placement advisor, in
+// milliseconds. Zero means that it is not known.
+type AdviceTerms struct {
+	// A call takes DecideMs, and PerWorkerMs for each worker that it names.
+	DecideMs    int64 `json:"d,omitempty"`
+	PerWorkerMs int64 `json:"w,omitempty"`
+	// ValidMs is how long a ticket is valid.
+	ValidMs int64 `json:"v,omitempty"`
 }
 
 // Workspace is a customer.
--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -15,14 +14,6 @@
 	Step       int
 }
 
-// AdviceRequest asks the placement advisor which of the listed workers may run a
-// step.
-type AdviceRequest struct {
-	Step StepID
-	// Workers holds the upstream ids of the candidates.
-	Workers []ident.Upstream
-}
-
 // Ticket permits the tasks of a step to start on one incarnation of a worker.
 type Ticket struct {
 	Worker ident.Upstream
@@ -31,19 +22,21 @@
 
 // advice is what the advisor has said about a step.
 type advice struct {
-	// pending reports that a request sent at requestedAt has no answer yet.
-	pending     bool
-	requestedAt time.Time
 	// requested holds the workers of the latest request, with their incarnations at that time.
 	requested map[ident.Worker]Incarnation
 	// tickets holds the latest ticket for each worker.
 	tickets map[ident.Worker]heldTicket
-	// allowed holds the upstream ids that the advisor allowed when it was last asked about them.
+	// allowed holds what the advisor has said about each upstream id. That does not change.
 	allowed map[ident.Upstream]bool
 	// askedAt is when the advisor was last asked about a worker.
 	askedAt map[ident.Upstream]time.Time
 	// lackingSince is since when a waiting unit has had no valid ticket, or zero.
 	lackingSince time.Time
+	// roomSince is since when workers that may be allowed have had room for the unit, or zero.
+	roomSince time.Time
+	// seekingSince is since when the step has waited for its next call, and soughtAt when it was
+	// last found waiting.
+	seekingSince, soughtAt time.Time
 }
 
 // heldTicket is the text of a ticket, the incarnation that it is for, when it expires, and when
@@ -55,9 +48,6 @@
 }
 
 const (
-	// maxWorkersPerRequest limits the size of an advice request, because every
-	// listed worker makes the answer longer.
-	maxWorkersPerRequest = 30
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer
 	// used. Committing a start and delivering it to the worker take less time
 	// than this.
@@ -66,30 +56,25 @@
 	// waits, or a quarter of its validity if that is less.
 	maxTicketRenewal = 2 * time.Second
 	// adviceRetryInterval is the minimum time between two advice requests for a
-	// step.
+	// step that name the same worker.
 	adviceRetryInterval = time.Second
+	// denialRetryInterval is the same for workers that were not allowed, which are named again
+	// only if no other worker suits the step.
+	denialRetryInterval = 10 * time.Second
+	// lateTicketTime is how long the tickets of an answer that took longer than they are valid
+	// are tried: the advisor may have issued them at the end of the call.
+	lateTicketTime = 500 * time.Millisecond
 )
 
-// TakeAdviceRequests returns the requests to send to the placement advisor.
-func (s *Scheduler) TakeAdviceRequests() []AdviceRequest {
-	out := s.adviceRequests
-	s.adviceRequests = nil
-	return out
-}
-
-// Advised records the advisor's answer about a step. An answer without tickets
-// (none came, or no worker is allowed) leaves earlier tickets in place. The
-// tickets are valid from the time the request was sent, for the processes that the workers
-// had then.
-func (s *Scheduler) Advised(step StepID, tickets []Ticket, valid time.Duration, sent time.Time) {
-	j := s.jobs[step.Job]
-	if j == nil || j.advice[step] == nil {
-		return
-	}
-	a := j.advice[step]
-	a.pending = false
+// Advised records the advisor's answer about a step. The tickets are valid from the time the
+// request was sent, for the processes that the workers had then. A validity of zero means that
+// no answer came: earlier answers stand.
+func (s *Scheduler) Advised(step StepID, tickets []Ticket, valid time.Duration, sent, now time.Time) {
 	s.needsPlan = true
-	if len(tickets) == 0 {
+	answered := valid > 0
+	s.advisor.callEnded(step, answered, sent, now)
+	j := s.jobs[step.Job]
+	if !answered || j == nil || j.advice[step] == nil {
 		return
 	}
 	texts := make(map[ident.Upstream]string, len(tickets))
@@ -98,8 +83,16 @@
 	}
 	validUntil := sent.Add(valid)
 	renewAt := validUntil.Add(-ticketExpiryMargin - min(maxTicketRenewal, valid/4))
+	if !now.Before(validUntil.Add(-ticketExpiryMargin)) {
+		s.advisor.lateAnswers++
+		validUntil = now.Add(ticketExpiryMargin + lateTicketTime)
+	}
+	a := j.advice[step]
 	for id, incarnation := range a.requested {
 		text, allowed := texts[incarnation.Upstream]
+		if _, known := a.allowed[incarnation.Upstream]; !known {
+			s.advisor.observe(j.spec.Queue, allowed)
+		}
 		a.allowed[incarnation.Upstream] = allowed
 		delete(a.tickets, id)
 		if allowed {
@@ -130,10 +123,52 @@
 	return held.text, ok && at.Before(held.validUntil)
 }
 
-// consult looks up what the advisor has said about a unit's step. It returns false if there is
-// no valid ticket. It queues a request if there is none, or if a suitable worker that the advisor
-// allowed before has none or one that has to be renewed.
-func (p *plan) consult(u *unit) bool {
+// denied reports whether the advisor has said that the step may not run on a worker.
+func (a *advice) denied(w *worker) bool {
+	allowed, known := a.allowed[w.info.Incarnation.Upstream]
+	return known && !allowed
+}
+
+// permission says on which workers a unit of a queue with an advisor counts as permitted.
+type permission uint8
+
+const (
+	// withTicket means those for which there is a valid ticket.
+	withTicket permission = iota
+	// allowedBefore means those that the advisor allowed, whether or not there is a ticket.
+	allowedBefore
+	// notDenied means those that the advisor allowed or was not asked about.
+	notDenied
+)
+
+// permitted reports whether the placement advisor permits the step on the worker, as far as the
+// unit requires it, or need not be asked.
+func (p *plan) permitted(u *unit, c *workerCapacity) bool {
+	if !u.job.spec.NeedsAdvice {
+		return true
+	}
+	switch u.permission {
+	case allowedBefore:
+		return u.advice.allowed[c.worker.info.Incarnation.Upstream]
+	case notDenied:
+		return !u.advice.denied(c.worker)
+	case withTicket:
+	}
+	_, ok := u.advice.ticket(c.worker, p.ticketsUntil())
+	return ok
+}
+
+// withPermission returns a copy of the unit that counts as permitted on other workers.
+func (u *unit) withPermission(permission permission) *unit {
+	out := *u
+	out.permission = permission
+	out.setOverdue(u.overdue)
+	return &out
+}
+
+// lookUpAdvice looks up what the advisor has said about a unit's step. It returns false if there
+// is no valid ticket.
+func (p *plan) lookUpAdvice(u *unit) bool {
 	id := u.stepID()
 	a := u.job.advice[id]
 	if a == nil {
@@ -147,81 +182,108 @@
 		u.job.advice[id] = a
 	}
 	u.advice = a
-	found := false
 	for worker := range a.tickets {
-		_, ok := a.ticket(p.scheduler.workers[worker], p.ticketsUntil())
-		found = found || ok
+		if _, ok := a.ticket(p.scheduler.workers[worker], p.ticketsUntil()); ok {
+			a.lackingSince = time.Time{}
+			return true
+		}
 	}
-	switch {
-	case found:
-		a.lackingSince = time.Time{}
-	case a.lackingSince.IsZero():
+	if a.lackingSince.IsZero() {
 		a.lackingSince = p.now
 	}
-	if a.pending || p.now.Sub(a.requestedAt) < adviceRetryInterval || found && !p.needsTicket(u) {
-		return found
-	}
-	a.pending, a.requestedAt = true, p.now
-	p.scheduler.adviceRequests = append(p.scheduler.adviceRequests, AdviceRequest{Step: id, Workers: p.candidates(u, a)})
-	return found
+	return false
+}
+
+// mayBePermitted reports whether the advisor has not denied the worker.
+func (p *plan) mayBePermitted(u *unit, c *workerCapacity) bool {
+	return !u.job.spec.NeedsAdvice || !u.advice.denied(c.worker)
+}
+
+// awaitAdvice lets a unit without a ticket wait for a call of the advisor.
+func (p *plan) awaitAdvice(u *unit) {
+	p.noteWaiting(u, u.tasks[0], WaitForAdvice)
+	p.seekAdvice(u, len(u.tasks))
+	p.keepPlace(u, len(u.tasks))
+	p.seekersAhead++
+}
+
+// mayAwaitAdvice reports whether a unit that has room where only tickets are missing should wait
+// for them before it preempts other work or reserves capacity elsewhere.
+func (p *plan) mayAwaitAdvice(u *unit) bool {
+	return p.scheduler.advisor.responsive() && p.answerIsNear(u) && p.now.Sub(u.advice.roomSince) < maxPlaceKept
 }
 
 // ticketsUntil is the time at which a ticket must still be valid to be used.
 func (p *plan) ticketsUntil() time.Time { return p.now.Add(ticketExpiryMargin) }
 
-// needsTicket reports whether a suitable worker that the advisor allowed before has no ticket, or
-// one that has to be renewed.
-func (p *plan) needsTicket(u *unit) bool {
-	return slices.ContainsFunc(p.workers, func(c *workerCapacity) bool {
-		held, ok := u.advice.held(c.worker)
-		return u.advice.allowed[c.worker.info.Incarnation.Upstream] && (!ok || !p.now.Before(held.renewAt)) && p.suits(u, c)
-	})
+// lacksTicket reports whether there is no ticket for the worker, or one that has to be renewed.
+func (p *plan) lacksTicket(u *unit, c *workerCapacity) bool {
+	held, ok := u.advice.held(c.worker)
+	return !ok || !p.now.Before(held.renewAt)
 }
 
 // maxPlaceKept is how long a unit without a ticket keeps its place. Nothing else may start there
 // meanwhile, so that this must not let other jobs stand still for too long.
 const maxPlaceKept = maxDeferral
 
-// keepPlace allocates capacity to a unit whose tickets have run out before the next ones have
-// come, where the advisor allowed it before: other work would start there, and be stopped for the
-// unit once it has a ticket. Units that stop no other work keep nothing.
-func (p *plan) keepPlace(u *unit) {
-	if u.tier > tierNormal || p.now.Sub(u.advice.lackingSince) >= maxPlaceKept {
+// maxReservedWithoutTicket is how long a unit without a ticket reserves capacity that is not
+// free yet.
+const maxReservedWithoutTicket = 10 * time.Second
+
+// keepPlace allocates capacity to a unit without a ticket where the advisor allowed it before, if
+// the next tickets can come while the place is kept: other work would start there, and be stopped
+// for the unit once it has a ticket. Units that stop no other work keep nothing. Without room, the
+// unit reserves capacity as other units do.
+func (p *plan) keepPlace(u *unit, n int) {
+	kept := u.withPermission(allowedBefore)
+	a, advisor := u.advice, &p.scheduler.advisor
+	if !p.hasRoom(kept, n) {
+		if advisor.responsive() && p.now.Sub(a.lackingSince) < maxReservedWithoutTicket {
+			p.addReservation(kept, n)
+		}
 		return
 	}
-	kept := *u
-	kept.keepsPlace = true
-	kept.setOverdue(u.overdue)
-	p.tryAllocate(&kept, len(u.tasks), freeSoon)
-}
-
-// candidates returns the workers to ask about: first those that the advisor
-// allowed before, because that does not change, then those that it was not asked about for
-// the longest time, and among these those that will have the most free accelerators
-// once pending stops have ended.
-func (p *plan) candidates(u *unit, a *advice) []ident.Upstream {
-	workers := slices.DeleteFunc(slices.Clone(p.workers), func(c *workerCapacity) bool { return !p.suits(u, c) })
-	slices.SortStableFunc(workers, func(x, y *workerCapacity) int {
-		xID, yID := x.worker.info.Incarnation.Upstream, y.worker.info.Incarnation.Upstream
-		xAllowed, yAllowed := a.allowed[xID], a.allowed[yID]
-		switch {
-		case xAllowed != yAllowed && xAllowed:
-			return -1
-		case xAllowed != yAllowed:
-			return 1
-		default:
-			return cmp.Or(a.askedAt[xID].Compare(a.askedAt[yID]), y.freeSoon.Accelerators-x.freeSoon.Accelerators)
-		}
-	})
-	var out []ident.Upstream
-	a.requested = make(map[ident.Worker]Incarnation)
-	for _, c := range workers[:min(len(workers), maxWorkersPerRequest)] {
-		id := c.worker.info.Incarnation.Upstream
-		a.askedAt[id] = p.now
-		a.requested[c.worker.info.ID] = c.worker.info.Incarnation
-		out = append(out, id)
-	}
-	return out
+	keptSince := a.lackingSince
+	if advisor.responsive() && a.roomSince.After(keptSince) {
+		keptSince = a.roomSince
+	}
+	if u.tier <= tierNormal && p.now.Sub(keptSince) < maxPlaceKept && p.answerIsNear(u) {
+		p.tryAllocate(kept, n, freeSoon)
+	}
+}
+
+// answerIsNear reports whether the unit's next tickets can come within maxPlaceKept.
+func (p *plan) answerIsNear(u *unit) bool {
+	advisor := &p.scheduler.advisor
+	if advisor.serves(u.stepID()) {
+		return true
+	}
+	return time.Duration(p.seekersAhead)*advisor.latest <= maxPlaceKept
+}
+
+// hasRoom reports whether the tasks of the unit, or some of them if it is no gang, fit once the
+// runs that are being stopped have ended.
+func (p *plan) hasRoom(u *unit, n int) bool { return p.expectedPlacement(u, n, freeSoon) != nil }
+
+// expectedPlacement returns the workers on which n tasks of the unit fit, or as many of them as fit
+// if it is no gang.
+func (p *plan) expectedPlacement(u *unit, n int, v capacityView) []*workerCapacity {
+	if u.step.Gang {
+		return distinct(p.gangPlacement(u, n, v))
+	}
+	total := 0
+	for _, c := range p.workers {
+		total += p.taskCapacity(u, c, v)
+	}
+	return distinct(p.pack(u, p.workers, min(n, total), v))
+}
+
+// distinct returns each worker once. Equal ones are adjacent.
+func distinct(workers []*workerCapacity) []*workerCapacity {
+	if len(workers) == 0 {
+		return nil
+	}
+	return slices.Compact(workers)
 }
 
 func (u *unit) stepID() StepID { return u.tasks[0].stepID() }
--- a/sched/batch/job.go
+++ b/sched/batch/job.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
@@ -126,6 +127,8 @@
 	// NeedsAdvice reports that the placement advisor has to be asked which
 	// workers may run a step.
 	NeedsAdvice bool `json:"na,omitempty"`
+	// Advice is what the queue declares about the advisor's answers.
+	Advice catalog.AdviceTerms `json:"ad,omitzero"`
 	// AcceptedMs is when an entry accepted the job, in Unix milliseconds of that
 	// entry's clock.
 	AcceptedMs int64 `json:"ac"`
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -20,20 +20,7 @@
 // eligible reports whether the step's tasks may run on the worker, including the
 // placement advisor's answer.
 func (p *plan) eligible(u *unit, c *workerCapacity) bool {
-	return p.hasTicket(u, c) && p.suits(u, c)
-}
-
-// hasTicket reports whether the placement advisor allows the step on the worker, or
-// need not be asked.
-func (p *plan) hasTicket(u *unit, c *workerCapacity) bool {
-	if !u.job.spec.NeedsAdvice {
-		return true
-	}
-	if u.keepsPlace {
-		return u.advice.allowed[c.worker.info.Incarnation.Upstream]
-	}
-	_, ok := u.advice.ticket(c.worker, p.ticketsUntil())
-	return ok
+	return p.permitted(u, c) && p.suits(u, c)
 }
 
 // suits reports whether the worker meets the step's requirements, is reliable enough
@@ -110,7 +97,7 @@
 		need = len(u.tasks)
 	}
 	for _, c := range p.workers {
-		if p.hasTicket(u, c) && u.meetsRequirements(c) && !p.avoids(u, c) {
+		if p.mayBePermitted(u, c) && u.meetsRequirements(c) && !p.avoids(u, c) {
 			need -= u.idleCapacity(c)
 		}
 		if need <= 0 {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -27,8 +27,8 @@
 	alternative *bool
 	// advice is what the placement advisor has said, or nil if it need not be asked.
 	advice *advice
-	// keepsPlace reports that workers that the advisor allowed before count as if they had a ticket.
-	keepsPlace bool
+	// permission says which workers count as permitted by the placement advisor.
+	permission permission
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
 	// stopsAwaited reports that the unit may preempt runs that hold up later steps.
@@ -70,6 +70,10 @@
 	reservations int
 	// headroom is how many accelerators are kept free for urgent work.
 	headroom int
+	// wants holds the steps that need a call of the placement advisor, in the order of placement.
+	wants []adviceWant
+	// seekersAhead counts the units without a ticket that were placed before.
+	seekersAhead int
 }
 
 // planInterval is the maximum time between two planning passes. Whatever depends
@@ -112,6 +116,7 @@
 		p.place(u)
 	}
 	s.handling = ""
+	p.requestAdvice()
 }
 
 // headroomDecay is the time constant with which a past peak of urgent work
@@ -283,9 +288,8 @@
 		p.waitForZone(u)
 		return
 	}
-	if u.job.spec.NeedsAdvice && !p.consult(u) {
-		p.noteWaiting(u, u.tasks[0], WaitForAdvice)
-		p.keepPlace(u)
+	if u.job.spec.NeedsAdvice && !p.lookUpAdvice(u) {
+		p.awaitAdvice(u)
 		return
 	}
 	u.setOverdue(p.stoodStill(u) >= maxDeferral)
@@ -333,6 +337,11 @@
 // waitForCapacity allocates capacity that is being freed to the tasks. If that is
 // not enough, it preempts other work or makes a reservation.
 func (p *plan) waitForCapacity(u *unit, tasks []*task) {
+	if u.job.spec.NeedsAdvice && p.seekAdvice(u, len(tasks)) && p.mayAwaitAdvice(u) {
+		p.noteWaiting(u, tasks[0], WaitForAdvice)
+		p.tryAllocate(u.withPermission(allowedBefore), len(tasks), freeSoon)
+		return
+	}
 	p.noteWaiting(u, tasks[0], WaitForCapacity)
 	if p.tryAllocate(u, len(tasks), freeSoon) {
 		return
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -181,6 +181,7 @@
 	logEvents    []LogEvent
 	// adviceRequests are to be sent to the placement advisor.
 	adviceRequests []AdviceRequest
+	advisor        advisor
 	// urgentPeak is the decaying peak of the number of accelerators that urgent
 	// work used, as of urgentPeakAt.
 	urgentPeak   float64
--- a/sched/batch/summary.go
+++ b/sched/batch/summary.go
@@ -98,10 +98,23 @@
 	Waiting map[WaitReason]Backlog
 	// Workers counts the workers by state.
 	Workers map[WorkerState]int
+	Advisor AdvisorSummary
 	// Problems holds the workers that are not available, those with the latest report first.
 	Problems []WorkerProblem
 }
 
+// AdvisorSummary tells how the placement advisor answers.
+type AdvisorSummary struct {
+	// InProgress is how long the call in progress has taken so far, or zero without one, and Latest
+	// how long the latest call with an answer took.
+	InProgress, Latest time.Duration
+	// MaxWorkers is how many workers a call names at most.
+	MaxWorkers int
+	// LateAnswers counts the answers that took longer than their tickets are valid, and Timeouts
+	// the latest calls in a row without an answer in time.
+	LateAnswers, Timeouts int
+}
+
 // Oldest returns how long the oldest of all that is counted has waited.
 func (s *Summary) Oldest() time.Duration {
 	oldest := max(s.Unsent.Oldest, s.Unanswered.Oldest, s.Unseen.Oldest, s.Stopping.Oldest)
@@ -113,7 +126,7 @@
 
 // Summarize returns what the scheduler waits for.
 func (s *Scheduler) Summarize(now time.Time) Summary {
-	out := Summary{Waiting: make(map[WaitReason]Backlog), Workers: make(map[WorkerState]int)}
+	out := Summary{Waiting: make(map[WaitReason]Backlog), Workers: make(map[WorkerState]int), Advisor: s.advisor.summarize(now)}
 	for _, w := range s.workers {
 		out.addWorker(w, s.stateOf(w, now), now)
 		for _, t := range w.active {
