Tie jobs to the address of their queue and the workspace that submitted them

If two queues exchange their names, each one's jobs are found, counted and canceled at the prefix of the other.

Cause: readers compared the name of the call's queue with that in the job's row, its tombstone or the count. call finished shows the new name with job_unknown, new job received of the same job the former one; all entries agree, and the owner still knows the job. Submissions compared nothing: a job of another queue or workspace with the id passed for a repetition.

Change: host, path prefix and whether the queue was public are stored with the job and with tombstones. jobstore.Caller.MayAccess decides for GET, DELETE, tombstones and submissions, catalog.QueueRef.Same also for pending and learned durations. A change of the configuration gives nobody access: jobs accepted with a key stay those of their workspace if the queue becomes public. A submission with the id of somebody else's job is answered key_reused, not 200.

--- a/control/gateway/cancel.go
+++ b/control/gateway/cancel.go
@@ -42,10 +42,7 @@
 // putTombstone cancels a job that is not known: a submission of it may be under way. It fails with
 // kind QuotaExceeded if the workspace has canceled too many such jobs.
 func (g *Gateway) putTombstone(ctx context.Context, t target) error {
-	tombstone := jobstore.Tombstone{Job: t.job, Queue: t.queue.Name, Workspace: t.workspace, Public: t.queue.Public}
-	if t.queue.Public {
-		tombstone.Workspace = ""
-	}
+	tombstone := jobstore.NewTombstone(t.job, t.caller())
 	value, err := jobstore.Encode(tombstone)
 	if err != nil {
 		return err
--- a/control/gateway/gateway.go
+++ b/control/gateway/gateway.go
@@ -79,6 +79,10 @@
 	version   ident.ConfigVersion
 }
 
+func (t *target) caller() jobstore.Caller {
+	return jobstore.Caller{Queue: t.queue.Ref(), Workspace: t.workspace, Public: t.queue.Public}
+}
+
 // resolve finds the queue of a call and authenticates its key.
 func (g *Gateway) resolve(call batchapi.Call) (target, error) {
 	c := g.opts.Catalog()
@@ -106,6 +110,9 @@
 	if err == nil {
 		err = g.submitJob(ctx, t, decode)
 	}
+	if err == nil {
+		err = g.checkIDInUse(t)
+	}
 	return g.finishCall("submit", t, start, err)
 }
 
@@ -134,6 +141,17 @@
 	return g.createRow(ctx, jobstore.JobKey(t.job), value)
 }
 
+// checkIDInUse returns an error of kind KeyReused if the job that is stored under the id of a
+// submission is that of another queue or workspace. The submission has no effect then.
+func (g *Gateway) checkIDInUse(t target) error {
+	job, ok := g.opts.Replica.Job(t.job)
+	caller := t.caller()
+	if !ok || caller.MayAccess(job.Spec) || caller.Public && caller.Queue.Same(job.Spec.QueueRef()) {
+		return nil
+	}
+	return errkind.New(errkind.KeyReused, "job id %s is in use", t.job)
+}
+
 // checkRows returns an error of kind InvalidArgument if the store cannot hold the row of a job,
 // or the record that its owner writes later.
 func (g *Gateway) checkRows(job *batch.Job, value []byte) error {
@@ -165,7 +183,8 @@
 
 func newJob(t target, submission batchapi.Submission, now time.Time) *batch.Job {
 	return &batch.Job{
-		ID: t.job, Workspace: t.workspace, Service: t.queue.Service, Queue: t.queue.Name,
+		ID: t.job, Workspace: t.workspace, Service: t.queue.Service,
+		Queue: t.queue.Name, QueueHost: t.queue.Host, QueuePath: t.queue.PathPrefix, Public: t.queue.Public,
 		Priority: t.queue.Priority, MaxAttempts: t.queue.MaxAttempts, SlackFactor: t.queue.SlackFactor, TargetMs: t.queue.TargetMs,
 		NeedsAdvice: t.queue.NeedsAdvice, Advice: t.queue.Advice,
 		Payload: submission.Payload, Steps: submission.Steps,
@@ -196,7 +215,7 @@
 	if !g.opts.Replica.Ready() {
 		return batchapi.Answer{}, errkind.WithRetryAfter(errkind.NotReady, retryAfter, "jobs have not been loaded yet")
 	}
-	return batchapi.Answer{Pending: g.opts.Replica.Pending(t.queue.Name)}, nil
+	return batchapi.Answer{Pending: g.opts.Replica.Pending(t.queue.Ref())}, nil
 }
 
 // findJob returns a job of the call's queue. If the replica does not hold the job, it
@@ -217,7 +236,7 @@
 	if ok && g.refreshState(ctx, job) {
 		job, ok = g.opts.Replica.Job(t.job)
 	}
-	if !ok || job.Spec.Queue != t.queue.Name || !t.queue.Public && job.Spec.Workspace != t.workspace {
+	if !ok || !t.caller().MayAccess(job.Spec) {
 		return jobstore.Job{}, errkind.New(errkind.JobUnknown, "no job %s", t.job)
 	}
 	return job, nil
--- a/control/jobstore/replica.go
+++ b/control/jobstore/replica.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc/panics"
 
+	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
@@ -365,12 +366,12 @@
 
 // Pending returns the number of accepted jobs of a queue that have not started any
 // task.
-func (r *Replica) Pending(queue string) int {
+func (r *Replica) Pending(queue catalog.QueueRef) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
 	for _, j := range r.jobs {
-		if j.Spec != nil && j.Spec.Queue == queue && !j.Record.Started && !j.State().Final() {
+		if j.Spec != nil && queue.Same(j.Spec.QueueRef()) && !j.Record.Started && !j.State().Final() {
 			n++
 		}
 	}
--- a/control/jobstore/tombstones.go
+++ b/control/jobstore/tombstones.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/errkind"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 	"github.com/lacewingpier/lacewingpier/core/rows"
@@ -20,21 +21,44 @@
 type Tombstone struct {
 	Job   ident.Job `json:"job"`
 	Queue string    `json:"queue"`
-	// Workspace is that of the job, or empty if the queue is public: anyone may cancel there.
+	// Host and PathPrefix are those of the queue. Rows of older versions of the program have none.
+	Host       string `json:"host,omitempty"`
+	PathPrefix string `json:"path,omitempty"`
+	// Workspace is that of the caller, or empty without a key.
 	Workspace ident.Workspace `json:"ws,omitempty"`
-	Public    bool            `json:"public,omitempty"`
+	// Public reports that the queue needed no key.
+	Public bool `json:"public,omitempty"`
+}
+
+// NewTombstone returns a tombstone for a job that the caller cancels.
+func NewTombstone(job ident.Job, c Caller) Tombstone {
+	return Tombstone{
+		Job: job, Queue: c.Queue.Name, Host: c.Queue.Host, PathPrefix: c.Queue.PathPrefix,
+		Workspace: c.Workspace, Public: c.Public,
+	}
+}
+
+func (t Tombstone) caller() Caller {
+	return Caller{
+		Queue:     catalog.QueueRef{Name: t.Queue, Host: t.Host, PathPrefix: t.PathPrefix},
+		Workspace: t.Workspace, Public: t.Public,
+	}
 }
 
 // Key returns the key of the tombstone's row, a digest of whose job it cancels. Callers who can't
 // cancel each other's jobs have different ones for the same id.
 func (t Tombstone) Key() string {
-	sum := sha256.Sum256([]byte(strings.Join([]string{string(t.Job), t.Queue, string(t.Workspace)}, "\x00")))
+	parts := []string{string(t.Job), t.Queue, string(t.Workspace)}
+	if t.caller().Queue.HasAddress() {
+		parts = []string{string(t.Job), t.Host, t.PathPrefix, string(t.Workspace)}
+	}
+	sum := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
 	return tombstonePrefix + hex.EncodeToString(sum[:16])
 }
 
 // cancels reports whether the tombstone is for a job.
 func (t Tombstone) cancels(spec *batch.Job) bool {
-	return t.Job == spec.ID && t.Queue == spec.Queue && (t.Public || t.Workspace == spec.Workspace)
+	return t.Job == spec.ID && t.caller().MayAccess(spec)
 }
 
 // tombstoneQuota says whose tombstones are limited together: those of a workspace, or of the callers
@@ -46,7 +70,7 @@
 
 func (t Tombstone) quota() tombstoneQuota {
 	if t.Public {
-		return tombstoneQuota{publicQueue: t.Queue}
+		return tombstoneQuota{publicQueue: t.caller().Queue.Key()}
 	}
 	return tombstoneQuota{workspace: t.Workspace}
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -35,6 +35,38 @@
 	Advice AdviceTerms
 }
 
+// Ref returns what identifies the queue.
+func (q *Queue) Ref() QueueRef {
+	return QueueRef{Name: q.Name, Host: q.Host, PathPrefix: q.PathPrefix}
+}
+
+// QueueRef identifies a queue across versions of the configuration, in which a queue may get
+// another name, and its name may go to another queue. To callers a queue is its address.
+type QueueRef struct {
+	Name string
+	// Host and PathPrefix are empty in rows of older versions of the program.
+	Host, PathPrefix string
+}
+
+// HasAddress reports whether the address is known.
+func (r QueueRef) HasAddress() bool { return r.Host != "" || r.PathPrefix != "" }
+
+// Same reports whether both identify one queue: by address or, if one of them has none, by name.
+func (r QueueRef) Same(other QueueRef) bool {
+	if r.HasAddress() && other.HasAddress() {
+		return r.Host == other.Host && r.PathPrefix == other.PathPrefix
+	}
+	return r.Name == other.Name
+}
+
+// Key returns a text that is the same for each name of one queue.
+func (r QueueRef) Key() string {
+	if r.HasAddress() {
+		return r.Host + r.PathPrefix
+	}
+	return r.Name
+}
+
 // AdviceTerms is what a queue declares about the answers of the placement advisor, in
 // milliseconds. Zero means that it is not known.
 type AdviceTerms struct {
--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -91,7 +91,7 @@
 	for id, incarnation := range a.requested {
 		text, allowed := texts[incarnation.Upstream]
 		if _, known := a.allowed[incarnation.Upstream]; !known {
-			s.advisor.observe(j.spec.Queue, allowed)
+			s.advisor.observe(j.spec.QueueRef().Key(), allowed)
 		}
 		a.allowed[incarnation.Upstream] = allowed
 		delete(a.tickets, id)
--- a/sched/batch/advisor.go
+++ b/sched/batch/advisor.go
@@ -235,7 +235,7 @@
 // allowed ones. While nothing is known of the queue's answers, and for a step to which the advisor
 // has allowed none, that is as many as possible.
 func (p *plan) workersForAllowed(u *unit, need int) int {
-	seen := p.scheduler.advisor.acceptance[u.job.spec.Queue]
+	seen := p.scheduler.advisor.acceptance[u.job.spec.QueueRef().Key()]
 	if seen == nil || seen.allowed == 0 || u.advice.allowedNone() {
 		return maxWorkersPerRequest
 	}
--- a/sched/batch/backlog.go
+++ b/sched/batch/backlog.go
@@ -201,14 +201,15 @@
 	}
 	out.Capacity = total.amount()
 	for _, j := range s.jobs {
-		service, history := out.Services[j.spec.Service], s.durations[j.spec.Queue]
+		queue := j.spec.QueueRef().Key()
+		service, history := out.Services[j.spec.Service], s.durations[queue]
 		if service == nil || history == nil || history.count < minHistoryTasks {
 			continue
 		}
 		if service.Queues == nil {
 			service.Queues = make(map[string]int64)
 		}
-		service.Queues[j.spec.Queue] = int64(math.Exp(history.mean))
+		service.Queues[queue] = int64(math.Exp(history.mean))
 	}
 }
 
@@ -221,7 +222,7 @@
 	if spec.Repetitions > 0 || j.longRunning() || published == nil {
 		return out
 	}
-	typical := published.MeanDuration(spec.Service, spec.Queue)
+	typical := published.MeanDuration(spec.Service, spec.QueueRef().Key())
 	longer := *spec
 	longer.Steps = slices.Clone(spec.Steps)
 	known := true
--- a/sched/batch/duration.go
+++ b/sched/batch/duration.go
@@ -52,17 +52,18 @@
 	if t.resumed || t.sentAt.IsZero() || t.step().LongRunning {
 		return
 	}
-	d := s.durations[t.job.spec.Queue]
+	queue := t.job.spec.QueueRef().Key()
+	d := s.durations[queue]
 	if d == nil {
 		d = &durationHistory{}
-		s.durations[t.job.spec.Queue] = d
+		s.durations[queue] = d
 	}
 	d.add(now.Sub(t.startedAt))
 }
 
 // expectedDuration returns the expected duration of a task of the step.
 func (s *Scheduler) expectedDuration(j *job, step *Step) time.Duration {
-	return time.Duration(s.durations[j.spec.Queue].estimateMs(step.EstimateMs)) * time.Millisecond
+	return time.Duration(s.durations[j.spec.QueueRef().Key()].estimateMs(step.EstimateMs)) * time.Millisecond
 }
 
 // expectedRemaining returns the expected time until the run ends, extrapolated
--- a/sched/batch/job.go
+++ b/sched/batch/job.go
@@ -101,8 +101,14 @@
 	ID        ident.Job       `json:"id"`
 	Workspace ident.Workspace `json:"ws,omitempty"`
 	Service   ident.Service   `json:"sv"`
-	// Queue names the queue that accepted the job.
+	// Queue is the name that the queue had when it accepted the job; QueueRef identifies it.
 	Queue string `json:"q"`
+	// QueueHost and QueuePath are the host and path prefix of the queue. Rows of older versions of
+	// the program have none.
+	QueueHost string `json:"qh,omitempty"`
+	QueuePath string `json:"qp,omitempty"`
+	// Public reports that the queue needed no key when it accepted the job.
+	Public bool `json:"pb,omitempty"`
 	// Priority is the priority of the queue; 0 is the highest.
 	Priority int `json:"p,omitempty"`
 	// MaxAttempts limits the attempts at a task: the job fails when this many runs
@@ -134,6 +140,11 @@
 	AcceptedMs int64 `json:"ac"`
 }
 
+// QueueRef identifies the queue that accepted the job.
+func (j *Job) QueueRef() catalog.QueueRef {
+	return catalog.QueueRef{Name: j.Queue, Host: j.QueueHost, PathPrefix: j.QueuePath}
+}
+
 func (j *Job) occurrences() int { return max(j.Repetitions, 1) }
 
 func (j *Job) tasksPerOccurrence() int {
