Plan accepted jobs of services that no queue leads to any more

Cause: the planning pass skipped jobs whose service the active configuration does not name. No task waits of them is logged, and they start in the pass after the queue is back; the workers are not at fault, they count as available.

Change: what has been accepted keeps its service; all accepted jobs are planned and counted in the backlog.

--- a/control/batchowner/ownerloop.go
+++ b/control/batchowner/ownerloop.go
@@ -307,7 +307,7 @@
 	for _, ws := range current.Workspaces {
 		guarantees[ws.ID] = batch.WorkspaceGuarantee{Accelerators: ws.Accelerators}
 	}
-	l.scheduler.Configure(guarantees, current.Services())
+	l.scheduler.Configure(guarantees)
 }
 
 // commit writes the changed records in a transaction. Without changes it writes
--- a/control/gateway/queue_identity_test.go
+++ b/control/gateway/queue_identity_test.go
@@ -26,7 +26,6 @@
 	replicas [2]*jobstore.Replica
 	gateways [2]*Gateway
 	catalogs [2]*catalog.Catalog
-	version  rows.Version
 }
 
 func newConfiguredEntries(queues ...catalog.Queue) *configuredEntries {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -132,12 +132,3 @@
 	ws, ok := c.byKey[key]
 	return ws, ok
 }
-
-// Services returns the set of services that the queues send jobs to.
-func (c *Catalog) Services() map[ident.Service]bool {
-	out := make(map[ident.Service]bool)
-	for i := range c.Queues {
-		out[c.Queues[i].Service] = true
-	}
-	return out
-}
--- a/sched/batch/backlog.go
+++ b/sched/batch/backlog.go
@@ -86,7 +86,7 @@
 func (m *BacklogMeter) loads(s *Scheduler, now time.Time) map[poolKey]*poolLoad {
 	loads := make(map[poolKey]*poolLoad)
 	for j, t := range s.tiers(now) {
-		if t == tierExpired || len(s.services) > 0 && !s.services[j.spec.Service] {
+		if t == tierExpired {
 			continue
 		}
 		s.handling = j.spec.ID
--- a/sched/batch/backlog_test.go
+++ b/sched/batch/backlog_test.go
@@ -196,7 +196,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(testTiming, testStart)
 		guarantee := rapid.IntRange(0, 24).Draw(t, "guarantee")
-		s.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: guarantee}}, nil)
+		s.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: guarantee}})
 		var unfinished []*Job
 		for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
 			job := testJob(fmt.Sprint("j", i), rapid.IntRange(0, 1).Draw(t, "priority"), testStep(rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.IntRange(0, 8).Draw(t, "accelerators")))
--- a/sched/batch/ends_of_rules_bed_test.go
+++ b/sched/batch/ends_of_rules_bed_test.go
@@ -95,7 +95,7 @@
 // takeover replaces the owner by one that knows the durable records.
 func (b *ruleBed) takeover() {
 	b.scheduler = New(testTiming, b.now)
-	b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
+	b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}})
 	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
 		b.scheduler.Load(b.jobs[id], b.records[id], b.canceled[id], b.now)
 	}
--- a/sched/batch/ends_test.go
+++ b/sched/batch/ends_test.go
@@ -53,7 +53,7 @@
 func (w *pagingWorker) succeedOwner() {
 	former := w.scheduler
 	w.scheduler = New(testTiming, w.now)
-	w.scheduler.Configure(nil, nil)
+	w.scheduler.Configure(nil)
 	for _, j := range former.jobs {
 		w.scheduler.Load(j.spec, j.snapshot(), j.canceled, w.now)
 	}
--- a/sched/batch/keep_place_test.go
+++ b/sched/batch/keep_place_test.go
@@ -34,7 +34,7 @@
 		ticketBed: newTicketBed(valid, "w1"), answerTime: answerTime, stopTime: stopTime,
 		stopping: make(map[Run]time.Time), starts: make(map[ident.Job]int),
 	}
-	b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
+	b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}})
 	bulk := testStep(8, 1)
 	bulk.EstimateMs = 60000
 	b.submit(testJob("bulk", 2, bulk))
--- a/sched/batch/leaseends_test.go
+++ b/sched/batch/leaseends_test.go
@@ -55,7 +55,7 @@
 // successorWith does the same with the open starts in the owner's row, or nil if it has none.
 func (b *testbed) successorWith(ends LeaseEnds, open *OpenStarts) *testbed {
 	next := &testbed{scheduler: New(testTiming, b.now), now: b.now, clockMs: b.clockMs}
-	next.scheduler.Configure(nil, map[ident.Service]bool{"svc": true})
+	next.scheduler.Configure(nil)
 	next.scheduler.InheritLeaseEnds(ends)
 	next.scheduler.InheritOpenStarts(open)
 	for id, j := range b.scheduler.jobs {
--- a/sched/batch/longrunning_test.go
+++ b/sched/batch/longrunning_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-
-	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
 // maxLongRunningGap is how long the platform's users let a long-running task stand still after it
@@ -18,7 +16,7 @@
 	timing := testTiming
 	timing.MaxLease = 10 * time.Second
 	b := &testbed{scheduler: New(timing, testStart), now: testStart}
-	b.scheduler.Configure(nil, map[ident.Service]bool{"svc": true})
+	b.scheduler.Configure(nil)
 	b.addWorker("w1", "r1")
 	return b
 }
--- a/sched/batch/model_test.go
+++ b/sched/batch/model_test.go
@@ -114,7 +114,7 @@
 		m.late.held = nil
 	}
 	m.readClock()
-	m.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
+	m.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}})
 	for _, w := range m.workers {
 		w.attached, w.sent = false, nil
 		if m.scarce && m.chance(1, "row is read") {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -190,9 +190,6 @@
 func (p *plan) units() []*unit {
 	var units []*unit
 	for j, t := range p.tiers {
-		if len(p.scheduler.services) > 0 && !p.scheduler.services[j.spec.Service] {
-			continue
-		}
 		p.scheduler.handling = j.spec.ID
 		for k := range j.spec.occurrences() {
 			units = append(units, p.waitingUnits(j, k, t)...)
--- a/sched/batch/plan_test.go
+++ b/sched/batch/plan_test.go
@@ -14,7 +14,7 @@
 func TestGuaranteeIsReclaimed(t *testing.T) {
 	Convey("Work inside a guarantee preempts other work at once", t, func() {
 		b := newTestbed()
-		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, map[ident.Service]bool{"svc": true})
+		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}})
 		b.addWorker("w1", "r1")
 		other := testJob("other", 0, testStep(8, 1))
 		other.Workspace = "guest"
@@ -392,7 +392,7 @@
 func TestUrgentWorkIsPreemptedLast(t *testing.T) {
 	Convey("A guarantee is reclaimed from normal work that has run for a while", t, func() {
 		b := newTestbed()
-		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
+		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}})
 		b.addWorker("w1", "r1")
 		b.submit(testJob("normal", 1, testStep(1, 4)))
 		b.runCycle()
--- a/sched/batch/preempt_test.go
+++ b/sched/batch/preempt_test.go
@@ -68,7 +68,7 @@
 	} {
 		Convey(c.name, t, func() {
 			b := newTestbed()
-			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}}, map[ident.Service]bool{"svc": true})
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}})
 			b.addWorker("w1", "r1")
 			first, second := testStep(c.tasks, 8), testStep(1, 1)
 			first.Checkpoints = c.checkpoints
@@ -101,7 +101,7 @@
 	} {
 		Convey(c.name, t, func() {
 			b := newTestbed()
-			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}}, map[ident.Service]bool{"svc": true})
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 4}})
 			b.addWorker("w1", "r1")
 			first, second, other := testStep(1, 4), testStep(1, 4), testStep(1, 4)
 			first.Gang = c.gang
@@ -133,7 +133,7 @@
 	} {
 		Convey(c.name, t, func() {
 			b := newTestbed()
-			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}}, map[ident.Service]bool{"svc": true})
+			b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"owner": {Accelerators: 8}})
 			b.addWorker("w1", "r1")
 			step := testStep(1, 8)
 			step.EstimateMs = (40 * time.Second).Milliseconds()
--- a/sched/batch/replay_test.go
+++ b/sched/batch/replay_test.go
@@ -139,7 +139,7 @@
 		byID: make(map[ident.Worker]*replayWorker), jobs: make(map[ident.Job]*replayJob), starts: make([]int, len(site.kinds)),
 	}
 	r.scheduler = New(Timing{MaxLease: site.maxLease, Restore: site.restore, Retention: time.Hour}, r.now())
-	r.scheduler.Configure(r.guarantees(), map[ident.Service]bool{"svc": true})
+	r.scheduler.Configure(r.guarantees())
 	for i := range site.workers {
 		r.addWorker(i)
 	}
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -166,9 +166,6 @@
 	jobs       map[ident.Job]*job
 	workers    map[ident.Worker]*worker
 	guarantees map[ident.Workspace]WorkspaceGuarantee
-	// services holds the services that the configuration routes work to. Only their
-	// jobs are planned; if it is empty, the jobs of all services are.
-	services map[ident.Service]bool
 	// dirty holds the jobs whose records have changed since Prepare last included them in a
 	// commit, with the value of commits at the first change.
 	dirty map[ident.Job]int
@@ -233,7 +230,6 @@
 		jobs:                  make(map[ident.Job]*job),
 		workers:               make(map[ident.Worker]*worker),
 		guarantees:            make(map[ident.Workspace]WorkspaceGuarantee),
-		services:              make(map[ident.Service]bool),
 		dirty:                 make(map[ident.Job]int),
 		durations:             make(map[string]*durationHistory),
 		leaseEnds:             make(map[ident.Worker]leaseEnd),
@@ -267,11 +263,9 @@
 	return lease + lease*25/1000 + leaseExpiryMargin
 }
 
-// Configure replaces the guarantees and the set of routed services. An empty set
-// means all services.
-func (s *Scheduler) Configure(guarantees map[ident.Workspace]WorkspaceGuarantee, services map[ident.Service]bool) {
+// Configure replaces the guarantees.
+func (s *Scheduler) Configure(guarantees map[ident.Workspace]WorkspaceGuarantee) {
 	s.guarantees = maps.Clone(guarantees)
-	s.services = maps.Clone(services)
 	s.needsPlan = true
 }
 
--- a/sched/batch/scheduler_test.go
+++ b/sched/batch/scheduler_test.go
@@ -30,7 +30,7 @@
 
 func newTestbed() *testbed {
 	b := &testbed{scheduler: New(testTiming, testStart), now: testStart}
-	b.scheduler.Configure(nil, map[ident.Service]bool{"svc": true})
+	b.scheduler.Configure(nil)
 	return b
 }
 
--- a/sched/batch/validate_test.go
+++ b/sched/batch/validate_test.go
@@ -108,7 +108,7 @@
 			return
 		}
 		b := newTestbed()
-		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{j.Workspace: {Accelerators: 1 << 62}}, nil)
+		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{j.Workspace: {Accelerators: 1 << 62}})
 		b.addWorker("w1", "r1")
 		b.scheduler.Load(&j, record, false, b.now)
 		for range 3 {
--- a/sched/batch/zones_test.go
+++ b/sched/batch/zones_test.go
@@ -111,7 +111,7 @@
 	})
 	Convey("Guaranteed work stops nothing in a closed zone to make room", t, func() {
 		b := newZonedBed("z1", "z2")
-		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}}, nil)
+		b.scheduler.Configure(map[ident.Workspace]WorkspaceGuarantee{"ws": {Accelerators: 8}})
 		b.submit(testJob("j1", 2, testStep(2, 8)))
 		b.runCycle()
 		b.acceptStarts()
