Pause before a step is placed again on a worker that rejects its starts

Callers saw: when a worker rejected each start of a step for want of room, or of a ticket that the queue does not ask for, the next run was placed there 10 ms later, with a write to the store each (2,077 runs of a task in 35 s in a play with a stand-in).

Cause: such a rejection is no fault of the worker, so that nothing bounded its repetition. Change: from the second placement in a row that the worker itself rejects, the step is not placed there for 0.2 s, doubled with each further one to 5 s; an accepted start ends the pause. Starts that never reached the worker don't count: TestStartsWaitForYoungView failed while they did.

Test: TestRejectedStartsAreRepeatedWithPauses, 3,500 placements in 35 s before, 15 at most now.

--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -26,7 +26,7 @@
 // suits reports whether the worker meets the step's requirements, is reliable enough
 // for the unit and currently accepts best-effort tasks if the unit consists of them.
 func (p *plan) suits(u *unit, c *workerCapacity) bool {
-	if !u.meetsRequirements(c) || u.findsOnProbation(p.now, c) && c.probing {
+	if !u.meetsRequirements(c) || u.findsOnProbation(p.now, c) && c.probing || u.rejectsStarts(c.worker, p.now) {
 		return false
 	}
 	if u.step.BestEffort && p.now.Before(u.bestEffortFrom(c.worker)) {
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -409,6 +409,7 @@
 	w := s.workers[o.Worker]
 	switch kind {
 	case AnswerOK, AnswerOKRepeated:
+		t.noteAcceptance()
 		t.startUncertain = kind == AnswerOKRepeated
 		t.lateUntil = earliest(t.lateUntil, now.Add(MaxCallDelay))
 		t.unansweredSince = time.Time{}
@@ -422,6 +423,7 @@
 		case AnswerRejectedTicket:
 			t.dropRejectedTicket(o)
 		}
+		t.noteRejection(kind, clockMs, now)
 		s.conclude(t, EvidenceRejected, now)
 	case AnswerUnknown:
 		s.startUnanswered(w, t, clockMs, now)
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -102,6 +102,8 @@
 	loadedAt time.Time
 	// advice holds the placement advisor's answers by occurrence and step.
 	advice map[StepID]*advice
+	// rejections holds the starts that workers have rejected lately.
+	rejections map[startSite]rejections
 	// waits holds the steps that have waited for a worker.
 	waits map[StepID]*wait
 }
