--- a/sched/batch/advice_load_test.go
+++ b/sched/batch/advice_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"testing"
 	"time"
@@ -102,13 +103,24 @@
 	return b
 }
 
-func (b *advisedBed) submitAdvised(id string, priority int, step Step) {
-	j := testJob(id, priority, step)
+func (b *advisedBed) submitAdvised(id string, priority int, steps ...Step) {
+	j := testJob(id, priority, steps...)
 	j.NeedsAdvice, j.Advice, j.AcceptedMs = true, b.advisor.terms, b.now.UnixMilli()
 	b.submitted[j.ID] = b.now
 	b.submit(j)
 }
 
+// unfinished returns how many jobs have not ended.
+func (b *advisedBed) unfinished() int {
+	n := 0
+	for _, j := range b.scheduler.jobs {
+		if !j.record.State.Final() {
+			n++
+		}
+	}
+	return n
+}
+
 const advisedStep = 10 * time.Millisecond
 
 // step lets 10 ms pass: the workers report, the advisor answers, the scheduler plans.
@@ -173,6 +185,10 @@
 
 const usualPause = time.Second
 
+// maxIdleAfterTraffic is how long after the traffic a job may have nothing running beside room, as
+// the platform's users demand it.
+const maxIdleAfterTraffic = 17 * time.Second
+
 // Guards against jobs that never start after a burst: each waiting step asked the advisor by a call
 // of its own, the calls waited for one another, and each answer had expired when it came.
 func TestBurstDoesNotOutlastAdvisorsTickets(t *testing.T) {
@@ -191,7 +207,7 @@
 				trafficEnd := b.now
 				So(b.playUntilStarted(time.Minute), ShouldEqual, 60)
 				t.Logf("rate %d: all started %v after the traffic, the longest wait is %v, the oldest answer %v", rate, b.now.Sub(trafficEnd), b.latestStart(), b.advisor.oldest)
-				So(b.now.Sub(trafficEnd), ShouldBeLessThan, 17*time.Second)
+				So(b.now.Sub(trafficEnd), ShouldBeLessThan, maxIdleAfterTraffic)
 				So(b.advisor.mostCalls, ShouldEqual, 1)
 				So(b.advisor.oldest, ShouldBeLessThan, time.Duration(usualAdvice.ValidMs)*time.Millisecond-ticketExpiryMargin)
 				So(b.rejected, ShouldEqual, 0)
@@ -200,6 +216,56 @@
 	}
 }
 
+// Guards against the same where answers are worth less or more is asked for.
+func TestBurstsOfOtherKindsEnd(t *testing.T) {
+	shortTickets := usualAdvice
+	shortTickets.ValidMs = 1500
+	quarter := func(step StepID, id ident.Upstream) bool {
+		hash := fnv.New32a()
+		_, _ = fmt.Fprint(hash, step, id)
+		return hash.Sum32()%4 == 0
+	}
+	for _, c := range []struct {
+		name          string
+		workers, jobs int
+		pause         time.Duration
+		terms         catalog.AdviceTerms
+		steps         int
+		allows        func(StepID, ident.Upstream) bool
+	}{
+		{"few workers allowed", 11, 22, 390 * time.Millisecond, usualAdvice, 1, quarter},
+		{"more workers", 25, 22, 390 * time.Millisecond, usualAdvice, 1, nil},
+		{"shorter tickets", 11, 22, 390 * time.Millisecond, shortTickets, 1, nil},
+		{"shorter tickets and few workers allowed", 25, 22, 390 * time.Millisecond, shortTickets, 1, quarter},
+		{"three steps a job", 11, 22, 390 * time.Millisecond, usualAdvice, 3, nil},
+		{"all at once, as a new owner finds them", 11, 58, 0, usualAdvice, 1, nil},
+	} {
+		Convey(c.name, t, func() {
+			b := newAdvisedBed(c.workers, c.terms)
+			b.advisor.allows = c.allows
+			for i := range c.jobs {
+				steps := []Step{testStep(1, 1)}
+				for len(steps) < c.steps {
+					next := testStep(1, 1)
+					next.DependsOn = []int{len(steps) - 1}
+					steps = append(steps, next)
+				}
+				b.submitAdvised(fmt.Sprintf("j%d", i), 1, steps...)
+				b.playFor(c.pause)
+			}
+			trafficEnd := b.now
+			for b.unfinished() > 0 && b.now.Sub(trafficEnd) < time.Minute {
+				b.step()
+			}
+			t.Logf("all jobs ended %v after the traffic", b.now.Sub(trafficEnd))
+			So(b.unfinished(), ShouldEqual, 0)
+			So(b.now.Sub(trafficEnd), ShouldBeLessThan, maxIdleAfterTraffic+time.Duration(c.steps)*b.runTime)
+			So(b.advisor.mostCalls, ShouldEqual, 1)
+			So(b.rejected, ShouldEqual, 0)
+		})
+	}
+}
+
 // Guards against urgent work and large gangs that wait for their tickets behind a burst of other
 // work, and against other work that never gets its turn.
 func TestAdvisorIsAskedInTheOrderOfPlacement(t *testing.T) {
@@ -299,7 +365,7 @@
 			recovered := b.now
 			So(b.playUntilStarted(time.Minute), ShouldEqual, 30)
 			t.Logf("all started %v after the failure", b.now.Sub(recovered))
-			So(b.now.Sub(recovered), ShouldBeLessThan, 17*time.Second)
+			So(b.now.Sub(recovered), ShouldBeLessThan, maxIdleAfterTraffic)
 			So(b.advisor.mostCalls, ShouldEqual, 1)
 		})
 	}
