Stop runs of tasks whose earlier start a restarted process may carry out

A start had no answer, was stopped, and the task ran elsewhere; then its worker's machine restarted, and the process, back before its agent, carried the start out.

Cause: a stop and a fencing token bind only the process that got them. The next one knows neither until the first call of its agent, so that only the run elsewhere can be ended.

Change: the owner remembers starts of given-up runs for as long as they may be carried out.

--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -252,7 +252,7 @@
 func waitingUnit(j *job, step *Step, tasks []task) *unit {
 	u := &unit{job: j, step: step}
 	for i := range tasks {
-		if tasks[i].Phase == TaskWaiting {
+		if tasks[i].Phase == TaskWaiting && !tasks[i].held {
 			u.tasks = append(u.tasks, &tasks[i])
 			u.noteLastAttempt(&tasks[i])
 		}
--- a/sched/batch/reports.go
+++ b/sched/batch/reports.go
@@ -333,6 +333,7 @@
 // requeue returns a task whose run has ended without success to the waiting
 // tasks, and stops the other members of its gang.
 func (s *Scheduler) requeue(t *task, now time.Time) {
+	s.noteStaleStart(t, now)
 	s.clearRun(t)
 	t.Phase = TaskWaiting
 	t.waitingSince = now
--- a/sched/batch/scheduler.go
+++ b/sched/batch/scheduler.go
@@ -67,6 +67,10 @@
 	// target, or zero.
 	overTargetSince time.Time
 	stop            stopState
+	// staleStarts holds starts of earlier runs that may still be carried out, and held reports that
+	// one may be in progress now.
+	staleStarts []staleStart
+	held        bool
 	// concluded is the latest run that was taken as ended without a report of its end.
 	concluded conclusion
 }
@@ -124,6 +128,8 @@
 	ReasonJobFailed    Reason = "job_failed"
 	ReasonJobEnded     Reason = "job_ended"
 	ReasonInterference Reason = "disturbs_serving_task"
+	// ReasonStaleStart means that an earlier start of the task may be carried out elsewhere.
+	ReasonStaleStart Reason = "stale_start"
 )
 
 // OrderKind says what an order tells a worker to do.
@@ -199,6 +205,8 @@
 	// a commit is durable.
 	leaseEnds map[ident.Worker]leaseEnd
 	open      openStarts
+	// stale holds the tasks with stale starts.
+	stale map[*task]struct{}
 	// silent holds the workers that had runs and no recent report at the latest Tick.
 	silent []*worker
 	// storeClock is the latest reading of the store's clock, or zero.
@@ -233,6 +241,7 @@
 		workers:               make(map[ident.Worker]*worker),
 		guarantees:            make(map[ident.Workspace]WorkspaceGuarantee),
 		dirty:                 make(map[ident.Job]int),
+		stale:                 make(map[*task]struct{}),
 		durations:             make(map[string]*durationHistory),
 		leaseEnds:             make(map[ident.Worker]leaseEnd),
 		earlierLeasesExpireAt: grantedUntil.Add(leaseExpiry(timing.MaxLease)),
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -33,6 +33,7 @@
 	s.noteTick(now)
 	s.silent = s.silent[:0]
 	for _, w := range s.workers {
+		w.noteFenced(now)
 		s.endRunsOfLeftProcess(w, now)
 		s.noteSilence(w, now)
 		s.expireLeases(w, now)
@@ -45,6 +46,17 @@
 		}
 	}
 	s.handling = ""
+	s.checkStaleStarts(now)
+}
+
+// noteFenced keeps track of since when the worker has not been fenced.
+func (w *worker) noteFenced(now time.Time) {
+	switch {
+	case w.fenced:
+		w.unfencedSince = time.Time{}
+	case w.unfencedSince.IsZero():
+		w.unfencedSince = now
+	}
 }
 
 // expireLeases ends the runs of a worker once every lease that may have been
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -102,6 +102,8 @@
 	// fenced reports that this incarnation has answered a call with the owner's
 	// epoch, so that it rejects orders of earlier owners.
 	fenced bool
+	// unfencedSince is since when it has not been fenced, to the resolution of Tick, or zero.
+	unfencedSince time.Time
 	// reportedAt is when the latest report arrived; clockMs is the worker's clock
 	// in it.
 	reportedAt time.Time
