Restarted agents tell that no process has announced itself

Change: an agent that has run for 4 s and heard of no process says so, as others say that a connection was refused; it also opens its stream at once. The owner counts starts of its predecessors from the time at which it attached. After a pause an agent says nothing for 2 s.

Tests: TestTasksOfLostProcessDoNotWaitForLeasesOfNobody also with an agent that restarts, with and without the owner; 360 plays in which the process comes back show no second run.

--- a/control/batche2e/lostprocess_test.go
+++ b/control/batche2e/lostprocess_test.go
@@ -6,45 +6,62 @@
 	"time"
 )
 
-// maxIdleAfterTraffic is how long after the traffic a task may stand still in all.
-const maxIdleAfterTraffic = 17 * time.Second
+const (
+	// maxIdleAfterTraffic is how long after the traffic a task may stand still in all.
+	maxIdleAfterTraffic = 17 * time.Second
+	// takeoverTime is how long after the loss of an owner the next one acts.
+	takeoverTime = 3500 * time.Millisecond
+)
+
+// lossKind says what is lost with a process.
+type lossKind struct{ owner, agent bool }
+
+var lossKinds = map[string]lossKind{
+	"alone": {}, "with_the_owner": {owner: true}, "and_its_agent_restarts": {agent: true}, "with_the_owner_and_its_agent_restarts": {true, true},
+}
+
+// lose ends a process that has carried out the second attempt of a start. The first one is carried
+// out late.
+func (s *cluster) lose(kind lossKind, late, age time.Duration) *machine {
+	s.lease = 10 * time.Second
+	a := s.startEntry("1")
+	m := s.startMachine("1")
+	s.wait(time.Minute)
+	s.startEntry("2")
+	set(m, &m.start, firstAttemptIsLate(late))
+	s.submit(a, "bulk", job1, "5m", 1)
+	s.wait(age)
+	m.crash()
+	s.startWorker("2")
+	if kind.agent {
+		m.worker.stop()
+		s.wait(100 * time.Millisecond)
+		s.startAgentOf(m, "1")
+	}
+	if kind.owner {
+		s.wait(200 * time.Millisecond)
+		s.crash(a)
+	}
+	return m
+}
 
 // Guards against tasks that stand still because a start had an attempt without an answer, although
 // the agent beside their process, which is lost for good, finds no other one there.
 func TestTasksOfLostProcessDoNotWaitForLeasesOfNobody(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		lost time.Duration
-	}{
-		{"lost_with_the_start_open", 1500 * time.Millisecond}, {"lost_later", 3 * time.Second}, {"lost_after_a_while", 9 * time.Second},
-	} {
-		for _, takeover := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s_next_owner_%v", c.name, takeover), func(t *testing.T) {
+	for name, kind := range lossKinds {
+		for _, age := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 9 * time.Second} {
+			t.Run(fmt.Sprintf("%s_%v_after_the_start", name, age), func(t *testing.T) {
 				play(t, func(s *cluster) {
-					s.lease = 10 * time.Second
-					a := s.startEntry("1")
-					m := s.startMachine("1")
-					s.wait(age)
-					s.startEntry("2")
-					set(m, &m.start, firstAttemptIsLate(12*time.Second))
-					s.submit(a, "bulk", job1, "5m", 1)
-					s.wait(c.lost)
-					m.crash()
-					s.startWorker("2")
+					s.lose(kind, 12*time.Second, age)
 					lost := time.Now()
-					if takeover {
-						s.wait(200 * time.Millisecond)
-						s.crash(a)
-					}
 					for !s.runsOn("2") && time.Since(lost) < time.Minute {
 						s.wait(50 * time.Millisecond)
 					}
-					took := time.Since(lost)
-					t.Logf("the task runs again after %v", took)
-					limit := maxIdleAfterTraffic
-					if takeover {
-						limit += 3 * time.Second // The next owner is found first.
+					took, limit := time.Since(lost), maxIdleAfterTraffic
+					if kind.owner {
+						limit += takeoverTime
 					}
+					t.Logf("the task runs again after %v", took)
 					if took > limit {
 						s.printTranscript()
 						t.Errorf("the task stands still for %v, more than %v", took, limit)
@@ -59,27 +76,20 @@
 // Guards against a second run of a task whose process does come back, at any time at which it may
 // still carry the start out, and whatever its agent has said before.
 func TestTasksOfLostProcessWaitForItsSuccessor(t *testing.T) {
-	const late = 11900 * time.Millisecond
-	for down := 250 * time.Millisecond; down < 16*time.Second; down += 250 * time.Millisecond {
-		for _, announced := range []time.Duration{10 * time.Millisecond, 1500 * time.Millisecond} {
-			t.Run(fmt.Sprintf("down_for_%v_announced_after_%v", down, announced), func(t *testing.T) {
-				play(t, func(s *cluster) {
-					s.lease = 10 * time.Second
-					a := s.startEntry("1")
-					m := s.startMachine("1")
-					s.wait(age)
-					set(m, &m.start, firstAttemptIsLate(late))
-					s.submit(a, "bulk", job1, "5m", 1)
-					s.wait(time.Second)
-					m.crash()
-					s.startWorker("2")
-					s.expectNoSecondRun(down)
-					m.restart()
-					s.expectNoSecondRun(announced)
-					m.worker.announce(false)
-					s.expectOneRun(40 * time.Second)
+	for name, kind := range lossKinds {
+		for down := 300 * time.Millisecond; down < 18*time.Second; down += 400 * time.Millisecond {
+			for _, announced := range []time.Duration{10 * time.Millisecond, 1500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s_down_for_%v_announced_after_%v", name, down, announced), func(t *testing.T) {
+					play(t, func(s *cluster) {
+						m := s.lose(kind, 11900*time.Millisecond, time.Second)
+						s.expectNoSecondRun(down)
+						m.restart()
+						s.expectNoSecondRun(announced)
+						m.worker.announce(false)
+						s.expectOneRun(40 * time.Second)
+					})
 				})
-			})
+			}
 		}
 	}
 }
--- a/control/runner/runner.go
+++ b/control/runner/runner.go
@@ -64,8 +64,10 @@
 	// ownerSought reports that the worker's row was written for an owner to attach, although no
 	// process is known.
 	ownerSought bool
+	// startedAt is when the agent started, on the boot-time clock of its machine.
+	startedAt time.Duration
 	// successorSeen reports that another process has announced itself under the id of the current
-	// one since that was adopted.
+	// one since that was adopted, or any if there is none.
 	successorSeen bool
 	// session is the stream to the current owner, or nil.
 	session *session
@@ -85,7 +87,7 @@
 // New returns a runner without an announced upstream process.
 func New(opts Options) *Runner {
 	return &Runner{
-		opts: opts, publishWakeup: make(chan struct{}, 1), verifyWakeup: make(chan struct{}, 1),
+		opts: opts, startedAt: opts.Clock(), publishWakeup: make(chan struct{}, 1), verifyWakeup: make(chan struct{}, 1),
 		leaveWakeup: make(chan struct{}, 1), recordedWakeup: make(chan struct{}, 1),
 		candidates: make(map[batch.Incarnation]*candidate),
 		guard:      panicguard.Guard{Logger: opts.Logger, Count: opts.Count},
@@ -158,16 +160,32 @@
 	}
 }
 
+const (
+	// firstAnnouncementTime is how long an agent that has started takes to hear of the process
+	// beside it, if there is one. Processes announce themselves every 1.5 s.
+	firstAnnouncementTime = 4 * time.Second
+	// resumeTime is how long an agent takes to handle what has arrived during a pause.
+	resumeTime = 2 * time.Second
+)
+
 // sendRefusal tells the owner that an incarnation of the upstream process still refuses connections,
-// as of the latest renewal that its session had got before. It sends nothing, and returns false,
-// while less is known than WorkerInfo.RefusedAfter says.
+// or that no process has announced itself if the incarnation is empty, as of the latest renewal
+// that its session had got before. It sends nothing, and returns false, while less is known than
+// WorkerInfo.RefusedAfter says.
 func (r *Runner) sendRefusal(s *session, incarnation batch.Incarnation, renewals int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.session != s || r.announcement.Incarnation != incarnation || !r.announcement.Info.Unreachable || r.successorSeen || len(s.startSlots) > 0 {
+	now := r.opts.Clock()
+	if r.session != s || r.announcement.Incarnation != incarnation || r.successorSeen || len(s.startSlots) > 0 || now-s.resumedAt < resumeTime {
 		return false
 	}
 	info := r.currentInfo()
+	if incarnation == (batch.Incarnation{}) {
+		info = batch.WorkerInfo{ID: r.opts.ID, Unreachable: now-r.startedAt >= firstAnnouncementTime}
+	}
+	if !info.Unreachable {
+		return false
+	}
 	info.RefusedAfter = renewals
 	s.sendWorker(info)
 	return true
--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -50,6 +50,10 @@
 	// refusalRenewals renewals.
 	refusalSentAt   time.Time
 	refusalRenewals int
+	// refusedAt is when the process, or its absence, was last found to refuse connections, or zero if
+	// it did not, and resumedAt when the session began or a pause of this process since then was
+	// noticed, on the boot-time clock of this machine.
+	refusedAt, resumedAt time.Duration
 }
 
 // send queues a message for the owner, or closes the stream if the queue is full.
@@ -205,10 +209,15 @@
 	failed := false
 	var applied batch.LeaseRenewal
 	var progress progressWatch
+	s.resumedAt = s.runner.opts.Clock()
+	if s.runner.currentAnnouncement().Incarnation == (batch.Incarnation{}) {
+		s.sendWorker(batch.WorkerInfo{ID: s.runner.opts.ID}) // The stream opens with the first message.
+	}
 	for ctx.Err() == nil {
+		renewals := s.renewalCount()
 		announced := s.runner.currentAnnouncement()
 		if announced.Incarnation == (batch.Incarnation{}) {
-			s.waitForWakeup(ctx, renewWait)
+			s.confirmRefusal(ctx, announced.Incarnation, renewals)
 			continue
 		}
 		granted := s.renewalFor(announced.Incarnation)
@@ -220,7 +229,6 @@
 		if renews {
 			request.DeadlineMs, request.Cursor, request.Wait = granted.DeadlineMs, granted.Cursor, 0
 		}
-		renewals := s.renewalCount()
 		report, timedOut, err := s.renew(ctx, announced, request, margin)
 		if failed = err != nil; failed {
 			wait = 0
@@ -233,7 +241,7 @@
 			}
 			continue
 		}
-		refusals, margin = 0, max(margin/2, renewTimeoutMargin)
+		refusals, margin, s.refusedAt = 0, max(margin/2, renewTimeoutMargin), 0
 		if renews {
 			applied = granted
 			if len(report.Ended) == 0 {
@@ -356,10 +364,24 @@
 	return refusals
 }
 
+// maxRefusalGap is the longest time between two attempts to reach a process that refuses
+// connections, without a pause of this process.
+const maxRefusalGap = time.Second
+
+// noteRefusedAt notices a pause since the latest refusal.
+func (s *session) noteRefusedAt(now time.Duration) {
+	if s.refusedAt > 0 && now-s.refusedAt > maxRefusalGap {
+		s.resumedAt = now
+	}
+	s.refusedAt = now
+}
+
 // confirmRefusal tells the owner, at most once in refusalInterval, that the process has refused a
-// connection after a further renewal, and waits before the next attempt.
+// connection after a further renewal, or that there is none, and waits before the next attempt.
 func (s *session) confirmRefusal(ctx context.Context, incarnation batch.Incarnation, renewals int) {
-	due := renewals > s.refusalRenewals && time.Since(s.refusalSentAt) >= refusalInterval
+	s.noteRefusedAt(s.runner.opts.Clock())
+	first := incarnation == (batch.Incarnation{}) && s.refusalSentAt.IsZero()
+	due := first || renewals > s.refusalRenewals && time.Since(s.refusalSentAt) >= refusalInterval
 	if due && s.runner.sendRefusal(s, incarnation, renewals) {
 		s.refusalSentAt, s.refusalRenewals = time.Now(), renewals
 	}
--- a/control/runner/verify.go
+++ b/control/runner/verify.go
@@ -31,7 +31,8 @@
 // addCandidate records the announcement of another incarnation than the current one. The
 // caller holds r.mu.
 func (r *Runner) addCandidate(a batchapi.Announcement) {
-	r.successorSeen = r.successorSeen || a.Incarnation.Upstream == r.announcement.Incarnation.Upstream
+	current := r.announcement.Incarnation.Upstream
+	r.successorSeen = r.successorSeen || current == "" || a.Incarnation.Upstream == current
 	c := r.candidates[a.Incarnation]
 	switch {
 	case c != nil && a.Sequence <= c.announcement.Sequence:
--- a/sched/batch/refusals.go
+++ b/sched/batch/refusals.go
@@ -20,10 +20,12 @@
 const successorNotice = 2 * time.Second
 
 // Refused records that the process of an incarnation has refused a connection since the given
-// time, as WorkerInfo.RefusedAfter tells.
+// time, as WorkerInfo.RefusedAfter tells. An empty incarnation means that the agent, which has
+// started again, has heard of no process since.
 func (s *Scheduler) Refused(id ident.Worker, incarnation Incarnation, since, now time.Time) {
 	w := s.workers[id]
-	if w == nil || w.info.Incarnation != incarnation || !w.info.Unreachable {
+	unknown := incarnation == (Incarnation{})
+	if w == nil || !unknown && (w.info.Incarnation != incarnation || !w.info.Unreachable) {
 		return
 	}
 	if w.refusals.noCallsSince.IsZero() {
@@ -32,6 +34,15 @@
 	w.refusals.latest = latest(w.refusals.latest, since)
 }
 
+// lastInheritedStart returns until when a start of earlier owners may be carried out, of which that
+// is known to end at the given time. The agent has stopped to send it when this owner attached.
+func (w *worker) lastInheritedStart(end time.Time) time.Time {
+	if w.attachedSince.IsZero() {
+		return end
+	}
+	return earliest(end, w.attachedSince.Add(MaxCallDelay))
+}
+
 // hasNoSuccessor reports whether no process under the worker's id can have carried out a start that
 // may have been carried out until the given time: one that had started by then would have
 // announced itself. The process that the start was sent to rejects it once it is late.
--- a/sched/batch/timers.go
+++ b/sched/batch/timers.go
@@ -33,7 +33,7 @@
 	s.noteTick(now)
 	s.silent = s.silent[:0]
 	for _, w := range s.workers {
-		w.noteFenced(now)
+		w.noteStream(now)
 		s.endRunsOfLeftProcess(w, now)
 		s.noteSilence(w, now)
 		s.expireLeases(w, now)
@@ -49,8 +49,14 @@
 	s.checkStaleStarts(now)
 }
 
-// noteFenced keeps track of since when the worker has not been fenced.
-func (w *worker) noteFenced(now time.Time) {
+// noteStream keeps track of since when the worker has been attached and not been fenced.
+func (w *worker) noteStream(now time.Time) {
+	switch {
+	case !w.attached:
+		w.attachedSince = time.Time{}
+	case w.attachedSince.IsZero():
+		w.attachedSince = now
+	}
 	switch {
 	case w.fenced:
 		w.unfencedSince = time.Time{}
@@ -82,7 +88,7 @@
 		bound, lastStart = last.Add(leaseExpiry(s.timing.MaxLease)), t.lateUntil
 	} else if t.recovered {
 		bound = s.inheritedEnd(w)
-		lastStart = bound.Add(-leaseExpiry(s.timing.MaxLease))
+		lastStart = w.lastInheritedStart(bound.Add(-leaseExpiry(s.timing.MaxLease)))
 	}
 	if bound.IsZero() || w.hasNoSuccessor(lastStart) {
 		return false
--- a/sched/batch/worker.go
+++ b/sched/batch/worker.go
@@ -102,8 +102,9 @@
 	// fenced reports that this incarnation has answered a call with the owner's
 	// epoch, so that it rejects orders of earlier owners.
 	fenced bool
-	// unfencedSince is since when it has not been fenced, to the resolution of Tick, or zero.
-	unfencedSince time.Time
+	// attachedSince is since when it has been attached, and unfencedSince since when it has not been
+	// fenced, to the resolution of Tick, or zero.
+	attachedSince, unfencedSince time.Time
 	// reportedAt is when the latest report arrived; clockMs is the worker's clock
 	// in it.
 	reportedAt time.Time
