Ask about more workers for steps that few workers suit

A step to which the advisor allows a few of many workers only was asked about with as few as the queue's other steps need, a second call a worker or two. The number now follows the lower share of the queue and of the step itself. Test: a gang that five of 100 workers suit starts within eight calls.

--- a/sched/batch/advice_load_test.go
+++ b/sched/batch/advice_load_test.go
@@ -331,6 +331,24 @@
 			}
 		}
 	})
+	Convey("A gang finds the five of 100 workers that it may run on within eight calls", t, func() {
+		b := newAdvisedBed(100, usualAdvice)
+		calls := make(map[string]bool)
+		b.advisor.allows = func(step StepID, id ident.Upstream) bool {
+			calls[b.now.String()] = calls[b.now.String()] || step.Job == "gang"
+			return step.Job != "gang" || id >= "u-w095"
+		}
+		for i := range 5 {
+			b.submitAdvised(fmt.Sprintf("j%d", i), 1, testStep(1, 1))
+		}
+		b.playUntilStarted(10 * time.Second)
+		clear(calls)
+		gang := testStep(5, 8)
+		gang.Gang = true
+		b.submitAdvised("gang", 1, gang)
+		So(b.playUntilStarted(20*time.Second), ShouldEqual, 6)
+		So(len(calls), ShouldBeLessThanOrEqualTo, 8)
+	})
 	Convey("A step that may run nowhere asks again seldom, and keeps nothing from other steps", t, func() {
 		b := newAdvisedBed(4, usualAdvice)
 		calls := 0
--- a/sched/batch/advisor.go
+++ b/sched/batch/advisor.go
@@ -232,14 +232,26 @@
 }
 
 // workersForAllowed returns about how many unknown workers to ask about for the given number of
-// allowed ones. While nothing is known of the queue's answers, and for a step to which the advisor
-// has allowed none, that is as many as possible.
+// allowed ones, by the lower acceptance of the queue and of the step itself.
 func (p *plan) workersForAllowed(u *unit, need int) int {
-	seen := p.scheduler.advisor.acceptance[u.job.spec.QueueRef().Key()]
-	if seen == nil || seen.allowed == 0 || u.advice.allowedNone() {
+	queue := p.scheduler.advisor.acceptance[u.job.spec.QueueRef().Key()]
+	if queue == nil {
 		return maxWorkersPerRequest
 	}
-	return (need*seen.asked+seen.allowed-1)/seen.allowed + 1
+	out := queue.workersFor(need)
+	if step := u.advice.acceptance(); step.asked > 0 {
+		out = max(out, step.workersFor(need))
+	}
+	return out
+}
+
+// workersFor returns how many workers to ask about for the given number of allowed ones, with one
+// to spare, and as many as possible if none was allowed so far.
+func (a *acceptance) workersFor(need int) int {
+	if a.allowed == 0 {
+		return maxWorkersPerRequest
+	}
+	return (need*a.asked+a.allowed-1)/a.allowed + 1
 }
 
 // workersToLearn returns the workers to ask about for a unit without room: first those of which
@@ -308,14 +320,15 @@
 	return slices.ContainsFunc(workers, func(c *workerCapacity) bool { return !a.known(c) })
 }
 
-// allowedNone reports whether the advisor has allowed none of the workers that it was asked about.
-func (a *advice) allowedNone() bool {
+// acceptance counts what the advisor has said about workers.
+func (a *advice) acceptance() acceptance {
+	out := acceptance{asked: len(a.allowed)}
 	for _, allowed := range a.allowed {
 		if allowed {
-			return false
+			out.allowed++
 		}
 	}
-	return len(a.allowed) > 0
+	return out
 }
 
 // requestAdvice queues the next request, if a step needs one and no call is in progress.
