Withdraw starts for processes that were restarted before the release

Cause: the run of the restarted process is moved to the next one as if its start might have been carried out, though it was not sent, and withdrawStarts passes over it, and so over its gang.

Change: such a start is withdrawn with all unsent members of its gang, as for an evacuated zone.

Also, from reading the whole change again:

- Stale starts: a waiting long-running task was held for up to 12 s, though it may stand still for 9 s; a run that had ended because nobody could hold its lease left a stale start that held its task again; a run on the worker of the stale start was stopped in vain.
Tests for the first two.
- One function decides what a unit requires of the advisor.

--- a/control/runner/session.go
+++ b/control/runner/session.go
@@ -50,9 +50,9 @@
 	// refusalRenewals renewals.
 	refusalSentAt   time.Time
 	refusalRenewals int
-	// refusedAt is when the process, or its absence, was last found to refuse connections, or zero if
-	// it did not, and resumedAt when the session began or a pause of this process since then was
-	// noticed, on the boot-time clock of this machine.
+	// refusedAt is when the process was last found to refuse connections, or not to exist, or zero
+	// once it has responded. resumedAt is when the session began, or when a pause of this process was
+	// noticed later. Both are on the boot-time clock of this machine.
 	refusedAt, resumedAt time.Duration
 }
 
@@ -147,7 +147,7 @@
 	case m.GetHold() != nil:
 		s.mu.Lock()
 		if renewal := rpc.RenewalOf(m.GetHold()); renewal.Incarnation != (batch.Incarnation{}) {
-			s.renewal = renewal
+			s.renewal = renewal // The others only mark a point in the stream.
 		}
 		s.renewals++
 		s.mu.Unlock()
--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -141,28 +141,28 @@
 	notDenied
 )
 
-// permitted reports whether the placement advisor permits the step on the worker, as far as the
-// unit requires it, or need not be asked.
-func (p *plan) permitted(u *unit, c *workerCapacity) bool {
+// hasPermission reports whether the placement advisor permits the step on the worker in the given
+// sense, or need not be asked.
+func (p *plan) hasPermission(u *unit, c *workerCapacity, required permission) bool {
 	if !u.job.spec.NeedsAdvice {
 		return true
 	}
-	switch u.permission {
+	switch required {
 	case allowedBefore:
 		return u.advice.allowed[c.worker.info.Incarnation.Upstream]
 	case notDenied:
 		return !u.advice.denied(c.worker)
 	case withTicket:
+		_, ok := u.advice.ticket(c.worker, p.ticketsUntil())
+		return ok
 	}
-	_, ok := u.advice.ticket(c.worker, p.ticketsUntil())
-	return ok
+	return false
 }
 
-// withPermission returns a copy of the unit that counts as permitted on other workers.
+// withPermission returns a copy of the unit that requires another permission.
 func (u *unit) withPermission(permission permission) *unit {
 	out := *u
 	out.permission = permission
-	out.setOverdue(u.overdue)
 	return &out
 }
 
@@ -194,11 +194,6 @@
 	return false
 }
 
-// mayBePermitted reports whether the advisor has not denied the worker.
-func (p *plan) mayBePermitted(u *unit, c *workerCapacity) bool {
-	return !u.job.spec.NeedsAdvice || !u.advice.denied(c.worker)
-}
-
 // awaitAdvice lets a unit without a ticket wait for a call of the advisor.
 func (p *plan) awaitAdvice(u *unit) {
 	p.noteWaiting(u, u.tasks[0], WaitForAdvice)
@@ -237,7 +232,7 @@
 func (p *plan) keepPlace(u *unit, n int) {
 	kept := u.withPermission(allowedBefore)
 	a, advisor := u.advice, &p.scheduler.advisor
-	if !p.hasRoom(kept, n) {
+	if p.expectedPlacement(kept, n, freeSoon) == nil {
 		if advisor.responsive() && p.now.Sub(a.lackingSince) < maxReservedWithoutTicket {
 			p.addReservation(kept, n)
 		}
@@ -261,12 +256,8 @@
 	return time.Duration(p.seekersAhead)*advisor.latest <= maxPlaceKept
 }
 
-// hasRoom reports whether the tasks of the unit, or some of them if it is no gang, fit once the
-// runs that are being stopped have ended.
-func (p *plan) hasRoom(u *unit, n int) bool { return p.expectedPlacement(u, n, freeSoon) != nil }
-
 // expectedPlacement returns the workers on which n tasks of the unit fit, or as many of them as fit
-// if it is no gang.
+// if it is no gang, or nil.
 func (p *plan) expectedPlacement(u *unit, n int, v capacityView) []*workerCapacity {
 	if u.step.Gang {
 		return distinct(p.gangPlacement(u, n, v))
--- a/sched/batch/advisor.go
+++ b/sched/batch/advisor.go
@@ -52,7 +52,8 @@
 	// maxWorkersPerRequest limits the size of an advice request, because every
 	// listed worker makes the answer longer.
 	maxWorkersPerRequest = 30
-	// maxAdviceTimeout is the longest time to wait for an answer.
+	// maxAdviceTimeout is the longest time to wait for an answer, which takes longer the more
+	// workers the call names.
 	maxAdviceTimeout = 5 * time.Second
 	// minAdviceTimeout is the shortest one, for tickets that are valid for a very short time.
 	minAdviceTimeout = time.Second
@@ -128,8 +129,8 @@
 	return time.Duration(terms.ValidMs)*time.Millisecond - ticketExpiryMargin
 }
 
-// workersInTime returns how many workers a call may name, so that naming them takes at most half
-// of the time that deciding leaves of the tickets' use.
+// workersInTime returns how many workers a call may name: the answer leaves at least half of the
+// tickets' usable time after the decision.
 func workersInTime(terms catalog.AdviceTerms) int {
 	if terms.ValidMs <= 0 || terms.PerWorkerMs <= 0 {
 		return maxWorkersPerRequest
--- a/sched/batch/commit.go
+++ b/sched/batch/commit.go
@@ -185,6 +185,9 @@
 	WithdrawnNoTicket Reason = "no_ticket"
 	// WithdrawnZone means that the zone of the worker, or of another member's, was evacuated.
 	WithdrawnZone Reason = "zone"
+	// WithdrawnRestarted means that the process of the worker, or of another member's, was
+	// restarted under its id.
+	WithdrawnRestarted Reason = "restarted"
 )
 
 // withdrawalReason returns why a start must not be sent any more, or nothing. It renews the ticket
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -20,7 +20,7 @@
 // eligible reports whether the step's tasks may run on the worker, including the
 // placement advisor's answer.
 func (p *plan) eligible(u *unit, c *workerCapacity) bool {
-	return p.permitted(u, c) && p.suits(u, c)
+	return p.hasPermission(u, c, u.permission) && p.suits(u, c)
 }
 
 // suits reports whether the worker meets the step's requirements, is reliable enough
@@ -97,7 +97,7 @@
 		need = len(u.tasks)
 	}
 	for _, c := range p.workers {
-		if p.mayBePermitted(u, c) && u.meetsRequirements(c) && !p.avoids(u, c) {
+		if p.hasPermission(u, c, notDenied) && u.meetsRequirements(c) && !p.avoids(u, c) {
 			need -= u.idleCapacity(c)
 		}
 		if need <= 0 {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -27,7 +27,7 @@
 	alternative *bool
 	// advice is what the placement advisor has said, or nil if it need not be asked.
 	advice *advice
-	// permission says which workers count as permitted by the placement advisor.
+	// permission is what the unit requires of the placement advisor for a worker.
 	permission permission
 	// overdue reports that the job has stood still for maxDeferral.
 	overdue bool
@@ -332,7 +332,8 @@
 }
 
 // waitForCapacity allocates capacity that is being freed to the tasks. If that is
-// not enough, it preempts other work or makes a reservation.
+// not enough, it preempts other work or makes a reservation. Where only tickets are
+// missing, the tasks wait for these first.
 func (p *plan) waitForCapacity(u *unit, tasks []*task) {
 	if u.job.spec.NeedsAdvice && p.seekAdvice(u, len(tasks)) && p.mayAwaitAdvice(u) {
 		p.noteWaiting(u, tasks[0], WaitForAdvice)
--- a/sched/batch/refusals_test.go
+++ b/sched/batch/refusals_test.go
@@ -61,6 +61,21 @@
 			So(r.kept(), ShouldBeFalse)
 		})
 	}
+	Convey("The task starts elsewhere at once then, though no report has come from the worker since", t, func() {
+		r := newRefusing(AnswerUnknown)
+		r.scheduler.Attached("w1", false)
+		r.scheduler.Attached("w1", true)
+		for range 17 {
+			r.report("w2", nil, nil)
+			r.runFor(time.Second)
+			r.scheduler.Refused("w1", Incarnation{}, r.now.Add(-100*time.Millisecond), r.now)
+			r.report("w2", nil, nil)
+			r.runCycle()
+		}
+		So(r.scheduler.workers["w1"].unfencedSince.IsZero(), ShouldBeFalse)
+		So(r.kept(), ShouldBeFalse)
+		So(r.scheduler.workers["w2"].active, ShouldHaveLength, 1)
+	})
 	Convey("Without the agent's word the lease is waited for", t, func() {
 		r := newRefusing(AnswerUnknown)
 		So(r.givesUpAfter(r.run), shouldBeAbout, lateLeaseExpiry)
--- a/sched/batch/release_test.go
+++ b/sched/batch/release_test.go
@@ -80,3 +80,36 @@
 		})
 	})
 }
+
+// Guards against a gang of which only a part is sent, and against a run that is stopped on a process
+// to which it was never sent: the process of a member is restarted between the plan and the release.
+func TestStartsOfRestartedProcessAreWithdrawn(t *testing.T) {
+	gang := testStep(2, 8)
+	gang.Gang = true
+	for name, step := range map[string]Step{"a gang": gang, "single tasks": testStep(2, 8)} {
+		Convey("The process of one of two workers is restarted under its id: "+name, t, func() {
+			b := newTestbed()
+			b.addWorker("w1", "r1")
+			b.addWorker("w2", "r2")
+			b.submit(testJob("j1", 1, step))
+			b.scheduler.Schedule(b.now)
+			c := b.scheduler.Prepare(100, nil)
+			So(c.Starts(), ShouldEqual, 2)
+			info := b.scheduler.workers["w1"].info
+			info.Incarnation = testIncarnation(2)
+			b.scheduler.Announced(info, b.now)
+			released := 1
+			if step.Gang {
+				released = 0
+			}
+			So(b.commit(c), ShouldHaveLength, released)
+			waiting := 0
+			for _, t := range b.scheduler.jobs["j1"].tasks {
+				if t.Phase == TaskWaiting {
+					waiting++
+				}
+			}
+			So(waiting, ShouldEqual, 2-released)
+		})
+	}
+}
--- a/sched/batch/stalestarts.go
+++ b/sched/batch/stalestarts.go
@@ -25,30 +25,32 @@
 // still be carried out.
 func (s *Scheduler) noteStaleStart(t *task, now time.Time) {
 	until := earliest(t.lateUntil, now.Add(MaxCallDelay))
-	if !t.startUncertain || !until.After(now) || t.concluded.run == t.Run && t.concluded.evidence == EvidenceLeft {
-		return
+	if !t.startUncertain || !until.After(now) || t.step().LongRunning || t.step().MaxUnavailable > 0 {
+		return // Standing still would break what is promised of the latter two.
+	}
+	if c := t.concluded; c.run == t.Run && (c.evidence == EvidenceLeft || c.evidence == EvidenceLeaseExpired) {
+		return // Nobody can carry it out any more.
 	}
 	t.staleStarts = append(t.staleStarts, staleStart{t.Worker, until})
 	s.stale[t] = struct{}{}
 }
 
 // checkStaleStarts stops runs of tasks of which a stale start may be carried out elsewhere now, and
-// keeps these tasks from starting: two runs of a task would be in progress. Long-running tasks go
-// on, and so do those of which only some may be unavailable.
+// keeps these tasks from starting: two runs of a task would be in progress.
 func (s *Scheduler) checkStaleStarts(now time.Time) {
 	for t := range s.stale {
-		t.staleStarts = slices.DeleteFunc(t.staleStarts, func(e staleStart) bool { return !now.Before(e.until) && !s.runsStale(t, e.worker, now) })
-		held := slices.ContainsFunc(t.staleStarts, func(e staleStart) bool {
-			return s.workers[e.worker].mayBeRestarted(now) || s.runsStale(t, e.worker, now)
-		})
-		if len(t.staleStarts) == 0 || t.Phase == TaskSucceeded || t.job.record.State.Final() {
+		t.staleStarts = slices.DeleteFunc(t.staleStarts, func(e staleStart) bool { return !now.Before(e.until) && !s.listsGivenUpRun(e.worker, t, now) })
+		if t.Phase == TaskSucceeded || t.job.record.State.Final() {
+			t.staleStarts = nil
+		}
+		if len(t.staleStarts) == 0 {
 			delete(s.stale, t)
-			t.staleStarts, held = nil, false
 		}
+		held := slices.ContainsFunc(t.staleStarts, func(e staleStart) bool { return s.mayBeginElsewhere(t, e, now) })
 		if t.held != held {
 			t.held, s.needsPlan = held, true
 		}
-		if !held || t.step().LongRunning || t.step().MaxUnavailable > 0 {
+		if !held {
 			continue
 		}
 		for _, m := range s.members(t) {
@@ -57,14 +59,23 @@
 	}
 }
 
+// mayBeginElsewhere reports whether a stale start of the task may be in progress beside its current
+// run. One on the same worker is not: a process that carries it out has replaced that of the run.
+func (s *Scheduler) mayBeginElsewhere(t *task, e staleStart, now time.Time) bool {
+	if t.Phase == TaskActive && t.Worker == e.worker {
+		return false
+	}
+	return s.workers[e.worker].mayBeRestarted(now) || s.listsGivenUpRun(e.worker, t, now)
+}
+
 // mayBeRestarted reports whether the worker's process may have been restarted without having got a
 // call of its agent since.
 func (w *worker) mayBeRestarted(now time.Time) bool {
 	return !w.unfencedSince.IsZero() && now.Sub(w.unfencedSince) >= unfencedGrace
 }
 
-// runsStale reports whether the worker has lately listed a run of the task that was given up.
-func (s *Scheduler) runsStale(t *task, id ident.Worker, now time.Time) bool {
+// listsGivenUpRun reports whether the worker has lately listed a run of the task that was given up.
+func (s *Scheduler) listsGivenUpRun(id ident.Worker, t *task, now time.Time) bool {
 	for run, stoppedAt := range s.workers[id].orphans {
 		if run.Task == t.id && now.Sub(stoppedAt) < 2*orphanStopInterval {
 			return true
--- a/sched/batch/stalestarts_test.go
+++ b/sched/batch/stalestarts_test.go
@@ -97,7 +97,7 @@
 		b.report("w1", nil, nil)
 		So(b.playFor(5*time.Second), ShouldBeFalse)
 	})
-	Convey("Later nothing is stopped, nor is a long-running task", t, func() {
+	Convey("Later nothing is stopped, nor is a long-running task, which starts again at once", t, func() {
 		b := newStaleBed(testStep(1, 8))
 		for range 130 {
 			b.report("w1", nil, nil)
@@ -110,5 +110,8 @@
 		b = newStaleBed(lasting)
 		b.scheduler.Attached("w1", false)
 		So(b.playFor(5*time.Second), ShouldBeFalse)
+		b.clockMs++
+		b.scheduler.Reported("w2", Report{Incarnation: testIncarnation(1), ClockMs: b.clockMs, Ended: []EndedTask{{Number: 1, Run: b.current, Kind: EndStopped}}}, b.now)
+		So(b.runCycle(), ShouldHaveLength, 1)
 	})
 }
--- a/sched/batch/zones.go
+++ b/sched/batch/zones.go
@@ -20,21 +20,26 @@
 // inClosedZone reports whether nothing may start on the worker because of its zone.
 func (s *Scheduler) inClosedZone(w *worker) bool { return s.closedZones[w.info.Zone] }
 
-// withdrawStarts returns the tasks of the commit's starts in closed zones to the waiting ones,
-// with all other members of their gangs, before any of them is released.
+// withdrawStarts returns the tasks of the commit's starts that are in closed zones, or for processes
+// that were restarted since, to the waiting ones, with all other members of their gangs, before any
+// of them is released.
 func (s *Scheduler) withdrawStarts(c *Commit, now time.Time) {
-	if len(s.closedZones) == 0 {
-		return
-	}
 	for _, o := range c.starts {
 		t, w := s.activeTask(o.Run), s.workers[o.Worker]
-		if t == nil || t.Worker != o.Worker || t.Incarnation != o.Incarnation || !s.inClosedZone(w) {
+		if t == nil || t.Worker != o.Worker {
+			continue
+		}
+		reason := WithdrawnZone
+		switch {
+		case t.Incarnation != o.Incarnation:
+			reason = WithdrawnRestarted
+		case !s.inClosedZone(w):
 			continue
 		}
 		s.handling = o.Run.Task.Job
 		for _, m := range s.members(t) {
 			if m.Phase == TaskActive && m.Run == t.Run && m.sentAt.IsZero() && !m.recovered {
-				s.logRunBecause(EventWithdrawn, m, WithdrawnZone, now)
+				s.logRunBecause(EventWithdrawn, m, reason, now)
 				s.requeue(m, now)
 			}
 		}
