Skip connections that their callers reset before a stopping server accepted them

Callers saw: an entry that was being stopped exited with status 2 in place of answering the calls in progress, so that these lost their connections.

Cause: after the deadline of a listener the server accepts the connections that are open already. Linux also returns those that were reset meanwhile; their remote address can't be found, net.Conn.RemoteAddr returns nil, and newConn called a method of it.

Change: a connection without a remote address is closed and the next one accepted. Nobody waits for an answer on it.

--- a/control/internal/httpserver/conn.go
+++ b/control/internal/httpserver/conn.go
@@ -37,16 +37,18 @@
 	l.closeOnce.Do(func() { _ = l.Close() }) // It fails only if the listener has failed before.
 }
 
-// Accept implements net.Listener. It closes connections for which the server has no room.
+// Accept implements net.Listener. It closes connections for which the server has no room, and
+// those that their callers have reset.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.acceptNext()
 		if err != nil {
 			return nil, err
 		}
-		c := newConn(raw, l.server)
-		if l.server.admit(c) {
-			return c, nil
+		if raw.RemoteAddr() != nil { // It is nil if the caller reset the connection before acceptOpened.
+			if c := newConn(raw, l.server); l.server.admit(c) {
+				return c, nil
+			}
 		}
 		_ = raw.Close() // It fails on closed connections only.
 	}
--- a/control/internal/httpserver/server_test.go
+++ b/control/internal/httpserver/server_test.go
@@ -345,22 +345,28 @@
 	})
 }
 
+// newUnacceptingServer returns a server whose listener is not served yet.
+func newUnacceptingServer() (*testServer, *listener) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	s := &testServer{address: l.Addr().String()}
+	s.Server = New(Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })})
+	tracked := &listener{Listener: l, server: s.Server}
+	So(s.addListener(tracked), ShouldBeTrue)
+	return s, tracked
+}
+
 // Guards against requests on connections that are reset because a busy process closes its
 // listener before it has accepted them.
 func TestOpenedConnectionsAreServedAfterShutdown(t *testing.T) {
 	Convey("Given connections with requests that nobody has accepted yet", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		s := &testServer{address: l.Addr().String(), result: make(chan error, 1)}
-		s.Server = New(Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })})
+		s, tracked := newUnacceptingServer()
 		clients := make([]*client, 5)
 		for i := range clients {
 			clients[i] = s.dial()
 			clients[i].send(get("/"))
 		}
-		tracked := &listener{Listener: l, server: s.Server}
 		tracked.close()
-		So(s.addListener(tracked), ShouldBeTrue)
 		Convey("all are answered, and then the listener is closed", func() {
 			So(s.http.Serve(tracked), ShouldNotBeNil)
 			s.listenerEnded()
@@ -373,3 +379,31 @@
 		})
 	})
 }
+
+// Guards against a stopping process that crashes, and answers no call any more, because it accepts
+// a connection that its caller has reset.
+func TestResetConnectionsAreSkippedAfterShutdown(t *testing.T) {
+	Convey("Given connections that nobody has accepted yet, some of them reset by their callers", t, func() {
+		s, tracked := newUnacceptingServer()
+		clients := make([]*client, 6)
+		for i := range clients {
+			clients[i] = s.dial()
+			clients[i].send(get("/"))
+			if i%2 == 0 {
+				So(clients[i].Conn.(*net.TCPConn).SetLinger(0), ShouldBeNil)
+				So(clients[i].Close(), ShouldBeNil)
+			}
+		}
+		tracked.close()
+		Convey("the others are answered", func() {
+			So(s.http.Serve(tracked), ShouldNotBeNil)
+			s.listenerEnded()
+			for i, c := range clients {
+				if i%2 == 1 {
+					So(c.receive().status, ShouldEqual, http.StatusOK)
+				}
+			}
+			So(s.Shutdown(time.Now().Add(longAfter), time.Now().Add(longAfter)), ShouldEqual, 0)
+		})
+	})
+}
