Look for room only for steps that may have the advisor's next turn

Cause: since one call at a time is made, each pass found out for each waiting step where it would start, though the turn goes to one step, and a place is kept only for those whose answer is near. Each check of a worker also looked for rejected starts of jobs that have none.

Change: room is looked for only if the step may have the next turn (the first one with room, or the one that has waited longest, as before) or its answer is near. Of the steps that need a call the plan keeps these two in place of a list. Until there is an answer, a call counts as taking as long as the one in progress has taken, in place of no time. Fewer tasks than asked for are packed in one go.

--- a/sched/batch/advice.go
+++ b/sched/batch/advice.go
@@ -230,20 +230,25 @@
 // for the unit once it has a ticket. Units that stop no other work keep nothing. Without room, the
 // unit reserves capacity as other units do.
 func (p *plan) keepPlace(u *unit, n int) {
-	kept := u.withPermission(allowedBefore)
 	a, advisor := u.advice, &p.scheduler.advisor
-	if p.expectedPlacement(kept, n, freeSoon) == nil {
-		if advisor.responsive() && p.now.Sub(a.lackingSince) < maxReservedWithoutTicket {
-			p.addReservation(kept, n)
-		}
+	if a.acceptance().allowed == 0 {
 		return
 	}
 	keptSince := a.lackingSince
 	if advisor.responsive() && a.roomSince.After(keptSince) {
 		keptSince = a.roomSince
 	}
-	if u.tier <= tierNormal && p.now.Sub(keptSince) < maxPlaceKept && p.answerIsNear(u) {
+	keeps := u.tier <= tierNormal && p.now.Sub(keptSince) < maxPlaceKept && p.answerIsNear(u)
+	reserves := advisor.responsive() && p.now.Sub(a.lackingSince) < maxReservedWithoutTicket && p.mayReserve(u)
+	if !keeps && !reserves {
+		return
+	}
+	kept := u.withPermission(allowedBefore)
+	switch hasRoom := p.expectedPlacement(kept, n, freeSoon) != nil; {
+	case hasRoom && keeps:
 		p.tryAllocate(kept, n, freeSoon)
+	case !hasRoom && reserves:
+		p.addReservation(kept, n)
 	}
 }
 
@@ -253,7 +258,7 @@
 	if advisor.serves(u.stepID()) {
 		return true
 	}
-	return time.Duration(p.seekersAhead)*advisor.latest <= maxPlaceKept
+	return time.Duration(p.seekersAhead)*advisor.callTime(p.now) <= maxPlaceKept
 }
 
 // expectedPlacement returns the workers on which n tasks of the unit fit, or as many of them as fit
@@ -262,11 +267,7 @@
 	if u.step.Gang {
 		return distinct(p.gangPlacement(u, n, v))
 	}
-	total := 0
-	for _, c := range p.workers {
-		total += p.taskCapacity(u, c, v)
-	}
-	return distinct(p.pack(u, p.workers, min(n, total), v))
+	return distinct(p.packAtLeast(u, p.workers, 1, n, v))
 }
 
 // distinct returns each worker once. Equal ones are adjacent.
--- a/sched/batch/advisor.go
+++ b/sched/batch/advisor.go
@@ -106,6 +106,14 @@
 
 func (a *advisor) maxWorkers() int { return cmp.Or(a.limit, maxWorkersPerRequest) }
 
+// callTime returns how long a call takes, as far as known.
+func (a *advisor) callTime(now time.Time) time.Duration {
+	if a.request == nil {
+		return a.latest
+	}
+	return max(a.latest, now.Sub(a.requestedAt))
+}
+
 func (a *advisor) summarize(now time.Time) AdvisorSummary {
 	out := AdvisorSummary{Latest: a.latest, MaxWorkers: a.maxWorkers(), LateAnswers: a.lateAnswers, Timeouts: a.timeouts}
 	if a.request != nil {
@@ -167,13 +175,16 @@
 }
 
 // seekAdvice notes that n tasks of the unit wait and may need a call. It reports whether they have
-// room on workers for which only tickets are missing.
+// room on workers for which only tickets are missing, if the answer is near.
 func (p *plan) seekAdvice(u *unit, n int) bool {
 	a := u.advice
 	if p.now.Sub(a.soughtAt) > maxWaitGap {
 		a.seekingSince = p.now
 	}
 	a.soughtAt = p.now
+	if !p.mayBeNext(u) && !p.answerIsNear(u) {
+		return false
+	}
 	hopeful := u.withPermission(notDenied)
 	chosen, hasRoom := p.workersWithRoom(hopeful, n)
 	switch {
@@ -182,13 +193,30 @@
 	case a.roomSince.IsZero():
 		a.roomSince = p.now
 	}
-	missing := slices.ContainsFunc(chosen, func(c *workerCapacity) bool { return p.lacksTicket(u, c) })
-	if p.scheduler.advisor.idle(p.now) {
+	if p.mayBeNext(u) {
 		if workers := p.workersToAsk(hopeful, n, chosen); len(workers) > 0 {
-			p.wants = append(p.wants, adviceWant{u, workers, hasRoom && p.leavesHeadroom(u, u.tasksAtOnce(n))})
+			p.noteWant(adviceWant{u, workers, hasRoom && p.leavesHeadroom(u, u.tasksAtOnce(n))})
 		}
 	}
-	return missing
+	return slices.ContainsFunc(chosen, func(c *workerCapacity) bool { return p.lacksTicket(u, c) })
+}
+
+// mayBeNext reports whether the next call may be for the unit, of those that were not placed
+// before: only the first with room and the one that has waited longest matter.
+func (p *plan) mayBeNext(u *unit) bool {
+	if !p.scheduler.advisor.idle(p.now) {
+		return false
+	}
+	return p.firstWant.unit == nil || !p.firstWant.hasRoom || u.advice.seekingSince.Before(p.oldestWant.unit.advice.seekingSince)
+}
+
+func (p *plan) noteWant(w adviceWant) {
+	if p.firstWant.unit == nil || w.hasRoom && !p.firstWant.hasRoom {
+		p.firstWant = w
+	}
+	if p.oldestWant.unit == nil || w.unit.advice.seekingSince.Before(p.oldestWant.unit.advice.seekingSince) {
+		p.oldestWant = w
+	}
 }
 
 // tasksAtOnce returns how many of n waiting tasks start together.
@@ -334,7 +362,7 @@
 
 // requestAdvice queues the next request, if a step needs one and no call is in progress.
 func (p *plan) requestAdvice() {
-	if len(p.wants) == 0 {
+	if p.firstWant.unit == nil {
 		return
 	}
 	want := p.nextWant()
@@ -355,18 +383,11 @@
 // nextWant returns the step whose turn it is: the first one in the order of placement, of those with
 // room if there are any. If steps have waited for long, each second turn is that of the one that has
 // waited longest, so that none waits for ever.
-func (p *plan) nextWant() *adviceWant {
+func (p *plan) nextWant() adviceWant {
 	advisor := &p.scheduler.advisor
-	next := max(slices.IndexFunc(p.wants, func(w adviceWant) bool { return w.hasRoom }), 0)
-	oldest := 0
-	for i := range p.wants {
-		if p.wants[i].unit.advice.seekingSince.Before(p.wants[oldest].unit.advice.seekingSince) {
-			oldest = i
-		}
-	}
-	overdue := p.now.Sub(p.wants[oldest].unit.advice.seekingSince) >= maxAdviceWait
+	overdue := p.now.Sub(p.oldestWant.unit.advice.seekingSince) >= maxAdviceWait
 	if advisor.servedOldest = overdue && !advisor.servedOldest; advisor.servedOldest {
-		next = oldest
+		return p.oldestWant
 	}
-	return &p.wants[next]
+	return p.firstWant
 }
--- a/sched/batch/backfill.go
+++ b/sched/batch/backfill.go
@@ -32,7 +32,7 @@
 // delay this unit. Units of tierExpired get no reservation, and neither does any
 // unit once maxReservations exist or if the tasks are not expected to fit.
 func (p *plan) addReservation(u *unit, n int) {
-	if u.tier == tierExpired || p.reservations >= maxReservations {
+	if !p.mayReserve(u) {
 		return
 	}
 	var best []startOption
@@ -64,6 +64,10 @@
 	}
 }
 
+func (p *plan) mayReserve(u *unit) bool {
+	return u.tier != tierExpired && p.reservations < maxReservations
+}
+
 // candidateSets returns the sets of workers on which n tasks of the unit may run
 // together.
 func (p *plan) candidateSets(u *unit, n int) [][]*workerCapacity {
--- a/sched/batch/bench_test.go
+++ b/sched/batch/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lacewingpier/lacewingpier/core/catalog"
 	"github.com/lacewingpier/lacewingpier/core/ident"
 )
 
@@ -90,3 +91,20 @@
 		})
 	}
 }
+
+// BenchmarkAdvisedBacklog measures a planning pass in which 1,000 steps wait for a call of the
+// placement advisor beside 300 idle workers.
+func BenchmarkAdvisedBacklog(b *testing.B) {
+	bed := newAdvisedBed(300, catalog.AdviceTerms{DecideMs: 100, PerWorkerMs: 30, ValidMs: 2500})
+	for i := range 1000 {
+		bed.submitAdvised(fmt.Sprintf("%016x", i+1), 1, testStep(4, 4))
+	}
+	for range 20 {
+		bed.step()
+	}
+	for b.Loop() {
+		bed.advance(advisedStep)
+		bed.scheduler.needsPlan = true
+		bed.scheduler.Schedule(bed.now)
+	}
+}
--- a/sched/batch/place.go
+++ b/sched/batch/place.go
@@ -254,6 +254,11 @@
 // pack places n tasks on as few of the workers as possible, or returns nil if
 // they do not fit.
 func (p *plan) pack(u *unit, workers []*workerCapacity, n int, v capacityView) []*workerCapacity {
+	return p.packAtLeast(u, workers, n, n, v)
+}
+
+// packAtLeast places n tasks in the same way, or as many as fit if that is at least the given number.
+func (p *plan) packAtLeast(u *unit, workers []*workerCapacity, least, n int, v capacityView) []*workerCapacity {
 	type candidate struct {
 		worker *workerCapacity
 		fits   int
@@ -266,7 +271,7 @@
 			total += fits
 		}
 	}
-	if total < n {
+	if total < least {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
--- a/sched/batch/plan.go
+++ b/sched/batch/plan.go
@@ -70,8 +70,9 @@
 	reservations int
 	// headroom is how many accelerators are kept free for urgent work.
 	headroom int
-	// wants holds the steps that need a call of the placement advisor, in the order of placement.
-	wants []adviceWant
+	// firstWant and oldestWant are steps that need a call of the placement advisor: the first one
+	// in the order of placement, with room if there is one, and the one that has waited longest.
+	firstWant, oldestWant adviceWant
 	// seekersAhead counts the units without a ticket that were placed before.
 	seekersAhead int
 }
--- a/sched/batch/rejections.go
+++ b/sched/batch/rejections.go
@@ -60,6 +60,9 @@
 
 // rejectsStarts reports whether the worker has rejected starts of the unit's step too lately.
 func (u *unit) rejectsStarts(w *worker, now time.Time) bool {
+	if len(u.job.rejections) == 0 {
+		return false
+	}
 	r, ok := u.job.rejections[startSite{u.stepID(), w.info.ID}]
 	return ok && now.Before(r.until)
 }
